--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,951 @@
+// How to call: New makes a manager from the site's terms; then one method for each thing it
+// learns (Listed, Joined, Left, Heard, Used, Probed, Applied, Woke), with the time since its start.
+// Each returns Orders, to be carried out in the order of their fields. The interface is types.go.
+// The logic is the list `rules`, gone through after every input until none fires.
+
+package choice
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	batchEvery   = time.Second
+	bandLow      = 0.8             // of a server's target: its floor
+	bandHigh     = 1.2             // and its ceiling
+	pairTrouble  = 2.0             // a zone pair closes to new spill at this multiple of its norm
+	pairDrops    = 0.5             // or when this share of its tries fails
+	pairLast     = 3               // samples that must agree on it
+	daySamples   = 64              // samples that make its norm
+	climbFrom    = 0.1             // a fresh server's first part of its target, and
+	climbCold    = 0.6             // never more than this part of the stated cold share
+	climbOver    = 0.75            // of the stated time until it is warm
+	lineDiffers  = 0.1             // a weight is sent when it moved by this part
+	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
+	samplesKept  = 6               // reports of one server that its figures are made from
+	samplesOld   = 6 * time.Second // and their greatest age
+	enoughTries  = 3               // tries without which a server is no peer
+	slowLatency  = 1.4             // multiple of the peers' median latency that is not yet slow
+	slowBudget   = 0.35            // part of the latency budget that is never slow
+	slowPower    = 1.5             // how hard a slow server is taken back
+	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
+	failWorst    = 0.35            // from here on a server gets the least
+	leastHealth  = 0.02            // what a failing server keeps, to be heard by
+	returnHealth = 0.15            // what a server gets that answers again
+	healthFall   = 0.5             // in a second, a health factor falls to this part at most
+	healthRise   = 1.25            // and rises to this multiple
+	healthMoved  = 0.05            // change that is worth solving anew
+	silentTries  = 6.0             // tries due at a server before its silence counts
+	silentFor    = 2 * time.Second // and the least time
+	probeEvery   = 2 * time.Second // of a server that does not answer
+	stallSlack   = 400 * time.Millisecond
+	slowChannel  = 8.0  // a channel is taken to be so many times slower until marks are answered
+	queueBatch   = 0.5  // of the queue limit for ordinary batches
+	queueUrgent  = 0.85 // and for drains and joining proxies
+	perProxy     = 0.6  // of the messages that a proxy may be sent, for ordinary batches
+	pressureHigh = 0.6  // median latency over latency budget at which the line moves down
+	pressureLow  = 0.42 // and under which it moves up
+	dropsHigh    = 0.25 // median share of failures at which it moves down
+	lineFall     = 0.85
+	lineRise     = 0.03
+	lineLeast    = 0.3
+	lineHold     = 3 * time.Second // between moves down
+	levelStep    = 0.04            // a level is sent when it moved by this much
+	rateOpen     = 1e6
+)
+
+type server struct {
+	id        ServerID
+	zone      int
+	weight    float64
+	state     Condition
+	started   time.Duration // as listed
+	climbing  bool
+	startedAt time.Duration // when that start was heard of
+	withdrawn bool
+	heard     []Report
+	heardAt   []time.Duration
+	quietFrom time.Duration
+	health    float64
+	out       bool // does not answer at all
+	probedAt  time.Duration
+}
+
+type proxy struct {
+	id    ProxyID
+	zone  int
+	rate  float64 // as told when it joined
+	bound bool
+	sent  []time.Duration // messages within the span that a limit counts
+	flows [][]usage       // by traffic group, the last samples
+}
+
+type usage struct {
+	at   time.Duration
+	rate float64
+}
+
+// pair is what proxies of one zone met in another.
+type pair struct {
+	latency, drops []float64
+	closed         bool
+}
+
+type table struct {
+	wanted, standing map[ServerID]float64
+	levels           map[uint]Level // standing, by mask of groups
+}
+
+// owed is what was ordered at one time and no answered mark shows to have left the channel.
+type owed struct {
+	mark  MarkID
+	at    time.Duration
+	lines float64
+}
+
+// bounds are the few figures that decisions use of what the site states.
+type bounds struct {
+	budget                  []float64 // seconds, by traffic group
+	byUtility               []GroupID // most useful first
+	mayRepeat               []bool
+	usual                   Tries
+	admit                   AdmitBy
+	climbBase               float64
+	climbFor                time.Duration
+	head                    float64 // lines of a message besides its own
+	roomBatch, roomUrgent   float64 // lines that may wait
+	slowPace                float64 // lines a second
+	perBatch, perUrgent     int     // messages to one proxy within span; 0: no limit
+	span                    time.Duration
+	asks, probes, goneStays bool
+	sliced                  bool
+}
+
+type Manager struct {
+	bounds
+	chance    uint64
+	now       time.Duration
+	o         Orders
+	zones     []ZoneID
+	servers   []*server // by id
+	proxies   []*proxy  // by number
+	tables    []*table  // by zone
+	pairs     [][]pair  // by zone of proxies, of servers
+	solved    []float64 // volumes last solved with
+	cause     string    // why the tables are to be solved anew
+	urgent    bool
+	heldAt    time.Duration // the batch found no room then
+	batch     bool          // a second has passed
+	due       time.Duration // when the next has
+	blind     time.Duration // silence proves nothing until then: this manager stood still
+	used      bool
+	queue     []owed
+	mark      MarkID
+	markedAt  time.Duration
+	asked     bool
+	line      float64 // part of the flows that is let in, the most useful first
+	lineMoved time.Duration
+	repeating bool
+	wakeAt    time.Duration
+}
+
+func New(seed uint64, t Terms) *Manager {
+	m := &Manager{chance: seed, line: 1, markedAt: -1, heldAt: -1}
+	m.due = time.Duration(m.random() * float64(batchEvery))
+	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
+	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
+	m.climbFor = time.Duration(climbOver * float64(t.WarmAfter))
+	m.climbBase = min(climbFrom, climbCold*t.ColdShare)
+	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
+	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
+	m.perBatch, m.perUrgent = int(perProxy*float64(t.MessagesMost)), max(0, t.MessagesMost-2)
+	for g, group := range t.Groups {
+		m.budget = append(m.budget, group.Budget.Seconds())
+		m.byUtility = append(m.byUtility, GroupID(g))
+		m.mayRepeat = append(m.mayRepeat, group.Repeat == Retriable ||
+			group.Repeat == Deduped && group.Window >= group.Expiry)
+	}
+	slices.SortStableFunc(m.byUtility, func(a, b GroupID) int {
+		return cmp.Compare(t.Groups[b].Utility, t.Groups[a].Utility)
+	})
+	for _, z := range t.Zones {
+		m.zone(z)
+	}
+	return m
+}
+
+// rules are gone through in this order after every input; each effect makes its condition false.
+var rules = []struct {
+	when func(*Manager) bool
+	then func(*Manager)
+}{
+	{(*Manager).unasked, (*Manager).ask},
+	{(*Manager).drainWaits, (*Manager).withdraw},
+	{(*Manager).secondOver, (*Manager).judge},
+	{(*Manager).unsolved, (*Manager).solve},
+	{(*Manager).batchWaits, (*Manager).lay},
+	{(*Manager).proxyWaits, (*Manager).bind},
+	{(*Manager).unwoken, (*Manager).setWake},
+}
+
+// decide ends every input.
+func (m *Manager) decide() Orders {
+	for i := 0; i < len(rules); i++ {
+		if rules[i].when(m) {
+			rules[i].then(m)
+			i = -1
+		}
+	}
+	o := m.o
+	m.o = Orders{}
+	return o
+}
+
+func (m *Manager) note(format string, figures ...any) {
+	m.o.Notes = append(m.o.Notes, fmt.Sprintf(format, figures...))
+}
+
+// random is a permuted congruential generator (PCG-XSH-RR) that gives a number from 0 to 1.
+func (m *Manager) random() float64 {
+	m.chance = m.chance*6364136223846793005 + 1442695040888963407
+	x, by := uint32((m.chance>>18^m.chance)>>27), int(m.chance>>59)
+	return float64(x>>by|x<<(32-by)) / (1 << 32)
+}
+
+func (m *Manager) zone(id ZoneID) int {
+	if z := slices.Index(m.zones, id); z >= 0 {
+		return z
+	}
+	m.zones = append(m.zones, id)
+	m.tables = append(m.tables, &table{wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
+		levels: map[uint]Level{}})
+	m.pairs = make([][]pair, len(m.zones))
+	for z := range m.pairs {
+		m.pairs[z] = make([]pair, len(m.zones))
+	}
+	return len(m.zones) - 1
+}
+
+func (m *Manager) server(id ServerID) *server {
+	i, ok := slices.BinarySearchFunc(m.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.id, id) })
+	if !ok {
+		return nil
+	}
+	return m.servers[i]
+}
+
+func (m *Manager) proxy(id ProxyID) (int, bool) {
+	return slices.BinarySearchFunc(m.proxies, id, func(p *proxy, id ProxyID) int { return cmp.Compare(p.id, id) })
+}
+
+// Inputs: what happened is noted, and the rules decide.
+
+func (m *Manager) Listed(now time.Duration, whole, kept bool, entries []Entry) Orders {
+	m.now = now
+	seen := map[ServerID]bool{}
+	for _, e := range entries {
+		seen[e.Server] = true
+		s := m.server(e.Server)
+		if s == nil {
+			s = &server{id: e.Server, health: 1, quietFrom: now, started: e.Started, probedAt: -probeEvery}
+			s.climbing = e.Fresh && (now-e.Started < m.climbFor || !whole)
+			s.startedAt = now
+			m.servers = append(m.servers, s)
+			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+		} else if e.Fresh && e.Started > s.started {
+			// guards against pushing over a cold server that came back before its end was listed:
+			// what stands in the tables is lowered at once
+			s.climbing, s.startedAt, s.started = true, now, e.Started
+			s.out, s.health, s.heard, s.heardAt, s.quietFrom = false, 1, nil, nil, now
+			m.urgent = true
+		}
+		s.zone, s.weight, s.state = m.zone(e.Zone), e.Weight, e.State
+	}
+	for _, s := range m.servers {
+		if whole && !seen[s.id] {
+			s.state = Gone
+		}
+	}
+	m.cause = "list"
+	return m.decide()
+}
+
+// ListFailed keeps the list and asks again with the next second.
+func (m *Manager) ListFailed(now time.Duration) Orders {
+	m.now, m.asked = now, false
+	return m.decide()
+}
+
+func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64, bare bool) Orders {
+	m.now = now
+	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]usage, len(m.budget))}
+	i, again := m.proxy(id)
+	if again {
+		m.proxies[i] = p
+	} else {
+		m.proxies = slices.Insert(m.proxies, i, p)
+	}
+	return m.decide()
+}
+
+func (m *Manager) Left(now time.Duration, id ProxyID) Orders {
+	m.now = now
+	if i, ok := m.proxy(id); ok {
+		m.proxies = slices.Delete(m.proxies, i, i+1)
+	}
+	return m.decide()
+}
+
+func (m *Manager) Heard(now time.Duration, r Report) Orders {
+	m.now = now
+	s := m.server(r.Server)
+	if s == nil || r.Tries <= 0 {
+		return m.decide()
+	}
+	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
+	if r.Failed < r.Tries {
+		s.quietFrom = now
+	}
+	if p := &m.pairs[m.zone(r.Zone)][s.zone]; r.Tries >= enoughTries {
+		p.drops = lastOf(append(p.drops, float64(r.Failed)/float64(r.Tries)), daySamples)
+		if r.Latency > 0 {
+			p.latency = lastOf(append(p.latency, r.Latency.Seconds()), daySamples)
+		}
+	}
+	return m.decide()
+}
+
+func (m *Manager) Used(now time.Duration, u Usage) Orders {
+	m.now = now
+	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
+		f := &m.proxies[i].flows[u.Group]
+		*f = lastOf(append(*f, usage{now, float64(u.Flows) / u.Span.Seconds()}), samplesKept)
+		if !m.used {
+			m.used, m.cause = true, "usage"
+		}
+	}
+	return m.decide()
+}
+
+func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, held float64) Orders {
+	m.now = now
+	if s := m.server(id); s != nil && s.state == Ready {
+		switch {
+		case a == Silent && !s.out && now-s.quietFrom >= silentFor:
+			s.out, s.health, m.cause = true, returnHealth, "silence"
+			m.note("server out: %s silent for %.1fs and to a probe", id, (now - s.quietFrom).Seconds())
+		case a != Silent && s.out:
+			s.out, s.health, s.quietFrom, m.cause = false, returnHealth, now, "answer"
+			m.note("server back: %s answers a probe", id)
+		}
+	}
+	return m.decide()
+}
+
+// Applied shows that what was ordered before the mark has left the channel.
+func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID, took time.Duration) Orders {
+	m.now = now
+	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i > 0 {
+		m.queue = slices.Delete(m.queue, 0, i)
+	}
+	return m.decide()
+}
+
+func (m *Manager) Woke(now time.Duration, id WakeID) Orders {
+	m.now = now
+	return m.decide()
+}
+
+// The list must be asked for at some sites.
+
+func (m *Manager) unasked() bool { return m.asks && !m.asked && len(m.servers) > 0 }
+func (m *Manager) ask()          { m.asked, m.o.Listen = true, true }
+
+// Drains: a server that drains or is gone is withdrawn from all that joined proxies hold, at once,
+// whatever else waits.
+
+func (m *Manager) mustWithdraw(s *server) bool {
+	return !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
+}
+
+func (m *Manager) drainWaits() bool {
+	return slices.ContainsFunc(m.servers, m.mustWithdraw) && m.room(m.proxies, 1, true)
+}
+
+func (m *Manager) withdraw() {
+	n := 0.0
+	for _, s := range m.servers {
+		if m.mustWithdraw(s) {
+			s.withdrawn, n = true, n+1
+			m.o.Withdraw = append(m.o.Withdraw, s.id)
+		}
+	}
+	m.post(m.proxies, n)
+}
+
+// The ledger: what waits in the channel, at the slowest that a channel is taken to be, and how many
+// messages each proxy was sent.
+
+func (m *Manager) waiting() float64 {
+	if len(m.queue) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, q := range m.queue {
+		sum += q.lines
+	}
+	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
+}
+
+func (m *Manager) room(to []*proxy, lines float64, urgent bool) bool {
+	limit, most := m.roomBatch, m.perBatch
+	if urgent {
+		limit, most = m.roomUrgent, m.perUrgent
+	}
+	for _, p := range to {
+		p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return m.now-at > m.span })
+		if most > 0 && len(p.sent) >= most && p.sent[len(p.sent)-1] != m.now {
+			return false
+		}
+	}
+	return len(to) == 0 || m.waiting()+float64(len(to))*(m.head+1+lines) <= limit
+}
+
+func (m *Manager) post(to []*proxy, lines float64) {
+	if len(to) == 0 {
+		return
+	}
+	if m.waiting() == 0 {
+		m.queue = nil
+	}
+	if m.markedAt != m.now {
+		m.mark, m.markedAt = m.mark%65535+1, m.now
+		m.o.Mark = m.mark
+		m.queue = append(m.queue, owed{mark: m.mark, at: m.now})
+	}
+	q := &m.queue[len(m.queue)-1]
+	for _, p := range to {
+		q.lines += lines
+		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
+			p.sent, q.lines = append(p.sent, m.now), q.lines+m.head+1
+		}
+	}
+}
+
+// Each second what was heard is judged.
+
+func (m *Manager) secondOver() bool { return m.now >= m.due }
+
+func (m *Manager) judge() {
+	if m.now-m.due > stallSlack {
+		m.blind = m.now + 2*batchEvery
+		m.note("this manager stood still for %.1fs", (m.now - m.due).Seconds())
+	}
+	m.due, m.batch = m.now+batchEvery, true
+	latency, drops := m.peers()
+	m.judgeServers(latency, drops)
+	m.judgePairs()
+	m.moveLine(latency, drops)
+	for z, v := range m.volumes() {
+		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
+			m.cause = "volume"
+		}
+	}
+}
+
+// figures are a server's over its last samples.
+func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
+	good := 0.0
+	for i, r := range s.heard {
+		if now-s.heardAt[i] <= samplesOld {
+			tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
+			if r.Latency > 0 {
+				good += float64(r.Tries - r.Failed)
+				latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
+			}
+		}
+	}
+	return tries, failed, latency / max(1, good)
+}
+
+// peers gives the median latency and share of failures of the servers heard of.
+func (m *Manager) peers() (latency, drops float64) {
+	var latencies, shares []float64
+	for _, s := range m.servers {
+		if tries, failed, l := s.figures(m.now); s.state == Ready && tries >= enoughTries {
+			shares = append(shares, failed/tries)
+			if l > 0 {
+				latencies = append(latencies, l)
+			}
+		}
+	}
+	return median(latencies), median(shares)
+}
+
+// judgeServers lowers the health factor of a server that fails more than its peers or is slower,
+// whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
+// all servers seem to do; the peers' median stands against that.
+func (m *Manager) judgeServers(latency, drops float64) {
+	m.repeating = false
+	flows := m.expected()
+	for _, s := range m.servers {
+		if s.state != Ready {
+			continue
+		}
+		if s.climbing && m.now-s.startedAt >= m.climbFor {
+			s.climbing = false
+		}
+		tries, failed, l := s.figures(m.now)
+		aim := 1.0
+		excess := (failed+2*drops)/(tries+2) - drops
+		if excess > failExcess {
+			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
+			m.repeating = true
+		}
+		if l = (l*tries + 2*latency) / (tries + 2); l > 0 && !s.climbing {
+			aim = min(aim, math.Pow(max(slowLatency*latency, slowBudget*m.meanBudget())/l, slowPower))
+		}
+		aim = max(leastHealth, min(1, aim))
+		was := s.health
+		s.health = min(max(aim, s.health*healthFall), max(s.health*healthRise, leastHealth))
+		if was-s.health > healthMoved || s.health-was > healthMoved*was {
+			m.cause = "health"
+		}
+		if was > 0.5 && s.health <= 0.5 {
+			m.note("server weak: %s health %.2f failed %.0f of %.0f latency %.2fs peers %.2fs %.2f",
+				s.id, s.health, failed, tries, l, latency, drops)
+		}
+		if s.climbing {
+			m.cause = "climb"
+		}
+		// guards against servers that no longer answer, before the list knows: silence alone may be the
+		// proxies' or this manager's standing still, so only a probe can tell
+		quiet := m.now - s.quietFrom
+		silent := quiet >= silentFor && flows[s.id]*quiet.Seconds() >= silentTries && m.now >= m.blind
+		if m.probes && (silent || s.out || s.health < returnHealth) && m.now-s.probedAt >= probeEvery {
+			s.probedAt = m.now
+			m.o.Probe = append(m.o.Probe, s.id)
+		}
+	}
+}
+
+// expected is the rate at which tries should come to each server by the standing tables.
+func (m *Manager) expected() map[ServerID]float64 {
+	flows := map[ServerID]float64{}
+	for z, v := range m.volumes() {
+		sum := 0.0
+		for _, w := range m.tables[z].standing {
+			sum += w
+		}
+		for id, w := range m.tables[z].standing {
+			flows[id] += v * w / sum
+		}
+	}
+	return flows
+}
+
+// judgePairs closes a zone pair to new spill while its latency is a multiple of its norm.
+func (m *Manager) judgePairs() {
+	for a := range m.pairs {
+		for b := range m.pairs[a] {
+			p := &m.pairs[a][b]
+			norm, closed := median(p.latency), len(p.drops) >= pairLast
+			for i := 1; closed && i <= pairLast; i++ {
+				far := len(p.latency) >= 3*pairLast && p.latency[len(p.latency)-i] > pairTrouble*norm
+				closed = far || p.drops[len(p.drops)-i] > pairDrops
+			}
+			if a != b && closed != p.closed {
+				p.closed, m.cause = closed, "pair"
+				m.note("pair %s to %s closed %v norm %.2fs", m.zones[a], m.zones[b], closed, norm)
+			}
+		}
+	}
+}
+
+// demand is how many flows of a traffic group come to a proxy a second.
+func (p *proxy) demand(g int, now time.Duration) float64 {
+	sum, n := 0.0, 0.0
+	for _, u := range p.flows[g] {
+		if now-u.at <= samplesOld {
+			sum, n = sum+u.rate, n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
+// volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
+func (m *Manager) volumes() []float64 {
+	v := make([]float64, len(m.zones))
+	for _, p := range m.proxies {
+		sum := 0.0
+		for g := range p.flows {
+			sum += p.demand(g, m.now)
+		}
+		if sum == 0 {
+			sum = p.rate
+		}
+		v[p.zone] += sum
+	}
+	if !m.used {
+		clear(v)
+		for _, s := range m.servers {
+			if s.state == Ready {
+				v[s.zone] += s.weight
+			}
+		}
+	}
+	for z := range v {
+		v[z] = max(v[z], 1e-3)
+	}
+	return v
+}
+
+func (m *Manager) meanBudget() float64 {
+	sum, all := 0.0, 0.0
+	for g, b := range m.budget {
+		d := 1e-6
+		for _, p := range m.proxies {
+			d += p.demand(g, m.now)
+		}
+		sum, all = sum+b*d, all+d
+	}
+	return sum / all
+}
+
+// moveLine moves the line of utility: down when the servers as a whole are late or drop flows, up
+// slowly. All is let in while they are healthy.
+func (m *Manager) moveLine(latency, drops float64) {
+	pressure, was := latency/m.meanBudget(), m.line
+	switch {
+	case m.now < m.blind || m.admit == AdmitNone:
+	case pressure > pressureHigh || drops > dropsHigh:
+		if m.now-m.lineMoved >= lineHold {
+			m.line, m.lineMoved = max(lineLeast, m.line*lineFall), m.now
+		}
+	case pressure < pressureLow:
+		m.line = min(1, m.line+lineRise)
+	}
+	if was != m.line && (was == 1 || m.line == 1 || m.line < was) {
+		m.note("line of utility %.2f: latency %.2f of the budget, %.2f dropped", m.line, pressure, drops)
+	}
+}
+
+// levels are what a zone's table lets in: the groups by utility, each what those above it left.
+func (m *Manager) levels(z int) []Level {
+	levels, rates, all := make([]Level, len(m.budget)), make([][]float64, len(m.budget)), 0.0
+	sums := make([]float64, len(m.budget))
+	for _, p := range m.proxies {
+		for g := range m.budget {
+			d := p.demand(g, m.now)
+			all, sums[g] = all+d, sums[g]+d
+			if p.zone == z {
+				rates[g] = append(rates[g], d)
+			}
+		}
+	}
+	left := m.line * all
+	for _, g := range m.byUtility {
+		part := 1.0
+		if m.line < 1 && sums[g] > 0 {
+			part = min(1, left/sums[g])
+		}
+		left = max(0, left-sums[g])
+		l := Level{Table: TableID(z), Groups: 1 << g, Amount: part, Tries: m.usual}
+		if m.admit == AdmitRate {
+			l.Amount = rateOpen
+			if part < 1 {
+				l.Amount = evenRate(rates[g], part)
+			}
+		}
+		// guards against servers that fail some flows: those that may run again get another try, but
+		// not under overload, where each further try takes room from a first one
+		if m.repeating && m.line == 1 && m.mayRepeat[g] {
+			l.Tries = TryTwice
+		}
+		levels[g] = l
+	}
+	return levels
+}
+
+// evenRate is the rate at each proxy that lets in the part of what comes to all of them.
+func evenRate(rates []float64, part float64) float64 {
+	slices.Sort(rates)
+	left := 0.0
+	for _, r := range rates {
+		left += part * r
+	}
+	for i, r := range rates {
+		if even := left / float64(len(rates)-i); r >= even {
+			return even
+		}
+		left -= r
+	}
+	return rateOpen
+}
+
+// The split: tables are solved anew when the list, health, a climb, usage or a pair calls for it.
+
+func (m *Manager) unsolved() bool {
+	return m.cause != "" && (m.batch || m.urgent || m.noneBound())
+}
+
+func (m *Manager) noneBound() bool {
+	return !slices.ContainsFunc(m.proxies, func(p *proxy) bool { return p.bound })
+}
+
+func (m *Manager) solve() {
+	m.cause, m.batch = "", true
+	m.solved = m.volumes()
+	var parts []part
+	var ids []ServerID
+	// health never takes the last server of all: without any sound one, those listed share the flows
+	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return s.state == Ready && !s.out })
+	for _, s := range m.servers {
+		if s.state == Ready && (!s.out || !anyIn) {
+			p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
+			if s.climbing {
+				grown := (m.now - s.startedAt).Seconds() / m.climbFor.Seconds()
+				p.target *= min(1, m.climbBase+(1-m.climbBase)*grown)
+			}
+			if s.climbing || s.health < 0.9 {
+				p.low, p.high = 0, 1
+			}
+			parts, ids = append(parts, p), append(ids, s.id)
+		}
+	}
+	shares := split(m.solved, parts, m.nearest(), func(a, b int) bool { return m.pairs[a][b].closed })
+	for z, t := range m.tables {
+		clear(t.wanted)
+		for i, id := range ids {
+			if x := shares[z][i]; x > 0.002*m.solved[z] {
+				t.wanted[id] = x / m.solved[z]
+			}
+		}
+	}
+}
+
+// nearest orders, for each zone, the others by latency.
+func (m *Manager) nearest() [][]int {
+	order := make([][]int, len(m.zones))
+	for a := range order {
+		for b := range m.zones {
+			if a != b {
+				order[a] = append(order[a], b)
+			}
+		}
+		slices.SortStableFunc(order[a], func(b, c int) int {
+			return cmp.Compare(median(m.pairs[a][b].latency), median(m.pairs[a][c].latency))
+		})
+	}
+	return order
+}
+
+// part is a server's in the split: its target and the band around it.
+type part struct {
+	zone              int
+	target, low, high float64
+}
+
+// split shares the volume of each zone over the servers so that little of it leaves its zone and
+// every server stays within its band: floors first, from its own zone and then from the surplus of
+// others; then ceilings in-zone; then what is left spills to the spare band nearest by latency.
+func split(volumes []float64, parts []part, nearest [][]int, closed func(a, b int) bool) [][]float64 {
+	all, targets := 0.0, 0.0
+	for _, v := range volumes {
+		all += v
+	}
+	for _, p := range parts {
+		targets += p.target
+	}
+	shares, left, got := make([][]float64, len(volumes)), slices.Clone(volumes), make([]float64, len(parts))
+	for z := range shares {
+		shares[z] = make([]float64, len(parts))
+	}
+	// fill gives from zone a to the servers of zone b, by their room up to a bound
+	fill := func(a, b int, bound func(part) float64) {
+		room := 0.0
+		for i, p := range parts {
+			if p.zone == b {
+				room += max(0, bound(p)*p.target*all/targets-got[i])
+			}
+		}
+		if room <= 0 || left[a] <= 0 {
+			return
+		}
+		give := min(1, left[a]/room)
+		for i, p := range parts {
+			if p.zone == b {
+				x := give * max(0, bound(p)*p.target*all/targets-got[i])
+				shares[a][i], got[i], left[a] = shares[a][i]+x, got[i]+x, left[a]-x
+			}
+		}
+	}
+	floor, ceiling := func(p part) float64 { return p.low }, func(p part) float64 { return p.high }
+	for z := range volumes {
+		fill(z, z, floor)
+	}
+	for z := range volumes {
+		for _, b := range nearest[z] {
+			fill(z, b, floor)
+		}
+	}
+	for z := range volumes {
+		fill(z, z, ceiling)
+	}
+	for _, shut := range []bool{false, true} {
+		for z := range volumes {
+			for _, b := range nearest[z] {
+				if closed(z, b) == shut {
+					fill(z, b, ceiling)
+				}
+			}
+		}
+	}
+	// too little room in all bands: by target
+	for z := range volumes {
+		for i, p := range parts {
+			if x := left[z] * p.target / targets; x > 1e-9*volumes[z] {
+				shares[z][i] += x
+			}
+		}
+	}
+	return shares
+}
+
+// Batches: each second the differences, if the queue has room; what waits is merged.
+
+func (m *Manager) batchWaits() bool { return m.batch && m.heldAt != m.now && !m.sliced }
+
+func (m *Manager) lay() {
+	m.batch = false
+	for z, t := range m.tables {
+		lines, levels := t.differences(TableID(z)), m.levels(z)
+		levels = slices.DeleteFunc(levels, func(l Level) bool { return !m.differs(t.levels[l.Groups], l) })
+		users := slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.zone != z })
+		n := float64(len(lines) + len(levels))
+		if n == 0 {
+			continue
+		}
+		if !m.room(users, n, m.urgent) {
+			m.batch, m.heldAt = true, m.now
+			continue
+		}
+		m.post(users, n)
+		m.o.Lines, m.o.Levels = append(m.o.Lines, lines...), append(m.o.Levels, levels...)
+		for _, l := range lines {
+			if s := m.server(l.Server); t.standing[l.Server] == 0 {
+				s.quietFrom = m.now
+			}
+			if t.standing[l.Server] = l.Weight; l.Weight == 0 {
+				delete(t.standing, l.Server)
+			}
+		}
+		for _, l := range levels {
+			t.levels[l.Groups] = l
+		}
+	}
+	for _, s := range m.servers {
+		if s.withdrawn && s.state == Ready && !m.batch && m.room(m.proxies, 1, false) {
+			s.withdrawn = false
+			m.o.Readmit = append(m.o.Readmit, s.id)
+			m.post(m.proxies, 1)
+		}
+	}
+	m.urgent = m.urgent && m.batch
+}
+
+// differences are the lines in which a table must change; the scale is that of most standing lines.
+// A table never becomes empty: without any server to name it stays as it is.
+func (t *table) differences(id TableID) []Line {
+	var scales []float64
+	names := map[ServerID]bool{}
+	for s, w := range t.wanted {
+		if names[s] = true; t.standing[s] > 0 {
+			scales = append(scales, t.standing[s]/w)
+		}
+	}
+	scale := cmp.Or(median(scales), 100)
+	var lines []Line
+	if len(t.wanted) == 0 {
+		return nil
+	}
+	for s := range t.standing {
+		names[s] = true
+	}
+	for _, s := range slices.Sorted(maps.Keys(names)) {
+		weight := math.Round(t.wanted[s]*scale*1000) / 1000
+		if was := t.standing[s]; (weight == 0) != (was == 0) || math.Abs(weight-was) > lineDiffers*max(weight, was) {
+			lines = append(lines, Line{id, s, weight})
+		}
+	}
+	return lines
+}
+
+func (m *Manager) differs(was, is Level) bool {
+	if was.Groups == 0 {
+		was.Amount, was.Tries = 1, m.usual
+		if m.admit == AdmitRate {
+			was.Amount = rateOpen
+		}
+	}
+	moved := math.Abs(is.Amount-was.Amount) > levelStep*max(is.Amount, was.Amount)
+	return moved || is.Tries != was.Tries || is.Amount != was.Amount && (is.Amount == 1 || is.Amount == 0)
+}
+
+// A proxy that joins is put on its zone's table as soon as the channel has room: until then it goes
+// by what it holds, and drains reach it by withdrawal.
+
+func (m *Manager) waitingProxy() *proxy {
+	for _, p := range m.proxies {
+		if t := m.tables[p.zone]; !p.bound && !m.sliced && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
+			return p
+		}
+	}
+	return nil
+}
+
+// whole is what a table costs a proxy that is put on it.
+func (m *Manager) whole(t *table) float64 {
+	n := 1 + len(t.standing) + len(t.levels)
+	for _, s := range m.servers {
+		if s.withdrawn {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+func (m *Manager) proxyWaits() bool { return m.waitingProxy() != nil }
+
+func (m *Manager) bind() {
+	p := m.waitingProxy()
+	p.bound = true
+	m.post([]*proxy{p}, m.whole(m.tables[p.zone]))
+	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.zone)})
+}
+
+// The manager wakes for its next second; the first one comes by chance, so that managers that
+// started together don't send together.
+
+func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
+
+func (m *Manager) setWake() {
+	m.wakeAt = max(m.due, m.now+time.Millisecond)
+	m.o.Wake, m.o.WakeID = m.wakeAt, 1
+}
+
+func median(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	x = slices.Clone(x)
+	slices.Sort(x)
+	return (x[(len(x)-1)/2] + x[len(x)/2]) / 2
+}
+
+func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
--- /dev/null
+++ b/choice/types.go
@@ -0,0 +1,173 @@
+// Package choice decides which servers each proxy zone sends its flows to.
+// This file holds the ids and the plain data at the boundary; choice.go decides.
+package choice
+
+import "time"
+
+type (
+	ServerID string
+	ZoneID   string
+	ShapeID  string
+	CellID   string
+	ProxyID  int
+	GroupID  int // position of a traffic group in what the site states
+	TableID  int
+	MarkID   int
+	WakeID   uint64
+)
+
+// Condition is what the list says of a server.
+type Condition int
+
+const (
+	Ready Condition = iota
+	Draining
+	Gone
+)
+
+// Entry is one line of the list. Started is 0 when the start is long past.
+type Entry struct {
+	Server  ServerID
+	Zone    ZoneID
+	Cell    CellID
+	Shape   ShapeID
+	Weight  float64
+	Started time.Duration
+	Fresh   bool
+	State   Condition
+}
+
+// Repeat says whether a flow of a traffic group may run again.
+type Repeat int
+
+const (
+	NonRetriable Repeat = iota
+	Deduped             // copies are dropped by all servers within Window
+	Retriable
+)
+
+// Group is a traffic group as the site states it.
+type Group struct {
+	Budget  time.Duration
+	Expiry  time.Duration
+	Utility float64
+	Repeat  Repeat
+	Window  time.Duration
+}
+
+// AdmitBy says in what unit proxies take a level.
+type AdmitBy int
+
+const (
+	AdmitNone AdmitBy = iota
+	AdmitShare
+	AdmitRate
+)
+
+// Terms is all that a site states when a manager starts.
+type Terms struct {
+	Zone          ZoneID
+	Zones         []ZoneID
+	Groups        []Group
+	Managers      int
+	AsksList      bool
+	Sliced        bool // keys fall into slices with tables of their own
+	GoneStaysOpen bool // only draining binds
+	MayProbe      bool
+	LoadInProbes  bool
+	LoadInReports bool
+	Admit         AdmitBy
+	UsualTries    Tries
+	TryBudgets    float64
+	ColdShare     float64
+	WarmAfter     time.Duration
+	FallMultiple  float64
+	FallFor       time.Duration
+	DrainGrace    time.Duration
+	BareFor       time.Duration
+	QueueLines    float64
+	LinesPerS     float64
+	HeadLines     float64
+	Transit       time.Duration
+	TransitMost   time.Duration
+	MessagesMost  int
+	MessagesOver  time.Duration
+	ReportEvery   time.Duration
+	Proxies       int
+}
+
+// Report sums what the proxies of one zone met at one server.
+type Report struct {
+	Server  ServerID
+	Zone    ZoneID
+	Tries   int
+	Failed  int
+	Latency time.Duration // mean of the good ones, 0 without any
+	Span    time.Duration
+	Load    float64 // flows the server holds; below 0 where not told
+}
+
+// Usage counts the flows of one traffic group that came to a proxy.
+type Usage struct {
+	Proxy   ProxyID
+	Group   GroupID
+	Flows   int
+	Dropped int // let in, and without an answer
+	Span    time.Duration
+}
+
+// Tries says when a proxy tries another server.
+type Tries int
+
+const (
+	TryOnce Tries = iota
+	TryUnrun
+	TryTwice
+	TryThrice
+)
+
+// Line sets a server's weight in a table; 0 removes it.
+type Line struct {
+	Table  TableID
+	Server ServerID
+	Weight float64
+}
+
+// Level sets what a table lets in of the groups of a mask, and its tries.
+type Level struct {
+	Table  TableID
+	Groups uint
+	Amount float64
+	Tries  Tries
+}
+
+// Place puts a proxy on a table for all groups.
+type Place struct {
+	Proxy ProxyID
+	Table TableID
+}
+
+// Orders is what one call decided, to be carried out in the order of the fields.
+type Orders struct {
+	Withdraw []ServerID
+	Lines    []Line
+	Levels   []Level
+	Readmit  []ServerID
+	Bind     []Place
+	Mark     MarkID // 0: none
+	Probe    []ServerID
+	Listen   bool
+	Wake     time.Duration // 0: none
+	WakeID   WakeID
+	Notes    []string
+}
+
+// Answer is how a probe ended.
+type Answer int
+
+const (
+	Answered Answer = iota
+	Erred
+	Full   // turned away by a server that runs
+	Silent // no answer, no connection, or a broken one
+)
--- /dev/null
+++ b/internal/simwire/read.go
@@ -0,0 +1,221 @@
+package simwire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tamarindshore/choice"
+)
+
+// cells walks the values of one line; the first thing wrong with them stays in err.
+type cells struct {
+	parts []string
+	at    int
+	err   error
+}
+
+func (c *cells) fail(name, text, what string) {
+	if c.err == nil {
+		c.err = fmt.Errorf("%s: %q %s", name, text, what)
+	}
+}
+
+func (c *cells) text(name string) string {
+	if c.at >= len(c.parts) {
+		if c.err == nil {
+			c.err = fmt.Errorf("too few values: %s is missing", name)
+		}
+		return ""
+	}
+	c.at++
+	return c.parts[c.at-1]
+}
+
+func (c *cells) id(name string) string {
+	v := c.text(name)
+	if v == "" || v == "-" {
+		c.fail(name, v, "is no name")
+	}
+	return v
+}
+
+func (c *cells) whole(name string, least, most int64) int64 {
+	v := c.text(name)
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		c.fail(name, v, "is not a whole number")
+	} else if n < least || n > most {
+		c.fail(name, v, fmt.Sprintf("is not from %d to %d", least, most))
+	}
+	return n
+}
+
+func (c *cells) orWhole(name string, absent int64) int64 {
+	if c.at < len(c.parts) && c.parts[c.at] == "-" {
+		c.at++
+		return absent
+	}
+	return c.whole(name, 0, math.MaxInt64/1000)
+}
+
+func (c *cells) number(name string) float64 {
+	v := c.text(name)
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		c.fail(name, v, "is not a number from 0 up")
+	}
+	return x
+}
+
+func (c *cells) truth(name string) bool { return c.whole(name, 0, 1) == 1 }
+
+func (c *cells) span(name string) time.Duration {
+	return time.Duration(c.orWhole(name, 0)) * time.Microsecond
+}
+
+func (c *cells) oneOf(name string, words ...string) string {
+	v := c.text(name)
+	if !slices.Contains(words, v) {
+		c.fail(name, v, "is not one of "+strings.Join(words, ", "))
+	}
+	return v
+}
+
+// load reads a load report and gives the flows held, or -1 where they are not told.
+func (c *cells) load(name string) float64 {
+	v, held := c.text(name), -1.0
+	if v == "-" || v == "" {
+		return held
+	}
+	for _, pair := range strings.Split(v, ",") {
+		key, figure, ok := strings.Cut(pair, ":")
+		x, err := strconv.ParseFloat(figure, 64)
+		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			c.fail(name, pair, "is not name:value")
+		} else if key == "outstanding" {
+			held = max(0, x)
+		}
+	}
+	return held
+}
+
+func (c *cells) end() error {
+	if c.err == nil && c.at < len(c.parts) {
+		return fmt.Errorf("%d values too many", len(c.parts)-c.at)
+	}
+	return c.err
+}
+
+// entry reads one line of a list; a start of 0 or none is long ago.
+func entry(line string, born time.Duration) (choice.Entry, error) {
+	c := &cells{parts: strings.Split(line, "\t")}
+	if c.text("M") != "M" {
+		return choice.Entry{}, errors.New("an M line is due")
+	}
+	e := choice.Entry{}
+	e.Cell = choice.CellID(c.text("unitGroup"))
+	e.Zone = choice.ZoneID(c.id("dc"))
+	if started := c.span("lastStartUs"); started > 0 {
+		e.Started, e.Fresh = started-born, true
+	}
+	e.Server = choice.ServerID(c.id("worker"))
+	if c.at < len(c.parts) && c.parts[c.at] == "-" {
+		c.at, e.Weight = c.at+1, 1
+	} else {
+		e.Weight = c.number("part")
+	}
+	switch c.oneOf("health", "ready", "draining", "gone") {
+	case "draining":
+		e.State = choice.Draining
+	case "gone":
+		e.State = choice.Gone
+	}
+	e.Shape = choice.ShapeID(c.text("shape"))
+	return e, c.end()
+}
+
+// terms reads the settings; names that it does not know are ignored.
+func terms(text string) (choice.Terms, []string, error) {
+	var in struct {
+		Zone    string
+		Zones   []string
+		Classes []struct {
+			Name, Repeat, Group          string
+			AimUs, HardLimitUs, WindowUs int64
+			Worth                        float64
+		}
+		PeersTotal     int
+		MembershipMode string
+		Domain         struct {
+			Admit                              string
+			Ranges, MessagesMost, Proxies      int
+			EgressPerS, Envelope, QueueCap     float64
+			TryAims                            float64
+			UsualHow                           int
+			EmptyForUs, PeriodUs, ReloadSpanUs int64
+			WorstTransitUs, PropagationUs      int64
+		}
+		Limits struct{ Probing bool }
+		Report struct {
+			Fields []string
+			How    string
+		}
+		Rules struct {
+			ColdFrom, OverloadFactor                 float64
+			DrainGraceUs, OverloadForUs, WarmAfterUs int64
+			DroppedStayOpen                          bool
+		}
+	}
+	if err := json.Unmarshal([]byte(text), &in); err != nil {
+		return choice.Terms{}, nil, fmt.Errorf("setup: %v", err)
+	}
+	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+	t := choice.Terms{
+		Zone: choice.ZoneID(in.Zone), Managers: in.PeersTotal, Sliced: in.Domain.Ranges > 0,
+		AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
+		LoadInReports: in.Report.How == "piggyback", LoadInProbes: in.Report.How != "silent",
+		UsualTries: choice.Tries(in.Domain.UsualHow), TryBudgets: in.Domain.TryAims,
+		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
+		FallMultiple: in.Rules.OverloadFactor, FallFor: span(in.Rules.OverloadForUs),
+		DrainGrace: span(in.Rules.DrainGraceUs), GoneStaysOpen: in.Rules.DroppedStayOpen,
+		BareFor: span(in.Domain.EmptyForUs), QueueLines: in.Domain.QueueCap,
+		LinesPerS: in.Domain.EgressPerS, HeadLines: in.Domain.Envelope,
+		Transit: span(in.Domain.PropagationUs), TransitMost: span(in.Domain.WorstTransitUs),
+		MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
+		ReportEvery: span(in.Domain.PeriodUs), Proxies: in.Domain.Proxies,
+	}
+	if !slices.Contains(in.Report.Fields, "outstanding") {
+		t.LoadInReports, t.LoadInProbes = false, false
+	}
+	switch in.Domain.Admit {
+	case "share":
+		t.Admit = choice.AdmitShare
+	case "rate":
+		t.Admit = choice.AdmitRate
+	}
+	for _, z := range in.Zones {
+		t.Zones = append(t.Zones, choice.ZoneID(z))
+	}
+	var names []string
+	for _, g := range in.Classes {
+		group := choice.Group{Budget: span(g.AimUs), Expiry: span(g.HardLimitUs),
+			Utility: g.Worth, Window: span(g.WindowUs)}
+		switch {
+		case g.Repeat == "idempotent":
+			group.Repeat = choice.Retriable
+		case g.Repeat == "deduplicated" && g.Group == "all":
+			group.Repeat = choice.Deduped
+		}
+		t.Groups, names = append(t.Groups, group), append(names, g.Name)
+	}
+	if len(t.Groups) == 0 || t.LinesPerS <= 0 || t.QueueLines <= 0 {
+		return t, nil, errors.New("setup: classes, domain.egressPerS and domain.queueCap are needed")
+	}
+	return t, names, nil
+}
