--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -28,7 +27,7 @@
 	lineDiffers  = 0.1             // a weight is sent when it moved by this part
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
 	samplesKept  = 6               // reports of one server that its figures are made from
-	samplesOld   = 6 * time.Second // and their greatest age
+	samplesOld   = 5 * time.Second // and their greatest age
 	enoughTries  = 3               // tries without which a server is no peer
 	slowLatency  = 1.4             // multiple of the peers' median latency that is not yet slow
 	slowBudget   = 0.35            // part of the latency budget that is never slow
@@ -51,111 +50,18 @@
 	pressureHigh = 0.6  // median latency over latency budget at which the line moves down
 	pressureLow  = 0.42 // and under which it moves up
 	dropsHigh    = 0.25 // median share of failures at which it moves down
-	lineFall     = 0.85
-	lineRise     = 0.03
-	lineLeast    = 0.3
+	lineFall     = 0.9  // of what is delivered
+	lineLeast    = 0.6  // of the most that was delivered lately
+	lineRise     = 1.04 // in a second
+	lineOpen     = 1.2  // of what is asked: from here on all is let in
+	peaksKept    = 20
 	lineHold     = 3 * time.Second // between moves down
 	levelStep    = 0.04            // a level is sent when it moved by this much
 	rateOpen     = 1e6
 )
 
-type server struct {
-	id        ServerID
-	zone      int
-	weight    float64
-	state     Condition
-	started   time.Duration // as listed
-	climbing  bool
-	startedAt time.Duration // when that start was heard of
-	withdrawn bool
-	heard     []Report
-	heardAt   []time.Duration
-	quietFrom time.Duration
-	health    float64
-	out       bool // does not answer at all
-	probedAt  time.Duration
-}
-
-type proxy struct {
-	id    ProxyID
-	zone  int
-	rate  float64 // as told when it joined
-	bound bool
-	sent  []time.Duration // messages within the span that a limit counts
-	flows [][]usage       // by traffic group, the last samples
-}
-
-type usage struct {
-	at   time.Duration
-	rate float64
-}
-
-// pair is what proxies of one zone met in another.
-type pair struct {
-	latency, drops []float64
-	closed         bool
-}
-
-type table struct {
-	wanted, standing map[ServerID]float64
-	levels           map[uint]Level // standing, by mask of groups
-}
-
-// owed is what was ordered at one time and no answered mark shows to have left the channel.
-type owed struct {
-	mark  MarkID
-	at    time.Duration
-	lines float64
-}
-
-// bounds are the few figures that decisions use of what the site states.
-type bounds struct {
-	budget                  []float64 // seconds, by traffic group
-	byUtility               []GroupID // most useful first
-	mayRepeat               []bool
-	usual                   Tries
-	admit                   AdmitBy
-	climbBase               float64
-	climbFor                time.Duration
-	head                    float64 // lines of a message besides its own
-	roomBatch, roomUrgent   float64 // lines that may wait
-	slowPace                float64 // lines a second
-	perBatch, perUrgent     int     // messages to one proxy within span; 0: no limit
-	span                    time.Duration
-	asks, probes, goneStays bool
-	sliced                  bool
-}
-
-type Manager struct {
-	bounds
-	chance    uint64
-	now       time.Duration
-	o         Orders
-	zones     []ZoneID
-	servers   []*server // by id
-	proxies   []*proxy  // by number
-	tables    []*table  // by zone
-	pairs     [][]pair  // by zone of proxies, of servers
-	solved    []float64 // volumes last solved with
-	cause     string    // why the tables are to be solved anew
-	urgent    bool
-	heldAt    time.Duration // the batch found no room then
-	batch     bool          // a second has passed
-	due       time.Duration // when the next has
-	blind     time.Duration // silence proves nothing until then: this manager stood still
-	used      bool
-	queue     []owed
-	mark      MarkID
-	markedAt  time.Duration
-	asked     bool
-	line      float64 // part of the flows that is let in, the most useful first
-	lineMoved time.Duration
-	repeating bool
-	wakeAt    time.Duration
-}
-
 func New(seed uint64, t Terms) *Manager {
-	m := &Manager{chance: seed, line: 1, markedAt: -1, heldAt: -1}
+	m := &Manager{chance: seed, line: math.Inf(1), markedAt: -1, heldAt: -1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
@@ -171,7 +77,9 @@
 			group.Repeat == Deduped && group.Window >= group.Expiry)
 	}
 	slices.SortStableFunc(m.byUtility, func(a, b GroupID) int {
-		return cmp.Compare(t.Groups[b].Utility, t.Groups[a].Utility)
+		// of equal utility, the shorter budget tells of less work
+		return cmp.Or(cmp.Compare(t.Groups[b].Utility, t.Groups[a].Utility),
+			cmp.Compare(t.Groups[a].Budget, t.Groups[b].Budget))
 	})
 	for _, z := range t.Zones {
 		m.zone(z)
@@ -206,43 +114,6 @@
 	return o
 }
 
-func (m *Manager) note(format string, figures ...any) {
-	m.o.Notes = append(m.o.Notes, fmt.Sprintf(format, figures...))
-}
-
-// random is a permuted congruential generator (PCG-XSH-RR) that gives a number from 0 to 1.
-func (m *Manager) random() float64 {
-	m.chance = m.chance*6364136223846793005 + 1442695040888963407
-	x, by := uint32((m.chance>>18^m.chance)>>27), int(m.chance>>59)
-	return float64(x>>by|x<<(32-by)) / (1 << 32)
-}
-
-func (m *Manager) zone(id ZoneID) int {
-	if z := slices.Index(m.zones, id); z >= 0 {
-		return z
-	}
-	m.zones = append(m.zones, id)
-	m.tables = append(m.tables, &table{wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
-		levels: map[uint]Level{}})
-	m.pairs = make([][]pair, len(m.zones))
-	for z := range m.pairs {
-		m.pairs[z] = make([]pair, len(m.zones))
-	}
-	return len(m.zones) - 1
-}
-
-func (m *Manager) server(id ServerID) *server {
-	i, ok := slices.BinarySearchFunc(m.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.id, id) })
-	if !ok {
-		return nil
-	}
-	return m.servers[i]
-}
-
-func (m *Manager) proxy(id ProxyID) (int, bool) {
-	return slices.BinarySearchFunc(m.proxies, id, func(p *proxy, id ProxyID) int { return cmp.Compare(p.id, id) })
-}
-
 // Inputs: what happened is noted, and the rules decide.
 
 func (m *Manager) Listed(now time.Duration, whole, kept bool, entries []Entry) Orders {
@@ -275,63 +146,6 @@
 	return m.decide()
 }
 
-// ListFailed keeps the list and asks again with the next second.
-func (m *Manager) ListFailed(now time.Duration) Orders {
-	m.now, m.asked = now, false
-	return m.decide()
-}
-
-func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64, bare bool) Orders {
-	m.now = now
-	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]usage, len(m.budget))}
-	i, again := m.proxy(id)
-	if again {
-		m.proxies[i] = p
-	} else {
-		m.proxies = slices.Insert(m.proxies, i, p)
-	}
-	return m.decide()
-}
-
-func (m *Manager) Left(now time.Duration, id ProxyID) Orders {
-	m.now = now
-	if i, ok := m.proxy(id); ok {
-		m.proxies = slices.Delete(m.proxies, i, i+1)
-	}
-	return m.decide()
-}
-
-func (m *Manager) Heard(now time.Duration, r Report) Orders {
-	m.now = now
-	s := m.server(r.Server)
-	if s == nil || r.Tries <= 0 {
-		return m.decide()
-	}
-	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
-	if r.Failed < r.Tries {
-		s.quietFrom = now
-	}
-	if p := &m.pairs[m.zone(r.Zone)][s.zone]; r.Tries >= enoughTries {
-		p.drops = lastOf(append(p.drops, float64(r.Failed)/float64(r.Tries)), daySamples)
-		if r.Latency > 0 {
-			p.latency = lastOf(append(p.latency, r.Latency.Seconds()), daySamples)
-		}
-	}
-	return m.decide()
-}
-
-func (m *Manager) Used(now time.Duration, u Usage) Orders {
-	m.now = now
-	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
-		f := &m.proxies[i].flows[u.Group]
-		*f = lastOf(append(*f, usage{now, float64(u.Flows) / u.Span.Seconds()}), samplesKept)
-		if !m.used {
-			m.used, m.cause = true, "usage"
-		}
-	}
-	return m.decide()
-}
-
 func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, held float64) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && s.state == Ready {
@@ -347,20 +161,6 @@
 	return m.decide()
 }
 
-// Applied shows that what was ordered before the mark has left the channel.
-func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID, took time.Duration) Orders {
-	m.now = now
-	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i > 0 {
-		m.queue = slices.Delete(m.queue, 0, i)
-	}
-	return m.decide()
-}
-
-func (m *Manager) Woke(now time.Duration, id WakeID) Orders {
-	m.now = now
-	return m.decide()
-}
-
 // The list must be asked for at some sites.
 
 func (m *Manager) unasked() bool { return m.asks && !m.asked && len(m.servers) > 0 }
@@ -391,17 +191,6 @@
 // The ledger: what waits in the channel, at the slowest that a channel is taken to be, and how many
 // messages each proxy was sent.
 
-func (m *Manager) waiting() float64 {
-	if len(m.queue) == 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, q := range m.queue {
-		sum += q.lines
-	}
-	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
-}
-
 func (m *Manager) room(to []*proxy, lines float64, urgent bool) bool {
 	limit, most := m.roomBatch, m.perBatch
 	if urgent {
@@ -416,27 +205,6 @@
 	return len(to) == 0 || m.waiting()+float64(len(to))*(m.head+1+lines) <= limit
 }
 
-func (m *Manager) post(to []*proxy, lines float64) {
-	if len(to) == 0 {
-		return
-	}
-	if m.waiting() == 0 {
-		m.queue = nil
-	}
-	if m.markedAt != m.now {
-		m.mark, m.markedAt = m.mark%65535+1, m.now
-		m.o.Mark = m.mark
-		m.queue = append(m.queue, owed{mark: m.mark, at: m.now})
-	}
-	q := &m.queue[len(m.queue)-1]
-	for _, p := range to {
-		q.lines += lines
-		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
-			p.sent, q.lines = append(p.sent, m.now), q.lines+m.head+1
-		}
-	}
-}
-
 // Each second what was heard is judged.
 
 func (m *Manager) secondOver() bool { return m.now >= m.due }
@@ -458,21 +226,6 @@
 	}
 }
 
-// figures are a server's over its last samples.
-func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
-	good := 0.0
-	for i, r := range s.heard {
-		if now-s.heardAt[i] <= samplesOld {
-			tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
-			if r.Latency > 0 {
-				good += float64(r.Tries - r.Failed)
-				latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
-			}
-		}
-	}
-	return tries, failed, latency / max(1, good)
-}
-
 // peers gives the median latency and share of failures of the servers heard of.
 func (m *Manager) peers() (latency, drops float64) {
 	var latencies, shares []float64
@@ -567,17 +320,6 @@
 	}
 }
 
-// demand is how many flows of a traffic group come to a proxy a second.
-func (p *proxy) demand(g int, now time.Duration) float64 {
-	sum, n := 0.0, 0.0
-	for _, u := range p.flows[g] {
-		if now-u.at <= samplesOld {
-			sum, n = sum+u.rate, n+1
-		}
-	}
-	return sum / max(1, n)
-}
-
 // volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
 func (m *Manager) volumes() []float64 {
 	v := make([]float64, len(m.zones))
@@ -617,41 +359,51 @@
 	return sum / all
 }
 
-// moveLine moves the line of utility: down when the servers as a whole are late or drop flows, up
-// slowly. All is let in while they are healthy.
+// moveLine moves the line of utility, in flows a second: down to what the servers deliver when as a
+// whole they are late or drop flows, up slowly. All is let in while they are healthy.
 func (m *Manager) moveLine(latency, drops float64) {
-	pressure, was := latency/m.meanBudget(), m.line
+	pressure, delivered, asked, was := latency/m.meanBudget(), 0.0, 0.0, m.line
+	for _, s := range m.servers {
+		delivered += s.delivered(m.now)
+	}
+	for _, v := range m.volumes() {
+		asked += v
+	}
+	m.peaks = lastOf(append(m.peaks, delivered), peaksKept)
 	switch {
 	case m.now < m.blind || m.admit == AdmitNone:
 	case pressure > pressureHigh || drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line, m.lineMoved = max(lineLeast, m.line*lineFall), m.now
+			m.line = max(lineFall*min(m.line, delivered), lineLeast*slices.Max(m.peaks))
+			m.lineMoved = m.now
 		}
+	case pressure < pressureLow && m.line < asked*lineOpen:
+		m.line *= lineRise
 	case pressure < pressureLow:
-		m.line = min(1, m.line+lineRise)
+		m.line = math.Inf(1)
 	}
-	if was != m.line && (was == 1 || m.line == 1 || m.line < was) {
-		m.note("line of utility %.2f: latency %.2f of the budget, %.2f dropped", m.line, pressure, drops)
+	if m.line < was || m.line > was*2 {
+		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, latency %.2f of the budget, %.2f dropped",
+			m.line, asked, delivered, pressure, drops)
 	}
 }
 
 // levels are what a zone's table lets in: the groups by utility, each what those above it left.
 func (m *Manager) levels(z int) []Level {
-	levels, rates, all := make([]Level, len(m.budget)), make([][]float64, len(m.budget)), 0.0
-	sums := make([]float64, len(m.budget))
+	levels, rates := make([]Level, len(m.budget)), make([][]float64, len(m.budget))
+	left, sums := m.line, make([]float64, len(m.budget))
 	for _, p := range m.proxies {
 		for g := range m.budget {
 			d := p.demand(g, m.now)
-			all, sums[g] = all+d, sums[g]+d
+			sums[g] += d
 			if p.zone == z {
 				rates[g] = append(rates[g], d)
 			}
 		}
 	}
-	left := m.line * all
 	for _, g := range m.byUtility {
 		part := 1.0
-		if m.line < 1 && sums[g] > 0 {
+		if sums[g] > 0 {
 			part = min(1, left/sums[g])
 		}
 		left = max(0, left-sums[g])
@@ -664,7 +416,7 @@
 		}
 		// guards against servers that fail some flows: those that may run again get another try, but
 		// not under overload, where each further try takes room from a first one
-		if m.repeating && m.line == 1 && m.mayRepeat[g] {
+		if m.repeating && math.IsInf(m.line, 1) && m.mayRepeat[g] {
 			l.Tries = TryTwice
 		}
 		levels[g] = l
@@ -938,14 +690,3 @@
 	m.wakeAt = max(m.due, m.now+time.Millisecond)
 	m.o.Wake, m.o.WakeID = m.wakeAt, 1
 }
-
-func median(x []float64) float64 {
-	if len(x) == 0 {
-		return 0
-	}
-	x = slices.Clone(x)
-	slices.Sort(x)
-	return (x[(len(x)-1)/2] + x[len(x)/2]) / 2
-}
-
-func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,296 @@
+package choice
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// This file is what a manager remembers and how it looks things up; it decides nothing.
+
+type server struct {
+	id        ServerID
+	zone      int
+	weight    float64
+	state     Condition
+	started   time.Duration // as listed
+	climbing  bool
+	startedAt time.Duration // when that start was heard of
+	withdrawn bool
+	heard     []Report
+	heardAt   []time.Duration
+	quietFrom time.Duration
+	health    float64
+	out       bool // does not answer at all
+	probedAt  time.Duration
+}
+
+type proxy struct {
+	id    ProxyID
+	zone  int
+	rate  float64 // as told when it joined
+	bound bool
+	sent  []time.Duration // messages within the span that a limit counts
+	flows [][]usage       // by traffic group, the last samples
+}
+
+type usage struct {
+	at   time.Duration
+	rate float64
+}
+
+// pair is what proxies of one zone met in another.
+type pair struct {
+	latency, drops []float64
+	closed         bool
+}
+
+type table struct {
+	wanted, standing map[ServerID]float64
+	levels           map[uint]Level // standing, by mask of groups
+}
+
+// owed is what was ordered at one time and no answered mark shows to have left the channel.
+type owed struct {
+	mark  MarkID
+	at    time.Duration
+	lines float64
+}
+
+// bounds are the few figures that decisions use of what the site states.
+type bounds struct {
+	budget                  []float64 // seconds, by traffic group
+	byUtility               []GroupID // most useful first
+	mayRepeat               []bool
+	usual                   Tries
+	admit                   AdmitBy
+	climbBase               float64
+	climbFor                time.Duration
+	head                    float64 // lines of a message besides its own
+	roomBatch, roomUrgent   float64 // lines that may wait
+	slowPace                float64 // lines a second
+	perBatch, perUrgent     int     // messages to one proxy within span; 0: no limit
+	span                    time.Duration
+	asks, probes, goneStays bool
+	sliced                  bool
+}
+
+type Manager struct {
+	bounds
+	chance    uint64
+	now       time.Duration
+	o         Orders
+	zones     []ZoneID
+	servers   []*server // by id
+	proxies   []*proxy  // by number
+	tables    []*table  // by zone
+	pairs     [][]pair  // by zone of proxies, of servers
+	solved    []float64 // volumes last solved with
+	cause     string    // why the tables are to be solved anew
+	urgent    bool
+	heldAt    time.Duration // the batch found no room then
+	batch     bool          // a second has passed
+	due       time.Duration // when the next has
+	blind     time.Duration // silence proves nothing until then: this manager stood still
+	used      bool
+	queue     []owed
+	mark      MarkID
+	markedAt  time.Duration
+	asked     bool
+	line      float64   // flows a second that are let in, the most useful first
+	peaks     []float64 // flows delivered a second, lately
+	lineMoved time.Duration
+	repeating bool
+	wakeAt    time.Duration
+}
+
+func (m *Manager) note(format string, figures ...any) {
+	m.o.Notes = append(m.o.Notes, fmt.Sprintf(format, figures...))
+}
+
+// random is a permuted congruential generator (PCG-XSH-RR) that gives a number from 0 to 1.
+func (m *Manager) random() float64 {
+	m.chance = m.chance*6364136223846793005 + 1442695040888963407
+	x, by := uint32((m.chance>>18^m.chance)>>27), int(m.chance>>59)
+	return float64(x>>by|x<<(32-by)) / (1 << 32)
+}
+
+func (m *Manager) zone(id ZoneID) int {
+	if z := slices.Index(m.zones, id); z >= 0 {
+		return z
+	}
+	m.zones = append(m.zones, id)
+	m.tables = append(m.tables, &table{wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
+		levels: map[uint]Level{}})
+	m.pairs = make([][]pair, len(m.zones))
+	for z := range m.pairs {
+		m.pairs[z] = make([]pair, len(m.zones))
+	}
+	return len(m.zones) - 1
+}
+
+func (m *Manager) server(id ServerID) *server {
+	i, ok := slices.BinarySearchFunc(m.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.id, id) })
+	if !ok {
+		return nil
+	}
+	return m.servers[i]
+}
+
+func (m *Manager) proxy(id ProxyID) (int, bool) {
+	return slices.BinarySearchFunc(m.proxies, id, func(p *proxy, id ProxyID) int { return cmp.Compare(p.id, id) })
+}
+
+// demand is how many flows of a traffic group come to a proxy a second.
+func (p *proxy) demand(g int, now time.Duration) float64 {
+	sum, n := 0.0, 0.0
+	for _, u := range p.flows[g] {
+		if now-u.at <= samplesOld {
+			sum, n = sum+u.rate, n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
+// ListFailed keeps the list and asks again with the next second.
+func (m *Manager) ListFailed(now time.Duration) Orders {
+	m.now, m.asked = now, false
+	return m.decide()
+}
+
+func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64, bare bool) Orders {
+	m.now = now
+	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]usage, len(m.budget))}
+	i, again := m.proxy(id)
+	if again {
+		m.proxies[i] = p
+	} else {
+		m.proxies = slices.Insert(m.proxies, i, p)
+	}
+	return m.decide()
+}
+
+func (m *Manager) Left(now time.Duration, id ProxyID) Orders {
+	m.now = now
+	if i, ok := m.proxy(id); ok {
+		m.proxies = slices.Delete(m.proxies, i, i+1)
+	}
+	return m.decide()
+}
+
+func (m *Manager) Heard(now time.Duration, r Report) Orders {
+	m.now = now
+	s := m.server(r.Server)
+	if s == nil || r.Tries <= 0 {
+		return m.decide()
+	}
+	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
+	if r.Failed < r.Tries {
+		s.quietFrom = now
+	}
+	if p := &m.pairs[m.zone(r.Zone)][s.zone]; r.Tries >= enoughTries {
+		p.drops = lastOf(append(p.drops, float64(r.Failed)/float64(r.Tries)), daySamples)
+		if r.Latency > 0 {
+			p.latency = lastOf(append(p.latency, r.Latency.Seconds()), daySamples)
+		}
+	}
+	return m.decide()
+}
+
+func (m *Manager) Used(now time.Duration, u Usage) Orders {
+	m.now = now
+	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
+		f := &m.proxies[i].flows[u.Group]
+		*f = lastOf(append(*f, usage{now, float64(u.Flows) / u.Span.Seconds()}), samplesKept)
+		if !m.used {
+			m.used, m.cause = true, "usage"
+		}
+	}
+	return m.decide()
+}
+
+// Applied shows that what was ordered before the mark has left the channel.
+func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID, took time.Duration) Orders {
+	m.now = now
+	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i > 0 {
+		m.queue = slices.Delete(m.queue, 0, i)
+	}
+	return m.decide()
+}
+
+func (m *Manager) Woke(now time.Duration, id WakeID) Orders {
+	m.now = now
+	return m.decide()
+}
+
+// waiting is what the ledger takes to wait in the channel.
+func (m *Manager) waiting() float64 {
+	if len(m.queue) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, q := range m.queue {
+		sum += q.lines
+	}
+	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
+}
+
+// post books lines for each proxy concerned, and a message and a mark for those that have none yet.
+func (m *Manager) post(to []*proxy, lines float64) {
+	if len(to) == 0 {
+		return
+	}
+	if m.waiting() == 0 {
+		m.queue = nil
+	}
+	if m.markedAt != m.now {
+		m.mark, m.markedAt = m.mark%65535+1, m.now
+		m.o.Mark = m.mark
+		m.queue = append(m.queue, owed{mark: m.mark, at: m.now})
+	}
+	q := &m.queue[len(m.queue)-1]
+	for _, p := range to {
+		q.lines += lines
+		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
+			p.sent, q.lines = append(p.sent, m.now), q.lines+m.head+1
+		}
+	}
+}
+
+func median(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	x = slices.Clone(x)
+	slices.Sort(x)
+	return (x[(len(x)-1)/2] + x[len(x)/2]) / 2
+}
+
+func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
+
+// figures are a server's over its last samples.
+func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
+	good := 0.0
+	for i, r := range s.heard {
+		if now-s.heardAt[i] <= samplesOld {
+			tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
+			if r.Latency > 0 {
+				good += float64(r.Tries - r.Failed)
+				latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
+			}
+		}
+	}
+	return tries, failed, latency / max(1, good)
+}
+
+// delivered is a server's rate of good answers.
+func (s *server) delivered(now time.Duration) float64 {
+	good := 0.0
+	for i, r := range s.heard {
+		if now-s.heardAt[i] <= samplesOld {
+			good += float64(r.Tries - r.Failed)
+		}
+	}
+	return good / samplesOld.Seconds()
+}
