--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,7 +52,7 @@
 	dropsHigh    = 0.25 // median share of failures at which it moves down
 	lineFall     = 0.9  // of what is delivered
 	lineLeast    = 0.6  // of the most that was delivered lately
-	lineRise     = 1.04 // in a second
+	lineRise     = 0.15 // in a second, with idle servers
 	lineOpen     = 1.2  // of what is asked: from here on all is let in
 	peaksKept    = 20
 	lineHold     = 3 * time.Second // between moves down
@@ -378,7 +378,7 @@
 			m.lineMoved = m.now
 		}
 	case pressure < pressureLow && m.line < asked*lineOpen:
-		m.line *= lineRise
+		m.line *= 1 + lineRise*(1-pressure/pressureLow)
 	case pressure < pressureLow:
 		m.line = math.Inf(1)
 	}
