Health goes part of the way to its aim each second, on a shorter window

Cause: servers judged slow swung between a fall and full weight; the samples kept were too few to count what is delivered, so the line was set too low.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,18 +26,20 @@
 	climbOver    = 0.75            // of the stated time until it is warm
 	lineDiffers  = 0.1             // a weight is sent when it moved by this part
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
-	samplesKept  = 6               // reports of one server that its figures are made from
+	samplesKept  = 24              // reports of one server that its figures are made from
 	samplesOld   = 5 * time.Second // and their greatest age
+	fullTries    = 16              // tries after which older samples are left out
 	enoughTries  = 3               // tries without which a server is no peer
 	slowLatency  = 1.4             // multiple of the peers' median latency that is not yet slow
 	slowBudget   = 0.35            // part of the latency budget that is never slow
-	slowPower    = 1.5             // how hard a slow server is taken back
+	slowPower    = 1.0             // how hard a slow server is taken back
 	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
 	failWorst    = 0.35            // from here on a server gets the least
 	leastHealth  = 0.02            // what a failing server keeps, to be heard by
 	returnHealth = 0.15            // what a server gets that answers again
 	healthFall   = 0.5             // in a second, a health factor falls to this part at most
 	healthRise   = 1.25            // and rises to this multiple
+	healthPace   = 0.4             // part of the way to its aim, in logarithms, that health goes in a second
 	healthMoved  = 0.05            // change that is worth solving anew
 	silentTries  = 6.0             // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second // and the least time
@@ -265,7 +267,7 @@
 		}
 		aim = max(leastHealth, min(1, aim))
 		was := s.health
-		s.health = min(max(aim, s.health*healthFall), max(s.health*healthRise, leastHealth))
+		s.health *= max(healthFall, min(healthRise, math.Pow(aim/s.health, healthPace)))
 		if was-s.health > healthMoved || s.health-was > healthMoved*was {
 			m.cause = "health"
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -269,16 +269,15 @@
 
 func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
 
-// figures are a server's over its last samples.
+// figures are a server's over its last samples, as many as make enough tries.
 func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
 	good := 0.0
-	for i, r := range s.heard {
-		if now-s.heardAt[i] <= samplesOld {
-			tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
-			if r.Latency > 0 {
-				good += float64(r.Tries - r.Failed)
-				latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
-			}
+	for i := len(s.heard) - 1; i >= 0 && tries < fullTries && now-s.heardAt[i] <= samplesOld; i-- {
+		r := s.heard[i]
+		tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
+		if r.Latency > 0 {
+			good += float64(r.Tries - r.Failed)
+			latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
 		}
 	}
 	return tries, failed, latency / max(1, good)
