The line moves down only when the servers themselves show full

Cause: with proxies or managers standing still, flows are late at idle servers and blocking them only loses more. Now load reports or a few probes must agree. Should also guard against slow links; may harm where probes are answered beside the queue.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,7 +58,11 @@
 	lineOpen     = 1.2  // of what is asked: from here on all is let in
 	peaksKept    = 20
 	lineHold     = 3 * time.Second // between moves down
-	levelStep    = 0.04            // a level is sent when it moved by this much
+	probePart    = 0.3             // of the flows' latency: probes that take less find idle servers
+	probesAtOnce = 4
+	answersKept  = 8
+	answersOld   = 3 * time.Second
+	levelStep    = 0.04 // a level is sent when it moved by this much
 	rateOpen     = 1e6
 )
 
@@ -151,6 +155,11 @@
 func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, held float64) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && s.state == Ready {
+		wait := took.Seconds()
+		if a != Answered {
+			wait = math.Inf(1)
+		}
+		m.answers = lastOf(append(m.answers, figure{now, wait}), answersKept)
 		switch {
 		case a == Silent && !s.out && now-s.quietFrom >= silentFor:
 			s.out, s.health, m.cause = true, returnHealth, "silence"
@@ -361,10 +370,52 @@
 	return sum / all
 }
 
+// atServers is the latency that the servers themselves show: by the flows that they say they hold, or
+// by probes. Guards against blocking flows while proxies or managers stand still, or links are slow:
+// then flows are late and servers idle. It may harm where probes are answered beside the queue.
+func (m *Manager) atServers(latency float64) float64 {
+	var waits []float64
+	if m.loadTold {
+		for _, s := range m.servers {
+			if n := len(s.heard); n > 0 && s.state == Ready && m.now-s.heardAt[n-1] <= samplesOld {
+				waits = append(waits, s.heard[n-1].Load/max(0.1, s.rate(m.now)))
+			}
+		}
+		return min(latency, median(waits))
+	}
+	for _, f := range m.answers {
+		if m.now-f.at <= answersOld {
+			waits = append(waits, f.value)
+		}
+	}
+	if m.probes && median(waits) < probePart*latency {
+		return median(waits)
+	}
+	return latency
+}
+
+// askServers probes some servers by chance.
+func (m *Manager) askServers() {
+	if !m.probes || m.loadTold {
+		return
+	}
+	for range probesAtOnce {
+		s := m.servers[int(m.random()*float64(len(m.servers)))]
+		if s.state == Ready && !s.out && s.health > 0.5 && !slices.Contains(m.o.Probe, s.id) {
+			m.o.Probe = append(m.o.Probe, s.id)
+		}
+	}
+}
+
 // moveLine moves the line of utility, in flows a second: down to what the servers deliver when as a
 // whole they are late or drop flows, up slowly. All is let in while they are healthy.
 func (m *Manager) moveLine(latency, drops float64) {
 	pressure, delivered, asked, was := latency/m.meanBudget(), 0.0, 0.0, m.line
+	if pressure > pressureLow || drops > dropsHigh {
+		m.askServers()
+		inside := m.atServers(latency)
+		pressure, drops = inside/m.meanBudget(), drops*inside/max(latency, 1e-6)
+	}
 	for _, s := range m.servers {
 		delivered += s.delivered(m.now)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -32,12 +32,13 @@
 	rate  float64 // as told when it joined
 	bound bool
 	sent  []time.Duration // messages within the span that a limit counts
-	flows [][]usage       // by traffic group, the last samples
+	flows [][]figure      // by traffic group, the last samples
 }
 
-type usage struct {
-	at   time.Duration
-	rate float64
+// figure is one sample of what is measured.
+type figure struct {
+	at    time.Duration
+	value float64
 }
 
 // pair is what proxies of one zone met in another.
@@ -102,6 +103,8 @@
 	peaks     []float64 // flows delivered a second, lately
 	lineMoved time.Duration
 	repeating bool
+	answers   []figure // seconds that probes took, lately
+	loadTold  bool
 	wakeAt    time.Duration
 }
 
@@ -147,7 +150,7 @@
 	sum, n := 0.0, 0.0
 	for _, u := range p.flows[g] {
 		if now-u.at <= samplesOld {
-			sum, n = sum+u.rate, n+1
+			sum, n = sum+u.value, n+1
 		}
 	}
 	return sum / max(1, n)
@@ -161,7 +164,7 @@
 
 func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64, bare bool) Orders {
 	m.now = now
-	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]usage, len(m.budget))}
+	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]figure, len(m.budget))}
 	i, again := m.proxy(id)
 	if again {
 		m.proxies[i] = p
@@ -185,6 +188,7 @@
 	if s == nil || r.Tries <= 0 {
 		return m.decide()
 	}
+	m.loadTold = m.loadTold || r.Load >= 0
 	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
 	if r.Failed < r.Tries {
 		s.quietFrom = now
@@ -202,7 +206,7 @@
 	m.now = now
 	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
 		f := &m.proxies[i].flows[u.Group]
-		*f = lastOf(append(*f, usage{now, float64(u.Flows) / u.Span.Seconds()}), samplesKept)
+		*f = lastOf(append(*f, figure{now, float64(u.Flows) / u.Span.Seconds()}), samplesKept)
 		if !m.used {
 			m.used, m.cause = true, "usage"
 		}
@@ -283,6 +287,17 @@
 	return tries, failed, latency / max(1, good)
 }
 
+// rate is how many tries a second ended at a server.
+func (s *server) rate(now time.Duration) float64 {
+	tries := 0.0
+	for i, r := range s.heard {
+		if now-s.heardAt[i] <= samplesOld {
+			tries += float64(r.Tries)
+		}
+	}
+	return tries / samplesOld.Seconds()
+}
+
 // delivered is a server's rate of good answers.
 func (s *server) delivered(now time.Duration) float64 {
 	good := 0.0
