Health judged on fewer samples, in smaller steps, with a quicker return

Cause: a fall by half on few slow answers pushed load on the others, which then seemed slow in turn.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,18 +28,19 @@
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
 	samplesKept  = 24              // reports of one server that its figures are made from
 	samplesOld   = 5 * time.Second // and their greatest age
-	fullTries    = 16              // tries after which older samples are left out
+	fullTries    = 6               // tries after which older samples are left out
 	enoughTries  = 3               // tries without which a server is no peer
-	slowLatency  = 1.4             // multiple of the peers' median latency that is not yet slow
-	slowBudget   = 0.35            // part of the latency budget that is never slow
-	slowPower    = 1.0             // how hard a slow server is taken back
+	slowLatency  = 1.25            // multiple of the peers' median latency that is not yet slow
+	slowBudget   = 0.15            // part of the latency budget that is never slow
+	slowestPart  = 0.8             // of the budget: a slower server is taken back steeply
+	slowestPeer  = 2.0             // and multiple of the peers that it must be, too
 	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
 	failWorst    = 0.35            // from here on a server gets the least
 	leastHealth  = 0.02            // what a failing server keeps, to be heard by
 	returnHealth = 0.15            // what a server gets that answers again
-	healthFall   = 0.5             // in a second, a health factor falls to this part at most
-	healthRise   = 1.25            // and rises to this multiple
-	healthPace   = 0.4             // part of the way to its aim, in logarithms, that health goes in a second
+	healthFall   = 0.8             // in a second, a health factor falls to this part at most
+	healthRise   = 1.5             // and rises to this multiple
+	healthPace   = 0.3             // part of the way to its aim, in logarithms, that health goes in a second
 	healthMoved  = 0.05            // change that is worth solving anew
 	silentTries  = 6.0             // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second // and the least time
@@ -272,7 +273,9 @@
 			m.repeating = true
 		}
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 && !s.climbing {
-			aim = min(aim, math.Pow(max(slowLatency*latency, slowBudget*m.meanBudget())/l, slowPower))
+			// a server later than the budget earns nothing: what it keeps falls steeply from there
+			lateness := max(1, l/max(slowestPeer*latency, slowestPart*m.meanBudget()))
+			aim = min(aim, max(slowLatency*latency, slowBudget*m.meanBudget())/l/lateness/lateness)
 		}
 		aim = max(leastHealth, min(1, aim))
 		was := s.health
