--- a/choice/state.go
+++ b/choice/state.go
@@ -284,7 +284,11 @@
 			latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
 		}
 	}
-	return tries, failed, latency / max(1, good)
+	latency /= max(1, good)
+	if n := len(s.heard); tries > 0 && s.heard[n-1].Load >= 0 {
+		latency = (latency + s.heard[n-1].Load/max(s.rate(now), 0.5)) / 2
+	}
+	return tries, failed, latency
 }
 
 // rate is how many tries a second ended at a server.
