--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,7 +55,7 @@
 	dropsHigh    = 0.25 // median share of failures at which it moves down
 	lineFall     = 0.9  // of what is delivered
 	lineLeast    = 0.6  // of the most that was delivered lately
-	lineRise     = 0.15 // in a second, with idle servers
+	lineRise     = 0.2  // in a second, with idle servers
 	lineOpen     = 1.2  // of what is asked: from here on all is let in
 	peaksKept    = 20
 	lineHold     = 3 * time.Second // between moves down
@@ -230,7 +230,7 @@
 	latency, drops := m.peers()
 	m.judgeServers(latency, drops)
 	m.judgePairs()
-	m.moveLine(latency, drops)
+	m.moveLine(m.flowsMeet())
 	for z, v := range m.volumes() {
 		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
 			m.cause = "volume"
@@ -252,6 +252,19 @@
 	return median(latencies), median(shares)
 }
 
+// flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped.
+func (m *Manager) flowsMeet() (latency, drops float64) {
+	all := 0.0
+	for _, s := range m.servers {
+		if tries, failed, l := s.figures(m.now); tries > 0 {
+			rate := s.rate(m.now)
+			all, drops = all+rate, drops+rate*failed/tries
+			latency += rate * (l*(tries-failed) + m.meanBudget()*failed) / tries
+		}
+	}
+	return latency / max(all, 1e-6), drops / max(all, 1e-6)
+}
+
 // judgeServers lowers the health factor of a server that fails more than its peers or is slower,
 // whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
 // all servers seem to do; the peers' median stands against that.
--- a/choice/state.go
+++ b/choice/state.go
@@ -10,20 +10,21 @@
 // This file is what a manager remembers and how it looks things up; it decides nothing.
 
 type server struct {
-	id        ServerID
-	zone      int
-	weight    float64
-	state     Condition
-	started   time.Duration // as listed
-	climbing  bool
-	startedAt time.Duration // when that start was heard of
-	withdrawn bool
-	heard     []Report
-	heardAt   []time.Duration
-	quietFrom time.Duration
-	health    float64
-	out       bool // does not answer at all
-	probedAt  time.Duration
+	id         ServerID
+	zone       int
+	weight     float64
+	state      Condition
+	started    time.Duration // as listed
+	climbing   bool
+	startedAt  time.Duration // when that start was heard of
+	withdrawn  bool
+	heard      []Report
+	heardAt    []time.Duration
+	quietFrom  time.Duration
+	firstHeard time.Duration // less the span of that report
+	health     float64
+	out        bool // does not answer at all
+	probedAt   time.Duration
 }
 
 type proxy struct {
@@ -188,6 +189,9 @@
 	if s == nil || r.Tries <= 0 {
 		return m.decide()
 	}
+	if len(s.heard) == 0 {
+		s.firstHeard = now - r.Span
+	}
 	m.loadTold = m.loadTold || r.Load >= 0
 	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
 	if r.Failed < r.Tries {
@@ -291,6 +295,11 @@
 	return tries, failed, latency
 }
 
+// window is the time, in seconds, that a server's last samples span.
+func (s *server) window(now time.Duration) float64 {
+	return max(batchEvery, min(samplesOld, now-s.firstHeard)).Seconds()
+}
+
 // rate is how many tries a second ended at a server.
 func (s *server) rate(now time.Duration) float64 {
 	tries := 0.0
@@ -299,7 +308,7 @@
 			tries += float64(r.Tries)
 		}
 	}
-	return tries / samplesOld.Seconds()
+	return tries / s.window(now)
 }
 
 // delivered is a server's rate of good answers.
@@ -310,5 +319,5 @@
 			good += float64(r.Tries - r.Failed)
 		}
 	}
-	return good / samplesOld.Seconds()
+	return good / s.window(now)
 }
