The line rises quickly to most of what was delivered lately, then creeps

Cause: under overload the line rose at one pace through the servers' limit and fell again, over and over. Should also help while a zone comes back; may harm when capacity grows suddenly.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,8 +55,10 @@
 	dropsHigh    = 0.25 // median share of failures at which it moves down
 	lineFall     = 0.9  // of what is delivered
 	lineLeast    = 0.6  // of the most that was delivered lately
-	lineRise     = 0.2  // in a second, with idle servers
+	lineRise     = 0.3  // in a second, with idle servers
 	lineOpen     = 1.2  // of what is asked: from here on all is let in
+	kneePart     = 0.85 // of the most delivered lately: beyond it the line only creeps up
+	lineCreep    = 0.05
 	peaksKept    = 20
 	lineHold     = 3 * time.Second // between moves down
 	probePart    = 0.3             // of the flows' latency: probes that take less find idle servers
@@ -447,7 +449,11 @@
 			m.lineMoved = m.now
 		}
 	case pressure < pressureLow && m.line < asked*lineOpen:
-		m.line *= 1 + lineRise*(1-pressure/pressureLow)
+		rise := lineRise
+		if m.line > kneePart*slices.Max(m.peaks) {
+			rise = lineCreep
+		}
+		m.line *= 1 + rise*(1-pressure/pressureLow)
 	case pressure < pressureLow:
 		m.line = math.Inf(1)
 	}
