--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,7 @@
 	silentTries  = 6.0             // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second // and the least time
 	probeEvery   = 2 * time.Second // of a server that does not answer
+	blindFor     = 2 * time.Second // after this manager stood still
 	stallSlack   = 400 * time.Millisecond
 	slowChannel  = 8.0  // a channel is taken to be so many times slower until marks are answered
 	queueBatch   = 0.5  // of the queue limit for ordinary batches
@@ -103,9 +104,15 @@
 }{
 	{(*Manager).unasked, (*Manager).ask},
 	{(*Manager).drainWaits, (*Manager).withdraw},
-	{(*Manager).secondOver, (*Manager).judge},
+	{(*Manager).stoodStill, (*Manager).distrust},
+	{(*Manager).secondOver, (*Manager).openSecond},
+	{(*Manager).serversUnjudged, (*Manager).judgeServers},
+	{(*Manager).pairsUnjudged, (*Manager).judgePairs},
+	{(*Manager).lineUnmoved, (*Manager).moveLine},
+	{(*Manager).volumesMoved, (*Manager).callForVolumes},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
+	{(*Manager).readmitWaits, (*Manager).readmit},
 	{(*Manager).proxyWaits, (*Manager).bind},
 	{(*Manager).unwoken, (*Manager).setWake},
 }
@@ -125,7 +132,7 @@
 
 // Inputs: what happened is noted, and the rules decide.
 
-func (m *Manager) Listed(now time.Duration, whole, kept bool, entries []Entry) Orders {
+func (m *Manager) Listed(now time.Duration, whole bool, entries []Entry) Orders {
 	m.now = now
 	seen := map[ServerID]bool{}
 	for _, e := range entries {
@@ -142,7 +149,7 @@
 			// what stands in the tables is lowered at once
 			s.climbing, s.startedAt, s.started = true, now, e.Started
 			s.out, s.health, s.heard, s.heardAt, s.quietFrom = false, 1, nil, nil, now
-			m.urgent = true
+			m.urgent = m.urgent || !s.withdrawn
 		}
 		s.zone, s.weight, s.state = m.zone(e.Zone), e.Weight, e.State
 	}
@@ -219,59 +226,45 @@
 	return len(to) == 0 || m.waiting()+float64(len(to))*(m.head+1+lines) <= limit
 }
 
-// Each second what was heard is judged.
+// Each second what was heard is judged, and a batch falls due.
+
+// stoodStill guards against taking the silence of this manager's own stall for that of servers.
+func (m *Manager) stoodStill() bool { return m.now-m.due > stallSlack && m.blind <= m.now }
+
+func (m *Manager) distrust() {
+	m.blind = m.now + blindFor
+	m.note("this manager stood still for %.1fs", (m.now - m.due).Seconds())
+}
 
 func (m *Manager) secondOver() bool { return m.now >= m.due }
+func (m *Manager) openSecond() {
+	m.due, m.batch, m.toServers, m.toPairs, m.toLine = m.now+batchEvery, true, true, true, true
+}
 
-func (m *Manager) judge() {
-	if m.now-m.due > stallSlack {
-		m.blind = m.now + 2*batchEvery
-		m.note("this manager stood still for %.1fs", (m.now - m.due).Seconds())
+func (m *Manager) serversUnjudged() bool { return m.toServers }
+func (m *Manager) pairsUnjudged() bool   { return m.toPairs }
+func (m *Manager) lineUnmoved() bool     { return m.toLine }
+
+func (m *Manager) volumesMoved() bool {
+	if !m.batch || m.cause != "" {
+		return false
 	}
-	m.due, m.batch = m.now+batchEvery, true
-	latency, drops := m.peers()
-	m.judgeServers(latency, drops)
-	m.judgePairs()
-	m.moveLine(m.flowsMeet())
 	for z, v := range m.volumes() {
 		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
-			m.cause = "volume"
+			return true
 		}
 	}
+	return false
 }
 
-// peers gives the median latency and share of failures of the servers heard of.
-func (m *Manager) peers() (latency, drops float64) {
-	var latencies, shares []float64
-	for _, s := range m.servers {
-		if tries, failed, l := s.figures(m.now); s.state == Ready && tries >= enoughTries {
-			shares = append(shares, failed/tries)
-			if l > 0 {
-				latencies = append(latencies, l)
-			}
-		}
-	}
-	return median(latencies), median(shares)
-}
-
-// flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped.
-func (m *Manager) flowsMeet() (latency, drops float64) {
-	all := 0.0
-	for _, s := range m.servers {
-		if tries, failed, l := s.figures(m.now); tries > 0 {
-			rate := s.rate(m.now)
-			all, drops = all+rate, drops+rate*failed/tries
-			latency += rate * (l*(tries-failed) + m.meanBudget()*failed) / tries
-		}
-	}
-	return latency / max(all, 1e-6), drops / max(all, 1e-6)
-}
+func (m *Manager) callForVolumes() { m.cause = "volume" }
 
 // judgeServers lowers the health factor of a server that fails more than its peers or is slower,
 // whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
 // all servers seem to do; the peers' median stands against that.
-func (m *Manager) judgeServers(latency, drops float64) {
-	m.repeating = false
+func (m *Manager) judgeServers() {
+	m.toServers, m.repeating = false, false
+	latency, drops := m.peers()
 	flows := m.expected()
 	for _, s := range m.servers {
 		if s.state != Ready {
@@ -316,23 +309,9 @@
 	}
 }
 
-// expected is the rate at which tries should come to each server by the standing tables.
-func (m *Manager) expected() map[ServerID]float64 {
-	flows := map[ServerID]float64{}
-	for z, v := range m.volumes() {
-		sum := 0.0
-		for _, w := range m.tables[z].standing {
-			sum += w
-		}
-		for id, w := range m.tables[z].standing {
-			flows[id] += v * w / sum
-		}
-	}
-	return flows
-}
-
 // judgePairs closes a zone pair to new spill while its latency is a multiple of its norm.
 func (m *Manager) judgePairs() {
+	m.toPairs = false
 	for a := range m.pairs {
 		for b := range m.pairs[a] {
 			p := &m.pairs[a][b]
@@ -349,45 +328,6 @@
 	}
 }
 
-// volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
-func (m *Manager) volumes() []float64 {
-	v := make([]float64, len(m.zones))
-	for _, p := range m.proxies {
-		sum := 0.0
-		for g := range p.flows {
-			sum += p.demand(g, m.now)
-		}
-		if sum == 0 {
-			sum = p.rate
-		}
-		v[p.zone] += sum
-	}
-	if !m.used {
-		clear(v)
-		for _, s := range m.servers {
-			if s.state == Ready {
-				v[s.zone] += s.weight
-			}
-		}
-	}
-	for z := range v {
-		v[z] = max(v[z], 1e-3)
-	}
-	return v
-}
-
-func (m *Manager) meanBudget() float64 {
-	sum, all := 0.0, 0.0
-	for g, b := range m.budget {
-		d := 1e-6
-		for _, p := range m.proxies {
-			d += p.demand(g, m.now)
-		}
-		sum, all = sum+b*d, all+d
-	}
-	return sum / all
-}
-
 // atServers is the latency that the servers themselves show: by the flows that they say they hold, or
 // by probes. Guards against blocking flows while proxies or managers stand still, or links are slow:
 // then flows are late and servers idle. It may harm where probes are answered beside the queue.
@@ -427,7 +367,9 @@
 
 // moveLine moves the line of utility, in flows a second: down to what the servers deliver when as a
 // whole they are late or drop flows, up slowly. All is let in while they are healthy.
-func (m *Manager) moveLine(latency, drops float64) {
+func (m *Manager) moveLine() {
+	m.toLine = false
+	latency, drops := m.flowsMeet()
 	pressure, delivered, asked, was := latency/m.meanBudget(), 0.0, 0.0, m.line
 	if pressure > pressureLow || drops > dropsHigh {
 		m.askServers()
@@ -499,22 +441,6 @@
 	return levels
 }
 
-// evenRate is the rate at each proxy that lets in the part of what comes to all of them.
-func evenRate(rates []float64, part float64) float64 {
-	slices.Sort(rates)
-	left := 0.0
-	for _, r := range rates {
-		left += part * r
-	}
-	for i, r := range rates {
-		if even := left / float64(len(rates)-i); r >= even {
-			return even
-		}
-		left -= r
-	}
-	return rateOpen
-}
-
 // The split: tables are solved anew when the list, health, a climb, usage or a pair calls for it.
 
 func (m *Manager) unsolved() bool {
@@ -676,14 +602,25 @@
 			t.levels[l.Groups] = l
 		}
 	}
+	m.urgent = m.urgent && m.batch
+}
+
+// A server that returned is readmitted once its first small weight is laid.
+func (m *Manager) returned() *server {
 	for _, s := range m.servers {
-		if s.withdrawn && s.state == Ready && !m.batch && m.room(m.proxies, 1, false) {
-			s.withdrawn = false
-			m.o.Readmit = append(m.o.Readmit, s.id)
-			m.post(m.proxies, 1)
+		if s.withdrawn && s.state == Ready && !m.batch && m.cause == "" && m.room(m.proxies, 1, false) {
+			return s
 		}
 	}
-	m.urgent = m.urgent && m.batch
+	return nil
+}
+
+func (m *Manager) readmitWaits() bool { return m.returned() != nil }
+
+func (m *Manager) readmit() {
+	s := m.returned()
+	s.withdrawn, m.o.Readmit = false, append(m.o.Readmit, s.id)
+	m.post(m.proxies, 1)
 }
 
 // differences are the lines in which a table must change; the scale is that of most standing lines.
--- /dev/null
+++ b/choice/figures.go
@@ -0,0 +1,172 @@
+package choice
+
+import (
+	"slices"
+	"time"
+)
+
+// This file works figures out from the samples kept; it decides nothing.
+
+func median(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	x = slices.Clone(x)
+	slices.Sort(x)
+	return (x[(len(x)-1)/2] + x[len(x)/2]) / 2
+}
+
+func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
+
+// figures are a server's over its last samples, as many as make enough tries.
+func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
+	good := 0.0
+	for i := len(s.heard) - 1; i >= 0 && tries < fullTries && now-s.heardAt[i] <= samplesOld; i-- {
+		r := s.heard[i]
+		tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
+		if r.Latency > 0 {
+			good += float64(r.Tries - r.Failed)
+			latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
+		}
+	}
+	latency /= max(1, good)
+	if n := len(s.heard); tries > 0 && s.heard[n-1].Load >= 0 {
+		latency = (latency + s.heard[n-1].Load/max(s.rate(now), 0.5)) / 2
+	}
+	return tries, failed, latency
+}
+
+// window is the time, in seconds, that a server's last samples span.
+func (s *server) window(now time.Duration) float64 {
+	return max(batchEvery, min(samplesOld, now-s.firstHeard)).Seconds()
+}
+
+// rate is how many tries a second ended at a server.
+func (s *server) rate(now time.Duration) float64 {
+	tries := 0.0
+	for i, r := range s.heard {
+		if now-s.heardAt[i] <= samplesOld {
+			tries += float64(r.Tries)
+		}
+	}
+	return tries / s.window(now)
+}
+
+// delivered is a server's rate of good answers.
+func (s *server) delivered(now time.Duration) float64 {
+	good := 0.0
+	for i, r := range s.heard {
+		if now-s.heardAt[i] <= samplesOld {
+			good += float64(r.Tries - r.Failed)
+		}
+	}
+	return good / s.window(now)
+}
+
+// demand is how many flows of a traffic group come to a proxy a second.
+func (p *proxy) demand(g int, now time.Duration) float64 {
+	sum, n := 0.0, 0.0
+	for _, u := range p.flows[g] {
+		if now-u.at <= samplesOld {
+			sum, n = sum+u.value, n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
+// peers gives the median latency and share of failures of the servers heard of.
+func (m *Manager) peers() (latency, drops float64) {
+	var latencies, shares []float64
+	for _, s := range m.servers {
+		if tries, failed, l := s.figures(m.now); s.state == Ready && tries >= enoughTries {
+			shares = append(shares, failed/tries)
+			if l > 0 {
+				latencies = append(latencies, l)
+			}
+		}
+	}
+	return median(latencies), median(shares)
+}
+
+// flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped.
+func (m *Manager) flowsMeet() (latency, drops float64) {
+	all := 0.0
+	for _, s := range m.servers {
+		if tries, failed, l := s.figures(m.now); tries > 0 {
+			rate := s.rate(m.now)
+			all, drops = all+rate, drops+rate*failed/tries
+			latency += rate * (l*(tries-failed) + m.meanBudget()*failed) / tries
+		}
+	}
+	return latency / max(all, 1e-6), drops / max(all, 1e-6)
+}
+
+// expected is the rate at which tries should come to each server by the standing tables.
+func (m *Manager) expected() map[ServerID]float64 {
+	flows := map[ServerID]float64{}
+	for z, v := range m.volumes() {
+		sum := 0.0
+		for _, w := range m.tables[z].standing {
+			sum += w
+		}
+		for id, w := range m.tables[z].standing {
+			flows[id] += v * w / sum
+		}
+	}
+	return flows
+}
+
+// volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
+func (m *Manager) volumes() []float64 {
+	v := make([]float64, len(m.zones))
+	for _, p := range m.proxies {
+		sum := 0.0
+		for g := range p.flows {
+			sum += p.demand(g, m.now)
+		}
+		if sum == 0 {
+			sum = p.rate
+		}
+		v[p.zone] += sum
+	}
+	if !m.used {
+		clear(v)
+		for _, s := range m.servers {
+			if s.state == Ready {
+				v[s.zone] += s.weight
+			}
+		}
+	}
+	for z := range v {
+		v[z] = max(v[z], 1e-3)
+	}
+	return v
+}
+
+func (m *Manager) meanBudget() float64 {
+	sum, all := 0.0, 0.0
+	for g, b := range m.budget {
+		d := 1e-6
+		for _, p := range m.proxies {
+			d += p.demand(g, m.now)
+		}
+		sum, all = sum+b*d, all+d
+	}
+	return sum / all
+}
+
+// evenRate is the rate at each proxy that lets in the part of what comes to all of them.
+func evenRate(rates []float64, part float64) float64 {
+	slices.Sort(rates)
+	left := 0.0
+	for _, r := range rates {
+		left += part * r
+	}
+	for i, r := range rates {
+		if even := left / float64(len(rates)-i); r >= even {
+			return even
+		}
+		left -= r
+	}
+	return rateOpen
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -80,33 +80,34 @@
 
 type Manager struct {
 	bounds
-	chance    uint64
-	now       time.Duration
-	o         Orders
-	zones     []ZoneID
-	servers   []*server // by id
-	proxies   []*proxy  // by number
-	tables    []*table  // by zone
-	pairs     [][]pair  // by zone of proxies, of servers
-	solved    []float64 // volumes last solved with
-	cause     string    // why the tables are to be solved anew
-	urgent    bool
-	heldAt    time.Duration // the batch found no room then
-	batch     bool          // a second has passed
-	due       time.Duration // when the next has
-	blind     time.Duration // silence proves nothing until then: this manager stood still
-	used      bool
-	queue     []owed
-	mark      MarkID
-	markedAt  time.Duration
-	asked     bool
-	line      float64   // flows a second that are let in, the most useful first
-	peaks     []float64 // flows delivered a second, lately
-	lineMoved time.Duration
-	repeating bool
-	answers   []figure // seconds that probes took, lately
-	loadTold  bool
-	wakeAt    time.Duration
+	chance                     uint64
+	now                        time.Duration
+	o                          Orders
+	zones                      []ZoneID
+	servers                    []*server // by id
+	proxies                    []*proxy  // by number
+	tables                     []*table  // by zone
+	pairs                      [][]pair  // by zone of proxies, of servers
+	solved                     []float64 // volumes last solved with
+	cause                      string    // why the tables are to be solved anew
+	urgent                     bool
+	heldAt                     time.Duration // the batch found no room then
+	batch                      bool          // a second has passed
+	due                        time.Duration // when the next has
+	blind                      time.Duration // silence proves nothing until then: this manager stood still
+	used                       bool
+	queue                      []owed
+	mark                       MarkID
+	markedAt                   time.Duration
+	asked                      bool
+	line                       float64   // flows a second that are let in, the most useful first
+	peaks                      []float64 // flows delivered a second, lately
+	lineMoved                  time.Duration
+	repeating                  bool
+	answers                    []figure // seconds that probes took, lately
+	loadTold                   bool
+	toServers, toPairs, toLine bool // still to be judged this second
+	wakeAt                     time.Duration
 }
 
 func (m *Manager) note(format string, figures ...any) {
@@ -146,17 +147,6 @@
 	return slices.BinarySearchFunc(m.proxies, id, func(p *proxy, id ProxyID) int { return cmp.Compare(p.id, id) })
 }
 
-// demand is how many flows of a traffic group come to a proxy a second.
-func (p *proxy) demand(g int, now time.Duration) float64 {
-	sum, n := 0.0, 0.0
-	for _, u := range p.flows[g] {
-		if now-u.at <= samplesOld {
-			sum, n = sum+u.value, n+1
-		}
-	}
-	return sum / max(1, n)
-}
-
 // ListFailed keeps the list and asks again with the next second.
 func (m *Manager) ListFailed(now time.Duration) Orders {
 	m.now, m.asked = now, false
@@ -265,59 +255,3 @@
 		}
 	}
 }
-
-func median(x []float64) float64 {
-	if len(x) == 0 {
-		return 0
-	}
-	x = slices.Clone(x)
-	slices.Sort(x)
-	return (x[(len(x)-1)/2] + x[len(x)/2]) / 2
-}
-
-func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
-
-// figures are a server's over its last samples, as many as make enough tries.
-func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
-	good := 0.0
-	for i := len(s.heard) - 1; i >= 0 && tries < fullTries && now-s.heardAt[i] <= samplesOld; i-- {
-		r := s.heard[i]
-		tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
-		if r.Latency > 0 {
-			good += float64(r.Tries - r.Failed)
-			latency += float64(r.Tries-r.Failed) * r.Latency.Seconds()
-		}
-	}
-	latency /= max(1, good)
-	if n := len(s.heard); tries > 0 && s.heard[n-1].Load >= 0 {
-		latency = (latency + s.heard[n-1].Load/max(s.rate(now), 0.5)) / 2
-	}
-	return tries, failed, latency
-}
-
-// window is the time, in seconds, that a server's last samples span.
-func (s *server) window(now time.Duration) float64 {
-	return max(batchEvery, min(samplesOld, now-s.firstHeard)).Seconds()
-}
-
-// rate is how many tries a second ended at a server.
-func (s *server) rate(now time.Duration) float64 {
-	tries := 0.0
-	for i, r := range s.heard {
-		if now-s.heardAt[i] <= samplesOld {
-			tries += float64(r.Tries)
-		}
-	}
-	return tries / s.window(now)
-}
-
-// delivered is a server's rate of good answers.
-func (s *server) delivered(now time.Duration) float64 {
-	good := 0.0
-	for i, r := range s.heard {
-		if now-s.heardAt[i] <= samplesOld {
-			good += float64(r.Tries - r.Failed)
-		}
-	}
-	return good / s.window(now)
-}
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -154,7 +154,7 @@
 			if scope == "Error" {
 				return m.ListFailed(now)
 			}
-			return m.Listed(now, scope != "Partial", scope == "Persisted", entries)
+			return m.Listed(now, scope != "Partial", entries)
 		}
 	case "REMINDER":
 		label := choice.WakeID(c.whole("label", 0, math.MaxInt64))
