--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,273 @@
+package choice
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+func open(a, b int) bool { return false }
+
+func pool(zone, n int, target float64) (parts []part) {
+	for range n {
+		parts = append(parts, part{zone, target, 0.8, 1.2})
+	}
+	return parts
+}
+
+func TestSplitStaysInZoneWithinTheBand(t *testing.T) {
+	got := split([]float64{22, 18}, append(pool(0, 2, 1), pool(1, 2, 1)...), [][]int{{1}, {0}}, open)
+	near(t, "own", got[0][0]+got[0][1], 22)
+	near(t, "other's", got[1][2]+got[1][3], 18)
+}
+
+func TestSplitGivesFloorsFromSurplus(t *testing.T) {
+	got := split([]float64{30, 10}, append(pool(0, 2, 1), pool(1, 2, 1)...), [][]int{{1}, {0}}, open)
+	near(t, "ceilings in-zone", got[0][0]+got[0][1], 24)
+	near(t, "spill", got[0][2]+got[0][3], 6)
+	near(t, "floor from both", got[0][2]+got[1][2], 8)
+}
+
+func TestSplitSpillsToTheNearestOpenZone(t *testing.T) {
+	parts := append(append(pool(0, 1, 1), pool(1, 4, 1)...), pool(2, 4, 1)...)
+	volumes, nearest := []float64{18, 36, 36}, [][]int{{1, 2}, {0, 2}, {0, 1}}
+	got := split(volumes, parts, nearest, open)
+	near(t, "nearest", got[0][1]*4, 6)
+	got = split(volumes, parts, nearest, func(a, b int) bool { return a == 0 && b == 1 })
+	near(t, "closed", got[0][1], 0)
+	near(t, "next", got[0][5]*4, 6)
+	got = split(volumes, parts, nearest, func(a, b int) bool { return true })
+	near(t, "all closed", got[0][1]*4, 6)
+}
+
+func TestSplitPlacesAllWithTooLittleRoom(t *testing.T) {
+	parts := []part{{0, 1, 0, 0.5}, {0, 3, 0, 0.5}}
+	got := split([]float64{8}, parts, [][]int{{}}, open)
+	near(t, "first", got[0][0], 2)
+	near(t, "second", got[0][1], 6)
+}
+
+func TestSolveTakesAFreshServerFromBelowItsColdShare(t *testing.T) {
+	m := manager(3)
+	m.servers[0].climbing, m.cause = true, "climb"
+	m.solve()
+	if x := m.tables[0].wanted["a0"] / m.tables[0].wanted["a1"]; x <= 0 || x >= terms.ColdShare {
+		t.Errorf("a cold server gets %.2f of its peer's weight", x)
+	}
+}
+
+func TestListedLowersARestartedServerAtOnce(t *testing.T) {
+	m := manager(3)
+	m.now = 20 * time.Second
+	o := m.Listed(m.now, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, Started: 18 * time.Second, Fresh: true}})
+	if i := slices.IndexFunc(o.Lines, func(l Line) bool { return l.Server == "a0" }); i < 0 || o.Lines[i].Weight > 30 {
+		t.Errorf("no low weight in %v", o.Lines)
+	}
+}
+
+func TestListedWithdrawsADrainAtOnce(t *testing.T) {
+	m := manager(2)
+	o := m.Listed(time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if !slices.Equal(o.Withdraw, []ServerID{"a0"}) || len(o.Lines) != 0 {
+		t.Errorf("withdrawn %v, lines %v", o.Withdraw, o.Lines)
+	}
+}
+
+func TestListedTakesTheMissingForGone(t *testing.T) {
+	m := manager(2)
+	o := m.Listed(time.Second, true, []Entry{{Server: "a0", Zone: "a", Weight: 1}, {Server: "b0", Zone: "b", Weight: 1}})
+	if !slices.Equal(o.Withdraw, []ServerID{"a1", "b1"}) {
+		t.Errorf("withdrawn %v", o.Withdraw)
+	}
+}
+
+func TestReturnWaitsForItsFirstWeight(t *testing.T) {
+	m := manager(2)
+	m.servers[0].withdrawn, m.servers[0].state = true, Gone
+	delete(m.tables[0].standing, "a0")
+	back := []Entry{{Server: "a0", Zone: "a", Weight: 1, Started: 4 * time.Second, Fresh: true}}
+	if o := m.Listed(5*time.Second, false, back); len(o.Readmit) != 0 {
+		t.Errorf("readmitted before the batch: %v", o.Readmit)
+	}
+	m.due = 6 * time.Second
+	o := m.Woke(6*time.Second, 1)
+	if !slices.Equal(o.Readmit, []ServerID{"a0"}) || len(o.Lines) == 0 || o.Lines[0].Weight > 20 {
+		t.Errorf("readmitted %v with %v", o.Readmit, o.Lines)
+	}
+}
+
+func TestSolveKeepsServersWhenHealthWouldTakeAll(t *testing.T) {
+	m := manager(2)
+	for _, s := range m.servers {
+		s.out = true
+	}
+	m.solve()
+	if len(m.tables[0].wanted) == 0 || len(m.tables[1].wanted) == 0 {
+		t.Error("a zone table lost its last server")
+	}
+}
+
+func TestDifferencesNeverEmptyATable(t *testing.T) {
+	m := manager(2)
+	clear(m.tables[0].wanted)
+	if got := m.tables[0].differences(0); len(got) != 0 {
+		t.Errorf("lines %v", got)
+	}
+}
+
+func TestDifferencesSendOnlyWhatMoved(t *testing.T) {
+	m := manager(3)
+	m.tables[0].wanted = map[ServerID]float64{"a0": 0.34, "a1": 0.33, "a2": 0.1}
+	if got := m.tables[0].differences(0); len(got) != 1 || got[0].Server != "a2" {
+		t.Errorf("lines %v", got)
+	}
+}
+
+func TestJoinedIsBoundOnlyToATableWithLines(t *testing.T) {
+	m := manager(2)
+	if o := m.Joined(time.Second, 7, "a", 5); len(o.Bind) != 1 || o.Bind[0] != (Place{7, 0}) {
+		t.Errorf("bound %v", o.Bind)
+	}
+	clear(m.tables[0].standing)
+	if o := m.Joined(time.Second, 8, "a", 5); len(o.Bind) != 0 {
+		t.Errorf("bound %v to an empty table", o.Bind)
+	}
+}
+
+func TestRoomTakesTheChannelForSlowUntilMarksAreAnswered(t *testing.T) {
+	m := manager(2)
+	m.post(m.proxies, 240)
+	m.now = time.Second
+	if m.room(m.proxies, 100, false) || !m.room(m.proxies, 100, true) {
+		t.Errorf("with %.0f lines waiting", m.waiting())
+	}
+	m.post(m.proxies[:1], 1)
+	m.Applied(m.now, 0, m.mark)
+	if !m.room(m.proxies, 100, false) {
+		t.Errorf("still %.0f lines waiting", m.waiting())
+	}
+}
+
+func TestRoomKeepsMessagesForDrains(t *testing.T) {
+	m := manager(2)
+	m.now = 10 * time.Second
+	for i := range 12 {
+		m.proxies[0].sent = append(m.proxies[0].sent, time.Duration(i)*time.Second/2)
+	}
+	if m.room(m.proxies, 1, false) || !m.room(m.proxies, 1, true) {
+		t.Error("an ordinary batch may not take the last messages, a drain may")
+	}
+}
+
+func TestLevelsFillByUtility(t *testing.T) {
+	m := manager(2)
+	m.line = 50
+	got := m.levels(0)
+	near(t, "most useful", got[1].Amount, 1)
+	near(t, "the rest", got[0].Amount, 0.5)
+}
+
+func TestLevelsByRateLetInTheSamePart(t *testing.T) {
+	near(t, "rate", evenRate([]float64{2, 8, 10}, 0.6), 5)
+	m := manager(2)
+	m.admit, m.line = AdmitRate, 50
+	near(t, "a proxy", m.levels(0)[0].Amount, 15)
+	near(t, "open", m.levels(0)[1].Amount, rateOpen)
+}
+
+func TestLevelsRepeatOnlyWhatMayRunAgain(t *testing.T) {
+	m := manager(2)
+	m.repeating = true
+	if got := m.levels(0); got[0].Tries != TryTwice || got[1].Tries != TryUnrun {
+		t.Errorf("tries %v %v", got[0].Tries, got[1].Tries)
+	}
+	m.line = 1000
+	if got := m.levels(0); got[0].Tries != TryUnrun {
+		t.Error("further tries under overload")
+	}
+}
+
+func TestJudgeServersTakesBackTheSlowAndTheFailing(t *testing.T) {
+	m := manager(4)
+	for _, s := range m.servers {
+		m.hear(s.id, 10, 0, 200*time.Millisecond)
+	}
+	m.hear("a0", 10, 0, 3*time.Second)
+	m.hear("b0", 10, 9, 200*time.Millisecond)
+	m.judgeServers()
+	if m.servers[0].health >= 1 || m.server("b0").health >= 1 || m.servers[1].health != 1 || m.cause != "health" {
+		t.Errorf("slow %.2f, failing %.2f, sound %.2f", m.servers[0].health, m.server("b0").health, m.servers[1].health)
+	}
+}
+
+func TestSilenceAloneOnlyProbes(t *testing.T) {
+	m := manager(2)
+	m.now = 4 * time.Second
+	for _, s := range m.servers[1:] {
+		m.hear(s.id, 10, 0, 200*time.Millisecond)
+	}
+	m.blind = m.now + 1
+	m.judgeServers()
+	if len(m.o.Probe) != 0 {
+		t.Error("probed right after this manager stood still")
+	}
+	m.blind = 0
+	m.judgeServers()
+	if !slices.Equal(m.o.Probe, []ServerID{"a0"}) || m.servers[0].out {
+		t.Errorf("probed %v, out %v", m.o.Probe, m.servers[0].out)
+	}
+	if m.Probed(m.now, "a0", Answered, time.Millisecond, -1); m.servers[0].out {
+		t.Error("out though it answered")
+	}
+	if m.Probed(m.now, "a0", Silent, time.Second, -1); !m.servers[0].out {
+		t.Error("not out though silent to a probe")
+	}
+	if m.Probed(m.now, "a0", Answered, time.Millisecond, -1); m.servers[0].out || m.servers[0].health > 0.2 {
+		t.Errorf("back with health %.2f", m.servers[0].health)
+	}
+}
+
+func TestDistrustFollowsOwnStall(t *testing.T) {
+	m := manager(2)
+	m.due = time.Second
+	if m.Woke(3*time.Second, 1); m.blind <= 3*time.Second {
+		t.Error("trusts silence after standing still")
+	}
+}
+
+func TestLineMovesOnlyWhenServersShowFull(t *testing.T) {
+	m := manager(2)
+	m.now = 10 * time.Second
+	for _, s := range m.servers {
+		m.hear(s.id, 50, 10, 1500*time.Millisecond)
+	}
+	m.answers = []figure{{m.now, 0.005}, {m.now, 0.004}, {m.now, 0.006}}
+	if m.moveLine(); !math.IsInf(m.line, 1) {
+		t.Errorf("line at %.0f over idle servers", m.line)
+	}
+	m.answers = []figure{{m.now, 0.9}, {m.now, math.Inf(1)}, {m.now, 0.8}}
+	if m.moveLine(); math.IsInf(m.line, 1) {
+		t.Error("all let in at full servers")
+	}
+}
+
+func TestJudgePairsClosesAtTwiceTheNorm(t *testing.T) {
+	m := manager(2)
+	p := &m.pairs[0][1]
+	for i := range 12 {
+		p.drops, p.latency = append(p.drops, 0), append(p.latency, 0.1)
+		if i >= 9 {
+			p.latency[i] = 0.25
+		}
+	}
+	if m.judgePairs(); !p.closed || m.cause != "pair" {
+		t.Error("open at twice the norm")
+	}
+}
+
+func TestVolumesFollowListedWeightBeforeUsage(t *testing.T) {
+	m := manager(2)
+	m.used, m.servers[0].weight = false, 3
+	near(t, "zone", m.volumes()[0], 4)
+}
--- /dev/null
+++ b/choice/helpers_test.go
@@ -0,0 +1,52 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+var terms = Terms{
+	Zone: "a", Zones: []ZoneID{"a", "b"},
+	Groups: []Group{
+		{Budget: 2 * time.Second, Expiry: 6 * time.Second, Utility: 1, Repeat: Retriable},
+		{Budget: time.Second, Expiry: 4 * time.Second, Utility: 3},
+	},
+	Managers: 1, MayProbe: true, Admit: AdmitShare, UsualTries: TryUnrun, ColdShare: 0.15,
+	WarmAfter: 16 * time.Second, FallMultiple: 2.5, FallFor: 2 * time.Second, DrainGrace: 2 * time.Second,
+	BareFor: 2 * time.Second, QueueLines: 1000, LinesPerS: 1000, HeadLines: 4,
+	MessagesMost: 20, MessagesOver: 10 * time.Second, ReportEvery: time.Second,
+}
+
+// manager holds per zone n ready servers a0.., b0.. and a proxy, bound to its zone's table.
+func manager(n int) *Manager {
+	m := New(1, terms)
+	m.due, m.wakeAt = time.Hour, time.Hour
+	for z, name := range m.zones {
+		for i := range n {
+			id := ServerID(fmt.Sprint(name, i))
+			m.servers = append(m.servers, &server{id: id, zone: z, weight: 1, health: 1, probedAt: -time.Hour})
+			m.tables[z].standing[id] = 100
+			m.tables[z].wanted[id] = 1 / float64(n)
+		}
+		flows := [][]figure{{{0, 30}}, {{0, 10}}}
+		m.proxies = append(m.proxies, &proxy{id: ProxyID(z), zone: z, bound: true, flows: flows})
+	}
+	m.used, m.solved = true, []float64{40, 40}
+	return m
+}
+
+// hear gives a server one report of late tries, in a second that just ended.
+func (m *Manager) hear(id ServerID, tries, failed int, latency time.Duration) {
+	s := m.server(id)
+	s.heard = append(s.heard, Report{Server: id, Tries: tries, Failed: failed, Latency: latency, Span: time.Second, Load: -1})
+	s.heardAt, s.quietFrom = append(s.heardAt, m.now), m.now
+}
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-6 {
+		t.Errorf("%s: %v, not %v", what, got, want)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -153,7 +153,7 @@
 	return m.decide()
 }
 
-func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64, bare bool) Orders {
+func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64) Orders {
 	m.now = now
 	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]figure, len(m.budget))}
 	i, again := m.proxy(id)
@@ -209,7 +209,7 @@
 }
 
 // Applied shows that what was ordered before the mark has left the channel.
-func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID, took time.Duration) Orders {
+func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID) Orders {
 	m.now = now
 	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i > 0 {
 		m.queue = slices.Delete(m.queue, 0, i)
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -33,9 +33,13 @@
 
 const longestLine = 64 << 20
 
+func newHost(out io.Writer) *Host {
+	return &Host{managers: map[int64]*hosted{}, out: bufio.NewWriterSize(out, 1<<16)}
+}
+
 // Serve answers batches until the input ends.
 func Serve(in io.Reader, out io.Writer) error {
-	h := &Host{managers: map[int64]*hosted{}, out: bufio.NewWriterSize(out, 1<<16)}
+	h := newHost(out)
 	lines := bufio.NewScanner(in)
 	lines.Buffer(make([]byte, 1<<16), longestLine)
 	next := func() (string, bool) {
@@ -174,10 +178,11 @@
 		}
 		call = func() choice.Orders { return m.Probed(now, server, answer, took, held) }
 	case "DIALLED_IN":
-		rate, bare := c.number("part"), c.truth("flag")
+		rate := c.number("part")
+		c.truth("flag")
 		proxy := choice.ProxyID(c.whole("sidecar", 0, 65535))
 		zone := choice.ZoneID(c.id("dc"))
-		call = func() choice.Orders { return m.Joined(now, proxy, zone, rate, bare) }
+		call = func() choice.Orders { return m.Joined(now, proxy, zone, rate) }
 	case "STREAM_DOWN":
 		proxy := choice.ProxyID(c.whole("sidecar", 0, 65535))
 		call = func() choice.Orders { return m.Left(now, proxy) }
@@ -198,8 +203,8 @@
 	case "INSTALLED":
 		proxy := choice.ProxyID(c.whole("sidecar", 0, 65535))
 		mark := choice.MarkID(c.whole("serial", 0, 65535))
-		took := c.span("elapsedUs")
-		call = func() choice.Orders { return m.Applied(now, proxy, mark, took) }
+		c.span("elapsedUs")
+		call = func() choice.Orders { return m.Applied(now, proxy, mark) }
 	case "FROM_PEER":
 		c.whole("originPeer", 0, math.MaxInt32)
 		c.text("data")
