--- a/choice/choice.go
+++ b/choice/choice.go
@@ -278,7 +278,8 @@
 		excess := (failed+2*drops)/(tries+2) - drops
 		if excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
-			m.repeating = true
+			// quick errors, not slowness: there a further try would only add load
+			m.repeating = m.repeating || tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
 		}
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 && !s.climbing {
 			// a server later than the budget earns nothing: what it keeps falls steeply from there
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -88,11 +88,12 @@
 	return median(latencies), median(shares)
 }
 
-// flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped.
+// flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped, at
+// the servers that give good answers: those that give none are lost, not full.
 func (m *Manager) flowsMeet() (latency, drops float64) {
 	all := 0.0
 	for _, s := range m.servers {
-		if tries, failed, l := s.figures(m.now); tries > 0 {
+		if tries, failed, l := s.figures(m.now); tries > 0 && m.now-s.quietFrom < silentFor {
 			rate := s.rate(m.now)
 			all, drops = all+rate, drops+rate*failed/tries
 			latency += rate * (l*(tries-failed) + m.meanBudget()*failed) / tries
