A cold server gets no part of its lost peers until it must be warm

The targets of climbing servers are now their part of a fleet in order, and they count as climbing for the whole stated time until warm. Should also guard in lost zones and releases; may harm when most servers are cold and the rest are full.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,7 +75,7 @@
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
-	m.climbFor = time.Duration(climbOver * float64(t.WarmAfter))
+	m.warmAfter, m.climbFor = t.WarmAfter, time.Duration(climbOver*float64(t.WarmAfter))
 	m.climbBase = min(climbFrom, climbCold*t.ColdShare)
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
 	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
@@ -140,7 +140,7 @@
 		s := m.server(e.Server)
 		if s == nil {
 			s = &server{id: e.Server, health: 1, quietFrom: now, started: e.Started, probedAt: -probeEvery}
-			s.climbing = e.Fresh && (now-e.Started < m.climbFor || !whole)
+			s.climbing = e.Fresh && (now-e.Started < m.warmAfter || !whole)
 			s.startedAt = now
 			m.servers = append(m.servers, s)
 			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -270,7 +270,7 @@
 		if s.state != Ready {
 			continue
 		}
-		if s.climbing && m.now-s.startedAt >= m.climbFor {
+		if s.climbing && m.now-s.startedAt >= m.warmAfter {
 			s.climbing = false
 		}
 		tries, failed, l := s.figures(m.now)
@@ -459,17 +459,40 @@
 	var ids []ServerID
 	// health never takes the last server of all: without any sound one, those listed share the flows
 	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return s.state == Ready && !s.out })
+	all, listed, steady, cold := 0.0, 0.0, 0.0, 0.0
+	for _, v := range m.solved {
+		all += v
+	}
 	for _, s := range m.servers {
-		if s.state == Ready && (!s.out || !anyIn) {
-			p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
-			if s.climbing {
-				grown := (m.now - s.startedAt).Seconds() / m.climbFor.Seconds()
-				p.target *= min(1, m.climbBase+(1-m.climbBase)*grown)
-			}
-			if s.climbing || s.health < 0.9 {
-				p.low, p.high = 0, 1
-			}
-			parts, ids = append(parts, p), append(ids, s.id)
+		if s.state == Ready {
+			listed += max(s.weight, 1e-6)
+		}
+	}
+	for _, s := range m.servers {
+		if s.state != Ready || s.out && anyIn {
+			continue
+		}
+		p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
+		if s.health < 0.9 {
+			p.low, p.high = 0, 1
+		}
+		// guards against pushing over a cold server when others fail: until it must be warm, it gets its
+		// climbing part of what it would get of a fleet in order, never that of its lost peers
+		if s.climbing {
+			grown := (m.now - s.startedAt).Seconds() / m.climbFor.Seconds()
+			p.target *= min(1, m.climbBase+(1-m.climbBase)*grown) * all / listed
+			p.low, p.high, cold = 0, 1, cold+p.target
+		} else {
+			steady += p.target
+		}
+		parts, ids = append(parts, p), append(ids, s.id)
+	}
+	for i, id := range ids {
+		switch climbing := m.server(id).climbing; {
+		case !climbing:
+			parts[i].target *= (all - cold) / steady
+		case steady == 0:
+			parts[i].target *= all / cold
 		}
 	}
 	shares := split(m.solved, parts, m.nearest(), func(a, b int) bool { return m.pairs[a][b].closed })
@@ -509,13 +532,6 @@
 // every server stays within its band: floors first, from its own zone and then from the surplus of
 // others; then ceilings in-zone; then what is left spills to the spare band nearest by latency.
 func split(volumes []float64, parts []part, nearest [][]int, closed func(a, b int) bool) [][]float64 {
-	all, targets := 0.0, 0.0
-	for _, v := range volumes {
-		all += v
-	}
-	for _, p := range parts {
-		targets += p.target
-	}
 	shares, left, got := make([][]float64, len(volumes)), slices.Clone(volumes), make([]float64, len(parts))
 	for z := range shares {
 		shares[z] = make([]float64, len(parts))
@@ -525,7 +541,7 @@
 		room := 0.0
 		for i, p := range parts {
 			if p.zone == b {
-				room += max(0, bound(p)*p.target*all/targets-got[i])
+				room += max(0, bound(p)*p.target-got[i])
 			}
 		}
 		if room <= 0 || left[a] <= 0 {
@@ -534,7 +550,7 @@
 		give := min(1, left[a]/room)
 		for i, p := range parts {
 			if p.zone == b {
-				x := give * max(0, bound(p)*p.target*all/targets-got[i])
+				x := give * max(0, bound(p)*p.target-got[i])
 				shares[a][i], got[i], left[a] = shares[a][i]+x, got[i]+x, left[a]-x
 			}
 		}
@@ -560,11 +576,20 @@
 			}
 		}
 	}
-	// too little room in all bands: by target
+	// too little room in all bands: by target, to the steady servers if there are any
+	steady, targets := 0.0, 0.0
+	for _, p := range parts {
+		targets += p.target
+		if p.low > 0 {
+			steady += p.target
+		}
+	}
 	for z := range volumes {
 		for i, p := range parts {
-			if x := left[z] * p.target / targets; x > 1e-9*volumes[z] {
-				shares[z][i] += x
+			if x := left[z] * p.target; steady == 0 {
+				shares[z][i] += x / targets
+			} else if p.low > 0 {
+				shares[z][i] += x / steady
 			}
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -17,20 +17,20 @@
 }
 
 func TestSplitStaysInZoneWithinTheBand(t *testing.T) {
-	got := split([]float64{22, 18}, append(pool(0, 2, 1), pool(1, 2, 1)...), [][]int{{1}, {0}}, open)
+	got := split([]float64{22, 18}, append(pool(0, 2, 10), pool(1, 2, 10)...), [][]int{{1}, {0}}, open)
 	near(t, "own", got[0][0]+got[0][1], 22)
 	near(t, "other's", got[1][2]+got[1][3], 18)
 }
 
 func TestSplitGivesFloorsFromSurplus(t *testing.T) {
-	got := split([]float64{30, 10}, append(pool(0, 2, 1), pool(1, 2, 1)...), [][]int{{1}, {0}}, open)
+	got := split([]float64{30, 10}, append(pool(0, 2, 10), pool(1, 2, 10)...), [][]int{{1}, {0}}, open)
 	near(t, "ceilings in-zone", got[0][0]+got[0][1], 24)
 	near(t, "spill", got[0][2]+got[0][3], 6)
 	near(t, "floor from both", got[0][2]+got[1][2], 8)
 }
 
 func TestSplitSpillsToTheNearestOpenZone(t *testing.T) {
-	parts := append(append(pool(0, 1, 1), pool(1, 4, 1)...), pool(2, 4, 1)...)
+	parts := append(append(pool(0, 1, 10), pool(1, 4, 10)...), pool(2, 4, 10)...)
 	volumes, nearest := []float64{18, 36, 36}, [][]int{{1, 2}, {0, 2}, {0, 1}}
 	got := split(volumes, parts, nearest, open)
 	near(t, "nearest", got[0][1]*4, 6)
@@ -57,6 +57,22 @@
 	}
 }
 
+func TestSolveGivesAColdServerNoPartOfItsLostPeers(t *testing.T) {
+	m := manager(3)
+	for _, s := range m.servers[1:] {
+		s.out = s.zone == 0
+	}
+	m.servers[0].climbing, m.now = true, terms.WarmAfter-time.Second
+	m.solve()
+	sum := 0.0
+	for z := range m.tables {
+		sum += m.tables[z].wanted["a0"] * m.solved[z]
+	}
+	if sum > 80.0/6+1e-6 {
+		t.Errorf("a cold server is to take %.1f of 80 flows as one of six", sum)
+	}
+}
+
 func TestListedLowersARestartedServerAtOnce(t *testing.T) {
 	m := manager(3)
 	m.now = 20 * time.Second
--- a/choice/state.go
+++ b/choice/state.go
@@ -68,7 +68,7 @@
 	usual                   Tries
 	admit                   AdmitBy
 	climbBase               float64
-	climbFor                time.Duration
+	climbFor, warmAfter     time.Duration
 	head                    float64 // lines of a message besides its own
 	roomBatch, roomUrgent   float64 // lines that may wait
 	slowPace                float64 // lines a second
