Cold servers wait while their peers turn flows away; a floor for the line

And the restarted manager set the line by what a collapse delivered. Cold servers now wait, with their climb begun anew, while most flows are dropped at the others; the line keeps a part of what proxies say they usually get. Should also guard when a release meets overload; may harm by holding back capacity that is needed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,8 @@
 	daySamples   = 64              // samples that make its norm
 	climbFrom    = 0.1             // a fresh server's first part of its target, and
 	climbCold    = 0.6             // never more than this part of the stated cold share
-	climbOver    = 0.75            // of the stated time until it is warm
+	floodDrops   = 0.4             // median share of drops at which cold servers wait
+	climbOver    = 1.0             // of the stated time until it is warm
 	lineDiffers  = 0.1             // a weight is sent when it moved by this part
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
 	samplesKept  = 24              // reports of one server that its figures are made from
@@ -56,6 +57,7 @@
 	dropsHigh    = 0.25 // share of drops at which it moves down
 	lineFall     = 0.87 // of what is delivered
 	lineLeast    = 0.6  // of the most that was delivered lately
+	lineUsual    = 0.35 // of what the proxies usually get: guards against a line set by a collapse
 	lineRise     = 0.3  // in a second, with idle servers
 	lineOpen     = 1.2  // of what is asked: from here on all is let in
 	kneePart     = 0.85 // of the most delivered lately: beyond it the line only creeps up
@@ -266,10 +268,22 @@
 	m.toServers, m.repeating = false, false
 	latency, drops := m.peers()
 	flows := m.expected()
+	// guards against pushing over a cold server when its peers turn flows away: proxies that avoid them,
+	// or try again, would all come to it; it waits outside until most flows are answered
+	flooded := drops > floodDrops && slices.ContainsFunc(m.servers, func(s *server) bool {
+		return s.state == Ready && !s.out && !s.climbing
+	})
+	if flooded != m.flooded {
+		m.flooded, m.cause, m.urgent = flooded, "flood", true
+		m.note("cold servers held back %v: %.2f dropped", flooded, drops)
+	}
 	for _, s := range m.servers {
 		if s.state != Ready {
 			continue
 		}
+		if s.climbing && flooded {
+			s.startedAt = m.now
+		}
 		if s.climbing && m.now-s.startedAt >= m.warmAfter {
 			s.climbing = false
 		}
@@ -383,12 +397,16 @@
 	for _, v := range m.volumes() {
 		asked += v
 	}
+	usual := 0.0
+	for _, p := range m.proxies {
+		usual += p.rate
+	}
 	m.peaks = lastOf(append(m.peaks, delivered), peaksKept)
 	switch {
 	case m.now < m.blind || m.admit == AdmitNone:
 	case pressure > pressureHigh || drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line = max(lineFall*min(m.line, delivered), lineLeast*slices.Max(m.peaks))
+			m.line = max(lineFall*min(m.line, delivered), lineLeast*slices.Max(m.peaks), lineUsual*usual)
 			m.lineMoved = m.now
 		}
 	case pressure < pressureLow && m.line < asked*lineOpen:
@@ -469,7 +487,7 @@
 		}
 	}
 	for _, s := range m.servers {
-		if s.state != Ready || s.out && anyIn {
+		if s.state != Ready || s.out && anyIn || s.climbing && m.flooded {
 			continue
 		}
 		p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
@@ -480,7 +498,7 @@
 		// climbing part of what it would get of a fleet in order, never that of its lost peers
 		if s.climbing {
 			grown := (m.now - s.startedAt).Seconds() / m.climbFor.Seconds()
-			p.target *= min(1, m.climbBase+(1-m.climbBase)*grown) * all / listed
+			p.target *= min(1, m.climbBase+(1-m.climbBase)*grown) * min(all, m.line) / listed
 			p.low, p.high, cold = 0, 1, cold+p.target
 		} else {
 			steady += p.target
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -217,6 +217,19 @@
 	}
 }
 
+func TestColdServersWaitWhileTheirPeersTurnFlowsAway(t *testing.T) {
+	m := manager(3)
+	for _, s := range m.servers {
+		m.hear(s.id, 20, 15, time.Second)
+	}
+	m.servers[0].climbing, m.now = true, 3*time.Second
+	m.judgeServers()
+	m.solve()
+	if m.tables[0].wanted["a0"] != 0 || m.servers[0].startedAt != m.now {
+		t.Errorf("wanted %v, climbing since %v", m.tables[0].wanted, m.servers[0].startedAt)
+	}
+}
+
 func TestSilenceAloneOnlyProbes(t *testing.T) {
 	m := manager(2)
 	m.now = 4 * time.Second
@@ -268,6 +281,17 @@
 	}
 }
 
+func TestLineStaysAboveAPartOfWhatIsUsual(t *testing.T) {
+	m := manager(2)
+	m.probes, m.now = false, 10*time.Second
+	m.proxies[0].rate = 200
+	for _, s := range m.servers {
+		m.hear(s.id, 20, 19, 3*time.Second)
+	}
+	m.moveLine()
+	near(t, "line", m.line, lineUsual*200)
+}
+
 func TestJudgePairsClosesAtTwiceTheNorm(t *testing.T) {
 	m := manager(2)
 	p := &m.pairs[0][1]
--- a/choice/state.go
+++ b/choice/state.go
@@ -104,6 +104,7 @@
 	peaks                      []float64 // flows delivered a second, lately
 	lineMoved                  time.Duration
 	repeating                  bool
+	flooded                    bool     // most flows are turned away
 	answers                    []figure // seconds that probes took, lately
 	loadTold                   bool
 	toServers, toPairs, toLine bool // still to be judged this second
