--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,8 +24,8 @@
 	climbFrom    = 0.1             // a fresh server's first part of its target, and
 	climbCold    = 0.6             // never more than this part of the stated cold share
 	floodDrops   = 0.4             // median share of drops at which cold servers wait
-	climbOver    = 1.0             // of the stated time until it is warm
 	lineDiffers  = 0.1             // a weight is sent when it moved by this part
+	leastLine    = 0.002           // part of a table below which a server has no line
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
 	samplesKept  = 24              // reports of one server that its figures are made from
 	samplesOld   = 5 * time.Second // and their greatest age
@@ -43,6 +43,8 @@
 	healthRise   = 1.5             // and rises to this multiple
 	healthPace   = 0.3             // part of the way to its aim, in logarithms, that health goes in a second
 	healthMoved  = 0.05            // change that is worth solving anew
+	weakHealth   = 0.5             // from here on it is said in the log
+	soundHealth  = 0.9             // below it a server has no floor
 	silentTries  = 6.0             // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second // and the least time
 	probeEvery   = 2 * time.Second // of a server that does not answer
@@ -63,7 +65,7 @@
 	kneePart     = 0.85 // of the most delivered lately: beyond it the line only creeps up
 	lineCreep    = 0.05
 	peaksKept    = 20
-	lineHold     = 3 * time.Second // between moves down
+	lineHold     = 3 * time.Second // between falls of the line
 	probePart    = 0.3             // of the flows' latency: probes that take less find idle servers
 	probesAtOnce = 4
 	answersKept  = 8
@@ -77,11 +79,13 @@
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
-	m.warmAfter, m.climbFor = t.WarmAfter, time.Duration(climbOver*float64(t.WarmAfter))
-	m.climbBase = min(climbFrom, climbCold*t.ColdShare)
+	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), t.WarmAfter
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
 	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
-	m.perBatch, m.perUrgent = int(perProxy*float64(t.MessagesMost)), max(0, t.MessagesMost-2)
+	if t.MessagesMost > 0 {
+		m.perBatch = max(1, int(perProxy*float64(t.MessagesMost)))
+		m.perUrgent = max(m.perBatch, t.MessagesMost-2)
+	}
 	for g, group := range t.Groups {
 		m.budget = append(m.budget, group.Budget.Seconds())
 		m.byUtility = append(m.byUtility, GroupID(g))
@@ -108,10 +112,12 @@
 	{(*Manager).drainWaits, (*Manager).withdraw},
 	{(*Manager).stoodStill, (*Manager).distrust},
 	{(*Manager).secondOver, (*Manager).openSecond},
-	{(*Manager).serversUnjudged, (*Manager).judgeServers},
-	{(*Manager).pairsUnjudged, (*Manager).judgePairs},
-	{(*Manager).lineUnmoved, (*Manager).moveLine},
-	{(*Manager).volumesMoved, (*Manager).callForVolumes},
+	{at(stepFlood), (*Manager).holdBackCold},
+	{at(stepHealth), (*Manager).judgeServers},
+	{at(stepProbes), (*Manager).probeSilent},
+	{at(stepPairs), (*Manager).judgePairs},
+	{at(stepLine), (*Manager).moveLine},
+	{at(stepVolumes), (*Manager).compareVolumes},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
 	{(*Manager).readmitWaits, (*Manager).readmit},
@@ -119,6 +125,19 @@
 	{(*Manager).unwoken, (*Manager).setWake},
 }
 
+// The steps of a second, in which what was heard is judged.
+const (
+	stepNone = iota
+	stepFlood
+	stepHealth
+	stepProbes
+	stepPairs
+	stepLine
+	stepVolumes
+)
+
+func at(step int) func(*Manager) bool { return func(m *Manager) bool { return m.step == step } }
+
 // decide ends every input.
 func (m *Manager) decide() Orders {
 	for i := 0; i < len(rules); i++ {
@@ -240,84 +259,76 @@
 
 func (m *Manager) secondOver() bool { return m.now >= m.due }
 func (m *Manager) openSecond() {
-	m.due, m.batch, m.toServers, m.toPairs, m.toLine = m.now+batchEvery, true, true, true, true
+	m.due, m.batch, m.step = m.now+batchEvery, true, stepFlood
 }
 
-func (m *Manager) serversUnjudged() bool { return m.toServers }
-func (m *Manager) pairsUnjudged() bool   { return m.toPairs }
-func (m *Manager) lineUnmoved() bool     { return m.toLine }
-
-func (m *Manager) volumesMoved() bool {
-	if !m.batch || m.cause != "" {
-		return false
+// holdBackCold guards against pushing over a cold server when its peers turn flows away: proxies that
+// avoid them, or try again, would all come to it; it waits outside, its climb begun anew, until most
+// flows are answered. It may harm by holding back what is needed.
+func (m *Manager) holdBackCold() {
+	m.step++
+	_, drops := m.peers()
+	flooded := drops > floodDrops && slices.ContainsFunc(m.servers, func(s *server) bool {
+		return s.state == Ready && !s.out && !s.climbing
+	})
+	if flooded != m.flooded {
+		m.flooded, m.cause, m.urgent = flooded, "flood", true
+		m.note("cold servers held back %v: %.2f dropped", flooded, drops)
 	}
-	for z, v := range m.volumes() {
-		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
-			return true
+	for _, s := range m.servers {
+		if s.climbing && flooded {
+			s.startedAt = m.now
+		}
+		if s.climbing {
+			s.climbing, m.cause = m.now-s.startedAt < m.warmAfter, "climb"
 		}
 	}
-	return false
 }
 
-func (m *Manager) callForVolumes() { m.cause = "volume" }
-
 // judgeServers lowers the health factor of a server that fails more than its peers or is slower,
 // whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
 // all servers seem to do; the peers' median stands against that.
 func (m *Manager) judgeServers() {
-	m.toServers, m.repeating = false, false
+	m.step, m.repeating = m.step+1, false
 	latency, drops := m.peers()
-	flows := m.expected()
-	// guards against pushing over a cold server when its peers turn flows away: proxies that avoid them,
-	// or try again, would all come to it; it waits outside until most flows are answered
-	flooded := drops > floodDrops && slices.ContainsFunc(m.servers, func(s *server) bool {
-		return s.state == Ready && !s.out && !s.climbing
-	})
-	if flooded != m.flooded {
-		m.flooded, m.cause, m.urgent = flooded, "flood", true
-		m.note("cold servers held back %v: %.2f dropped", flooded, drops)
-	}
+	budget := m.meanBudget()
 	for _, s := range m.servers {
 		if s.state != Ready {
 			continue
 		}
-		if s.climbing && flooded {
-			s.startedAt = m.now
-		}
-		if s.climbing && m.now-s.startedAt >= m.warmAfter {
-			s.climbing = false
-		}
 		tries, failed, l := s.figures(m.now)
-		aim := 1.0
-		excess := (failed+2*drops)/(tries+2) - drops
-		if excess > failExcess {
+		aim, was := 1.0, s.health
+		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
 			// quick errors, not slowness: there a further try would only add load
 			m.repeating = m.repeating || tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
 		}
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 && !s.climbing {
 			// a server later than the budget earns nothing: what it keeps falls steeply from there
-			lateness := max(1, l/max(slowestPeer*latency, slowestPart*m.meanBudget()))
-			aim = min(aim, max(slowLatency*latency, slowBudget*m.meanBudget())/l/lateness/lateness)
+			lateness := max(1, l/max(slowestPeer*latency, slowestPart*budget))
+			aim = min(aim, max(slowLatency*latency, slowBudget*budget)/l/lateness/lateness)
 		}
-		aim = max(leastHealth, min(1, aim))
-		was := s.health
-		s.health *= max(healthFall, min(healthRise, math.Pow(aim/s.health, healthPace)))
+		s.health *= max(healthFall, min(healthRise, math.Pow(max(leastHealth, aim)/was, healthPace)))
 		if was-s.health > healthMoved || s.health-was > healthMoved*was {
 			m.cause = "health"
 		}
-		if was > 0.5 && s.health <= 0.5 {
+		if was > weakHealth && s.health <= weakHealth {
 			m.note("server weak: %s health %.2f failed %.0f of %.0f latency %.2fs peers %.2fs %.2f",
 				s.id, s.health, failed, tries, l, latency, drops)
 		}
-		if s.climbing {
-			m.cause = "climb"
-		}
-		// guards against servers that no longer answer, before the list knows: silence alone may be the
-		// proxies' or this manager's standing still, so only a probe can tell
+	}
+}
+
+// probeSilent guards against servers that no longer answer, before the list knows: silence alone may
+// be the proxies' or this manager's standing still, so only a probe can tell.
+func (m *Manager) probeSilent() {
+	m.step++
+	flows := m.expected()
+	for i, s := range m.servers {
 		quiet := m.now - s.quietFrom
-		silent := quiet >= silentFor && flows[s.id]*quiet.Seconds() >= silentTries && m.now >= m.blind
-		if m.probes && (silent || s.out || s.health < returnHealth) && m.now-s.probedAt >= probeEvery {
+		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries && m.now >= m.blind
+		suspect := s.state == Ready && (silent || s.out || s.health < returnHealth)
+		if m.probes && suspect && m.now-s.probedAt >= probeEvery {
 			s.probedAt = m.now
 			m.o.Probe = append(m.o.Probe, s.id)
 		}
@@ -326,7 +337,7 @@
 
 // judgePairs closes a zone pair to new spill while its latency is a multiple of its norm.
 func (m *Manager) judgePairs() {
-	m.toPairs = false
+	m.step++
 	for a := range m.pairs {
 		for b := range m.pairs[a] {
 			p := &m.pairs[a][b]
@@ -374,7 +385,7 @@
 	}
 	for range probesAtOnce {
 		s := m.servers[int(m.random()*float64(len(m.servers)))]
-		if s.state == Ready && !s.out && s.health > 0.5 && !slices.Contains(m.o.Probe, s.id) {
+		if s.state == Ready && !s.out && s.health > weakHealth && !slices.Contains(m.o.Probe, s.id) {
 			m.o.Probe = append(m.o.Probe, s.id)
 		}
 	}
@@ -383,40 +394,31 @@
 // moveLine moves the line of utility, in flows a second: down to what the servers deliver when as a
 // whole they are late or drop flows, up slowly. All is let in while they are healthy.
 func (m *Manager) moveLine() {
-	m.toLine = false
+	m.step++
 	latency, drops := m.flowsMeet()
-	pressure, delivered, asked, was := latency/m.meanBudget(), 0.0, 0.0, m.line
+	budget, was := m.meanBudget(), m.line
+	pressure := latency / budget
 	if pressure > pressureLow || drops > dropsHigh {
 		m.askServers()
 		inside := m.atServers(latency)
-		pressure, drops = inside/m.meanBudget(), drops*inside/max(latency, 1e-6)
-	}
-	for _, s := range m.servers {
-		delivered += s.delivered(m.now)
-	}
-	for _, v := range m.volumes() {
-		asked += v
-	}
-	usual := 0.0
-	for _, p := range m.proxies {
-		usual += p.rate
+		pressure, drops = inside/budget, drops*inside/max(latency, 1e-6)
 	}
+	asked, usual, delivered := m.traffic()
 	m.peaks = lastOf(append(m.peaks, delivered), peaksKept)
+	knee := slices.Max(m.peaks)
 	switch {
 	case m.now < m.blind || m.admit == AdmitNone:
 	case pressure > pressureHigh || drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line = max(lineFall*min(m.line, delivered), lineLeast*slices.Max(m.peaks), lineUsual*usual)
+			m.line = max(lineFall*min(m.line, delivered), lineLeast*knee, lineUsual*usual)
 			m.lineMoved = m.now
 		}
-	case pressure < pressureLow && m.line < asked*lineOpen:
-		rise := lineRise
-		if m.line > kneePart*slices.Max(m.peaks) {
-			rise = lineCreep
-		}
-		m.line *= 1 + rise*(1-pressure/pressureLow)
-	case pressure < pressureLow:
+	case pressure < pressureLow && m.line > lineOpen*asked:
 		m.line = math.Inf(1)
+	case pressure < pressureLow && m.line > kneePart*knee:
+		m.line *= 1 + lineCreep*(1-pressure/pressureLow)
+	case pressure < pressureLow:
+		m.line *= 1 + lineRise*(1-pressure/pressureLow)
 	}
 	if m.line < was || m.line > was*2 {
 		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, latency %.2f of the budget, %.2f dropped",
@@ -424,19 +426,19 @@
 	}
 }
 
-// levels are what a zone's table lets in: the groups by utility, each what those above it left.
-func (m *Manager) levels(z int) []Level {
-	levels, rates := make([]Level, len(m.budget)), make([][]float64, len(m.budget))
-	left, sums := m.line, make([]float64, len(m.budget))
-	for _, p := range m.proxies {
-		for g := range m.budget {
-			d := p.demand(g, m.now)
-			sums[g] += d
-			if p.zone == z {
-				rates[g] = append(rates[g], d)
-			}
+func (m *Manager) compareVolumes() {
+	m.step = stepNone
+	for z, v := range m.volumes() {
+		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
+			m.cause = "volume"
 		}
 	}
+}
+
+// levels are what a zone's table lets in: the groups by utility, each what those above it left.
+func (m *Manager) levels(z int) []Level {
+	levels, left := make([]Level, len(m.budget)), m.line
+	sums, rates := m.demands(z)
 	for _, g := range m.byUtility {
 		part := 1.0
 		if sums[g] > 0 {
@@ -477,27 +479,19 @@
 	var ids []ServerID
 	// health never takes the last server of all: without any sound one, those listed share the flows
 	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return s.state == Ready && !s.out })
-	all, listed, steady, cold := 0.0, 0.0, 0.0, 0.0
-	for _, v := range m.solved {
-		all += v
-	}
-	for _, s := range m.servers {
-		if s.state == Ready {
-			listed += max(s.weight, 1e-6)
-		}
-	}
+	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
 	for _, s := range m.servers {
 		if s.state != Ready || s.out && anyIn || s.climbing && m.flooded {
 			continue
 		}
 		p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
-		if s.health < 0.9 {
+		if s.health < soundHealth {
 			p.low, p.high = 0, 1
 		}
 		// guards against pushing over a cold server when others fail: until it must be warm, it gets its
 		// climbing part of what it would get of a fleet in order, never that of its lost peers
 		if s.climbing {
-			grown := (m.now - s.startedAt).Seconds() / m.climbFor.Seconds()
+			grown := (m.now - s.startedAt).Seconds() / m.warmAfter.Seconds()
 			p.target *= min(1, m.climbBase+(1-m.climbBase)*grown) * min(all, m.line) / listed
 			p.low, p.high, cold = 0, 1, cold+p.target
 		} else {
@@ -517,29 +511,13 @@
 	for z, t := range m.tables {
 		clear(t.wanted)
 		for i, id := range ids {
-			if x := shares[z][i]; x > 0.002*m.solved[z] {
+			if x := shares[z][i]; x > leastLine*m.solved[z] {
 				t.wanted[id] = x / m.solved[z]
 			}
 		}
 	}
 }
 
-// nearest orders, for each zone, the others by latency.
-func (m *Manager) nearest() [][]int {
-	order := make([][]int, len(m.zones))
-	for a := range order {
-		for b := range m.zones {
-			if a != b {
-				order[a] = append(order[a], b)
-			}
-		}
-		slices.SortStableFunc(order[a], func(b, c int) int {
-			return cmp.Compare(median(m.pairs[a][b].latency), median(m.pairs[a][c].latency))
-		})
-	}
-	return order
-}
-
 // part is a server's in the split: its target and the band around it.
 type part struct {
 	zone              int
@@ -717,17 +695,6 @@
 	return nil
 }
 
-// whole is what a table costs a proxy that is put on it.
-func (m *Manager) whole(t *table) float64 {
-	n := 1 + len(t.standing) + len(t.levels)
-	for _, s := range m.servers {
-		if s.withdrawn {
-			n++
-		}
-	}
-	return float64(n)
-}
-
 func (m *Manager) proxyWaits() bool { return m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -223,7 +223,7 @@
 		m.hear(s.id, 20, 15, time.Second)
 	}
 	m.servers[0].climbing, m.now = true, 3*time.Second
-	m.judgeServers()
+	m.holdBackCold()
 	m.solve()
 	if m.tables[0].wanted["a0"] != 0 || m.servers[0].startedAt != m.now {
 		t.Errorf("wanted %v, climbing since %v", m.tables[0].wanted, m.servers[0].startedAt)
@@ -237,12 +237,12 @@
 		m.hear(s.id, 10, 0, 200*time.Millisecond)
 	}
 	m.blind = m.now + 1
-	m.judgeServers()
+	m.probeSilent()
 	if len(m.o.Probe) != 0 {
 		t.Error("probed right after this manager stood still")
 	}
 	m.blind = 0
-	m.judgeServers()
+	m.probeSilent()
 	if !slices.Equal(m.o.Probe, []ServerID{"a0"}) || m.servers[0].out {
 		t.Errorf("probed %v, out %v", m.o.Probe, m.servers[0].out)
 	}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -103,15 +104,15 @@
 }
 
 // expected is the rate at which tries should come to each server by the standing tables.
-func (m *Manager) expected() map[ServerID]float64 {
-	flows := map[ServerID]float64{}
+func (m *Manager) expected() []float64 {
+	flows := make([]float64, len(m.servers))
 	for z, v := range m.volumes() {
-		sum := 0.0
-		for _, w := range m.tables[z].standing {
-			sum += w
+		weights := make([]float64, len(m.servers))
+		for i, s := range m.servers {
+			weights[i] = m.tables[z].standing[s.id]
 		}
-		for id, w := range m.tables[z].standing {
-			flows[id] += v * w / sum
+		for i, w := range weights {
+			flows[i] += v * w / max(sum(weights), 1e-9)
 		}
 	}
 	return flows
@@ -171,3 +172,75 @@
 	}
 	return rateOpen
 }
+
+func sum(x []float64) float64 {
+	all := 0.0
+	for _, v := range x {
+		all += v
+	}
+	return all
+}
+
+// listed is the weight of all servers that are listed as ready.
+func (m *Manager) listed() float64 {
+	all := 0.0
+	for _, s := range m.servers {
+		if s.state == Ready {
+			all += max(s.weight, 1e-6)
+		}
+	}
+	return all
+}
+
+// traffic is what is asked, what the proxies said they usually get, and what is delivered, a second.
+func (m *Manager) traffic() (asked, usual, delivered float64) {
+	for _, s := range m.servers {
+		delivered += s.delivered(m.now)
+	}
+	for _, p := range m.proxies {
+		usual += p.rate
+	}
+	return sum(m.volumes()), usual, delivered
+}
+
+// demands are the flows a second by traffic group, of all proxies and of each one of a zone.
+func (m *Manager) demands(z int) (sums []float64, rates [][]float64) {
+	sums, rates = make([]float64, len(m.budget)), make([][]float64, len(m.budget))
+	for _, p := range m.proxies {
+		for g := range m.budget {
+			d := p.demand(g, m.now)
+			sums[g] += d
+			if p.zone == z {
+				rates[g] = append(rates[g], d)
+			}
+		}
+	}
+	return sums, rates
+}
+
+// nearest orders, for each zone, the others by latency.
+func (m *Manager) nearest() [][]int {
+	order := make([][]int, len(m.zones))
+	for a := range order {
+		for b := range m.zones {
+			if a != b {
+				order[a] = append(order[a], b)
+			}
+		}
+		slices.SortStableFunc(order[a], func(b, c int) int {
+			return cmp.Compare(median(m.pairs[a][b].latency), median(m.pairs[a][c].latency))
+		})
+	}
+	return order
+}
+
+// whole is what a table costs a proxy that is put on it.
+func (m *Manager) whole(t *table) float64 {
+	n := 1 + len(t.standing) + len(t.levels)
+	for _, s := range m.servers {
+		if s.withdrawn {
+			n++
+		}
+	}
+	return float64(n)
+}
