--- a/choice/choice.go
+++ b/choice/choice.go
@@ -303,7 +303,7 @@
 			// quick errors, not slowness: there a further try would only add load
 			m.repeating = m.repeating || tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
 		}
-		if l = (l*tries + 2*latency) / (tries + 2); l > 0 && !s.climbing {
+		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
 			// a server later than the budget earns nothing: what it keeps falls steeply from there
 			lateness := max(1, l/max(slowestPeer*latency, slowestPart*budget))
 			aim = min(aim, max(slowLatency*latency, slowBudget*budget)/l/lateness/lateness)
