A server that takes flows and doesn't end them is lowered before answers show it

Should also catch hung and silent servers and cut links; may harm small servers with few tries, so 12 must be due.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,9 @@
 	healthMoved  = 0.05            // change that is worth solving anew
 	weakHealth   = 0.5             // from here on it is said in the log
 	soundHealth  = 0.9             // below it a server has no floor
+	endedPart    = 0.5             // of the peers' part of tries ended: below it a server is filling up
+	endedOver    = 3 * time.Second // over which it is taken
+	endedTries   = 12.0            // that must be due in that time
 	silentTries  = 6.0             // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second // and the least time
 	probeEvery   = 2 * time.Second // of a server that does not answer
@@ -291,8 +294,9 @@
 func (m *Manager) judgeServers() {
 	m.step, m.repeating = m.step+1, false
 	latency, drops := m.peers()
-	budget := m.meanBudget()
-	for _, s := range m.servers {
+	budget, ended := m.meanBudget(), m.ended()
+	usual := median(slices.DeleteFunc(slices.Clone(ended), func(x float64) bool { return x < 0 }))
+	for i, s := range m.servers {
 		if s.state != Ready {
 			continue
 		}
@@ -308,6 +312,11 @@
 			lateness := max(1, l/max(slowestPeer*latency, slowestPart*budget))
 			aim = min(aim, max(slowLatency*latency, slowBudget*budget)/l/lateness/lateness)
 		}
+		// guards against servers that take flows and don't end them, before late answers or time-outs show
+		// it; judged against the peers' part, since proxies that stand still end none anywhere
+		if ended[i] >= 0 && ended[i] < endedPart*usual {
+			aim = min(aim, ended[i]/usual)
+		}
 		s.health *= max(healthFall, min(healthRise, math.Pow(max(leastHealth, aim)/was, healthPace)))
 		if was-s.health > healthMoved || s.health-was > healthMoved*was {
 			m.cause = "health"
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,7 +23,8 @@
 	quietFrom  time.Duration
 	firstHeard time.Duration // less the span of that report
 	health     float64
-	out        bool // does not answer at all
+	due        []float64 // tries that should have come, by second
+	out        bool      // does not answer at all
 	probedAt   time.Duration
 }
 
