--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	slowestPeer  = 2.0             // and multiple of the peers that it must be, too
 	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
 	failWorst    = 0.35            // from here on a server gets the least
+	fewDrops     = 0.05            // share of the peers' drops under which a failing server is an exception
 	leastHealth  = 0.02            // what a failing server keeps, to be heard by
 	returnHealth = 0.15            // what a server gets that answers again
 	healthFall   = 0.8             // in a second, a health factor falls to this part at most
@@ -304,8 +305,9 @@
 		aim, was := 1.0, s.health
 		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
-			// quick errors, not slowness: there a further try would only add load
-			m.repeating = m.repeating || tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
+			// quick errors at a few servers, neither slow nor full ones: there a further try would only add load
+			quick := tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
+			m.repeating = m.repeating || quick && drops < fewDrops
 		}
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
 			// a server later than the budget earns nothing: what it keeps falls steeply from there
