--- a/choice/choice.go
+++ b/choice/choice.go
@@ -467,6 +467,8 @@
 		// not under overload, where each further try takes room from a first one
 		if m.repeating && math.IsInf(m.line, 1) && m.mayRepeat[g] {
 			l.Tries = TryTwice
+		} else if !math.IsInf(m.line, 1) {
+			l.Tries = TryOnce
 		}
 		levels[g] = l
 	}
