--- a/choice/choice.go
+++ b/choice/choice.go
@@ -301,7 +301,7 @@
 		if s.state != Ready {
 			continue
 		}
-		tries, failed, l := s.figures(m.now)
+		tries, failed, l := m.figures(s)
 		aim, was := 1.0, s.health
 		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
@@ -373,7 +373,7 @@
 	if m.loadTold {
 		for _, s := range m.servers {
 			if n := len(s.heard); n > 0 && s.state == Ready && m.now-s.heardAt[n-1] <= samplesOld {
-				waits = append(waits, s.heard[n-1].Load/max(0.1, s.rate(m.now)))
+				waits = append(waits, s.heard[n-1].Load/max(0.1, m.rate(s)))
 			}
 		}
 		return min(latency, median(waits))
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -20,9 +20,9 @@
 func lastOf[T any](x []T, n int) []T { return x[max(0, len(x)-n):] }
 
 // figures are a server's over its last samples, as many as make enough tries.
-func (s *server) figures(now time.Duration) (tries, failed, latency float64) {
+func (m *Manager) figures(s *server) (tries, failed, latency float64) {
 	good := 0.0
-	for i := len(s.heard) - 1; i >= 0 && tries < fullTries && now-s.heardAt[i] <= samplesOld; i-- {
+	for i := len(s.heard) - 1; i >= 0 && tries < fullTries && m.now-s.heardAt[i] <= samplesOld; i-- {
 		r := s.heard[i]
 		tries, failed = tries+float64(r.Tries), failed+float64(r.Failed)
 		if r.Latency > 0 {
@@ -32,36 +32,37 @@
 	}
 	latency /= max(1, good)
 	if n := len(s.heard); tries > 0 && s.heard[n-1].Load >= 0 {
-		latency = (latency + s.heard[n-1].Load/max(s.rate(now), 0.5)) / 2
+		latency = (latency + s.heard[n-1].Load/max(m.rate(s), 0.5)) / 2
 	}
 	return tries, failed, latency
 }
 
-// window is the time, in seconds, that a server's last samples span.
-func (s *server) window(now time.Duration) float64 {
-	return max(batchEvery, min(samplesOld, now-s.firstHeard)).Seconds()
+// window is the time, in seconds, that the last samples of a server can span: up to the last report of
+// any server, since reports are late.
+func (m *Manager) window(s *server) float64 {
+	return max(batchEvery, m.reportedAt-max(s.firstHeard, m.now-samplesOld)).Seconds()
 }
 
 // rate is how many tries a second ended at a server.
-func (s *server) rate(now time.Duration) float64 {
+func (m *Manager) rate(s *server) float64 {
 	tries := 0.0
 	for i, r := range s.heard {
-		if now-s.heardAt[i] <= samplesOld {
+		if m.now-s.heardAt[i] <= samplesOld {
 			tries += float64(r.Tries)
 		}
 	}
-	return tries / s.window(now)
+	return tries / m.window(s)
 }
 
 // delivered is a server's rate of good answers.
-func (s *server) delivered(now time.Duration) float64 {
+func (m *Manager) delivered(s *server) float64 {
 	good := 0.0
 	for i, r := range s.heard {
-		if now-s.heardAt[i] <= samplesOld {
+		if m.now-s.heardAt[i] <= samplesOld {
 			good += float64(r.Tries - r.Failed)
 		}
 	}
-	return good / s.window(now)
+	return good / m.window(s)
 }
 
 // demand is how many flows of a traffic group come to a proxy a second.
@@ -79,7 +80,7 @@
 func (m *Manager) peers() (latency, drops float64) {
 	var latencies, shares []float64
 	for _, s := range m.servers {
-		if tries, failed, l := s.figures(m.now); s.state == Ready && tries >= enoughTries {
+		if tries, failed, l := m.figures(s); s.state == Ready && tries >= enoughTries {
 			shares = append(shares, failed/tries)
 			if l > 0 {
 				latencies = append(latencies, l)
@@ -94,8 +95,8 @@
 func (m *Manager) flowsMeet() (latency, drops float64) {
 	all := 0.0
 	for _, s := range m.servers {
-		if tries, failed, l := s.figures(m.now); tries > 0 && m.now-s.quietFrom < silentFor {
-			rate := s.rate(m.now)
+		if tries, failed, l := m.figures(s); tries > 0 && m.now-s.quietFrom < silentFor {
+			rate := m.rate(s)
 			all, drops = all+rate, drops+rate*failed/tries
 			latency += rate * (l*(tries-failed) + m.meanBudget()*failed) / tries
 		}
@@ -195,7 +196,7 @@
 // traffic is what is asked, what the proxies said they usually get, and what is delivered, a second.
 func (m *Manager) traffic() (asked, usual, delivered float64) {
 	for _, s := range m.servers {
-		delivered += s.delivered(m.now)
+		delivered += m.delivered(s)
 	}
 	for _, p := range m.proxies {
 		usual += p.rate
