--- a/choice/choice.go
+++ b/choice/choice.go
@@ -79,7 +79,7 @@
 )
 
 func New(seed uint64, t Terms) *Manager {
-	m := &Manager{chance: seed, line: math.Inf(1), markedAt: -1, heldAt: -1}
+	m := &Manager{chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
@@ -267,17 +267,21 @@
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away: proxies that
-// avoid them, or try again, would all come to it; it waits outside, its climb begun anew, until most
-// flows are answered. It may harm by holding back what is needed.
+// avoid them, or try again, would all come to it; it waits outside, its climb begun anew, until half of
+// its peers are heard of and they answer most flows. It may harm by holding back what is needed.
 func (m *Manager) holdBackCold() {
 	m.step++
-	_, drops := m.peers()
-	flooded := drops > floodDrops && slices.ContainsFunc(m.servers, func(s *server) bool {
-		return s.state == Ready && !s.out && !s.climbing
-	})
+	_, drops, heard := m.peers()
+	steady := 0
+	for _, s := range m.servers {
+		if s.state == Ready && !s.out && !s.climbing {
+			steady++
+		}
+	}
+	flooded := steady > 0 && (drops > floodDrops || 2*heard < steady)
 	if flooded != m.flooded {
 		m.flooded, m.cause, m.urgent = flooded, "flood", true
-		m.note("cold servers held back %v: %.2f dropped", flooded, drops)
+		m.note("cold servers held back %v: %.2f dropped, %d of %d peers heard", flooded, drops, heard, steady)
 	}
 	for _, s := range m.servers {
 		if s.climbing && flooded {
@@ -294,7 +298,7 @@
 // all servers seem to do; the peers' median stands against that.
 func (m *Manager) judgeServers() {
 	m.step, m.repeating = m.step+1, false
-	latency, drops := m.peers()
+	latency, drops, _ := m.peers()
 	budget, ended := m.meanBudget(), m.ended()
 	usual := median(slices.DeleteFunc(slices.Clone(ended), func(x float64) bool { return x < 0 }))
 	for i, s := range m.servers {
@@ -643,7 +647,7 @@
 // A server that returned is readmitted once its first small weight is laid.
 func (m *Manager) returned() *server {
 	for _, s := range m.servers {
-		if s.withdrawn && s.state == Ready && !m.batch && m.cause == "" && m.room(m.proxies, 1, false) {
+		if s.withdrawn && s.state == Ready && !(s.climbing && m.flooded) && !m.batch && m.cause == "" && m.room(m.proxies, 1, false) {
 			return s
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -102,6 +102,10 @@
 	m := manager(2)
 	m.servers[0].withdrawn, m.servers[0].state = true, Gone
 	delete(m.tables[0].standing, "a0")
+	m.now, m.flooded = 4*time.Second, false
+	for _, s := range m.servers[1:] {
+		m.hear(s.id, 10, 0, 200*time.Millisecond)
+	}
 	back := []Entry{{Server: "a0", Zone: "a", Weight: 1, Started: 4 * time.Second, Fresh: true}}
 	if o := m.Listed(5*time.Second, false, back); len(o.Readmit) != 0 {
 		t.Errorf("readmitted before the batch: %v", o.Readmit)
@@ -243,6 +247,15 @@
 	}
 }
 
+func TestColdServersWaitUntilPeersAreHeardOf(t *testing.T) {
+	m := manager(3)
+	m.servers[0].climbing, m.servers[0].withdrawn, m.flooded = true, true, true
+	m.holdBackCold()
+	if !m.flooded || m.returned() != nil {
+		t.Error("a cold server comes back though no peer is heard of")
+	}
+}
+
 func TestSilenceAloneOnlyProbes(t *testing.T) {
 	m := manager(2)
 	m.now = 4 * time.Second
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -76,8 +76,8 @@
 	return sum / max(1, n)
 }
 
-// peers gives the median latency and share of failures of the servers heard of.
-func (m *Manager) peers() (latency, drops float64) {
+// peers gives the median latency and share of failures of the servers heard of, and their number.
+func (m *Manager) peers() (latency, drops float64, heard int) {
 	var latencies, shares []float64
 	for _, s := range m.servers {
 		if tries, failed, l := m.figures(s); s.state == Ready && tries >= enoughTries {
@@ -87,7 +87,7 @@
 			}
 		}
 	}
-	return median(latencies), median(shares)
+	return median(latencies), median(shares), len(shares)
 }
 
 // flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped, at
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -22,7 +22,7 @@
 // manager holds per zone n ready servers a0.., b0.. and a proxy, bound to its zone's table.
 func manager(n int) *Manager {
 	m := New(1, terms)
-	m.due, m.wakeAt = time.Hour, time.Hour
+	m.due, m.wakeAt, m.flooded = time.Hour, time.Hour, false
 	for z, name := range m.zones {
 		for i := range n {
 			id := ServerID(fmt.Sprint(name, i))
