A server slightly weak already loses its band

Cause: the band let servers that just began to slow down keep up to 1.2 times their target. Below 0.97 (was 0.9) of health a server has no floor and its ceiling is its target. The part of the budget that is never slow did nothing and is taken out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,6 @@
 	fullTries    = 6               // tries after which older samples are left out
 	enoughTries  = 3               // tries without which a server is no peer
 	slowLatency  = 1.25            // multiple of the peers' median latency that is not yet slow
-	slowBudget   = 0.15            // part of the latency budget that is never slow
 	slowestPart  = 0.8             // of the budget: a slower server is taken back steeply
 	slowestPeer  = 2.0             // and multiple of the peers that it must be, too
 	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
@@ -45,7 +44,7 @@
 	healthPace   = 0.3             // part of the way to its aim, in logarithms, that health goes in a second
 	healthMoved  = 0.05            // change that is worth solving anew
 	weakHealth   = 0.5             // from here on it is said in the log
-	soundHealth  = 0.9             // below it a server has no floor
+	soundHealth  = 0.97            // below it a server has no floor
 	endedPart    = 0.5             // of the peers' part of tries ended: below it a server is filling up
 	endedOver    = 3 * time.Second // over which it is taken
 	endedTries   = 12.0            // that must be due in that time
@@ -316,7 +315,7 @@
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
 			// a server later than the budget earns nothing: what it keeps falls steeply from there
 			lateness := max(1, l/max(slowestPeer*latency, slowestPart*budget))
-			aim = min(aim, max(slowLatency*latency, slowBudget*budget)/l/lateness/lateness)
+			aim = min(aim, slowLatency*latency/l/lateness/lateness)
 		}
 		// guards against servers that take flows and don't end them, before late answers or time-outs show
 		// it; judged against the peers' part, since proxies that stand still end none anywhere
