Cold servers warm while they wait; floors of the line by the usable fleet

Cold servers warm by time at the stated pace whether or not they get flows, so their climb goes on; the floors count the usable part of the listed weight only. Should also help when zones come back under load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -233,23 +232,6 @@
 	m.post(m.proxies, n)
 }
 
-// The ledger: what waits in the channel, at the slowest that a channel is taken to be, and how many
-// messages each proxy was sent.
-
-func (m *Manager) room(to []*proxy, lines float64, urgent bool) bool {
-	limit, most := m.roomBatch, m.perBatch
-	if urgent {
-		limit, most = m.roomUrgent, m.perUrgent
-	}
-	for _, p := range to {
-		p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return m.now-at > m.span })
-		if most > 0 && len(p.sent) >= most && p.sent[len(p.sent)-1] != m.now {
-			return false
-		}
-	}
-	return len(to) == 0 || m.waiting()+float64(len(to))*(m.head+1+lines) <= limit
-}
-
 // Each second what was heard is judged, and a batch falls due.
 
 // stoodStill guards against taking the silence of this manager's own stall for that of servers.
@@ -266,8 +248,8 @@
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away: proxies that
-// avoid them, or try again, would all come to it; it waits outside, its climb begun anew, until half of
-// its peers are heard of and they answer most flows. It may harm by holding back what is needed.
+// avoid them, or try again, would all come to it; it waits outside while it warms, until half of its
+// peers are heard of and they answer most flows. It may harm by holding back what is needed.
 func (m *Manager) holdBackCold() {
 	m.step++
 	_, drops, heard := m.peers()
@@ -283,9 +265,6 @@
 		m.note("cold servers held back %v: %.2f dropped, %d of %d peers heard", flooded, drops, heard, steady)
 	}
 	for _, s := range m.servers {
-		if s.climbing && flooded {
-			s.startedAt = m.now
-		}
 		if s.climbing {
 			s.climbing, m.cause = m.now-s.startedAt < m.warmAfter, "climb"
 		}
@@ -308,7 +287,7 @@
 		aim, was := 1.0, s.health
 		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
-			// quick errors at a few servers, neither slow nor full ones: there a further try would only add load
+			// quick errors at a few servers; at slow or full ones a further try would only add load
 			quick := tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
 			m.repeating = m.repeating || quick && drops < fewDrops
 		}
@@ -424,7 +403,7 @@
 	case m.now < m.blind || m.admit == AdmitNone:
 	case pressure > pressureHigh || drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line = max(lineFall*min(m.line, delivered), lineLeast*knee, lineUsual*usual)
+			m.line = max(lineFall*min(m.line, delivered), m.usable()*max(lineLeast*knee, lineUsual*usual))
 			m.lineMoved = m.now
 		}
 	case pressure < pressureLow && m.line > lineOpen*asked:
@@ -488,6 +467,14 @@
 	return !slices.ContainsFunc(m.proxies, func(p *proxy) bool { return p.bound })
 }
 
+// climbed is the part of its target that a server gets by now.
+func (m *Manager) climbed(s *server) float64 {
+	if !s.climbing {
+		return 1
+	}
+	return min(1, m.climbBase+(1-m.climbBase)*(m.now-s.startedAt).Seconds()/m.warmAfter.Seconds())
+}
+
 func (m *Manager) solve() {
 	m.cause, m.batch = "", true
 	m.solved = m.volumes()
@@ -507,8 +494,7 @@
 		// guards against pushing over a cold server when others fail: until it must be warm, it gets its
 		// climbing part of what it would get of a fleet in order, never that of its lost peers
 		if s.climbing {
-			grown := (m.now - s.startedAt).Seconds() / m.warmAfter.Seconds()
-			p.target *= min(1, m.climbBase+(1-m.climbBase)*grown) * min(all, m.line) / listed
+			p.target *= m.climbed(s) * min(all, m.line) / listed
 			p.low, p.high, cold = 0, 1, cold+p.target
 		} else {
 			steady += p.target
@@ -615,9 +601,9 @@
 func (m *Manager) lay() {
 	m.batch = false
 	for z, t := range m.tables {
-		lines, levels := t.differences(TableID(z)), m.levels(z)
+		lines, levels := m.differences(TableID(z)), m.levels(z)
 		levels = slices.DeleteFunc(levels, func(l Level) bool { return !m.differs(t.levels[l.Groups], l) })
-		users := slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.zone != z })
+		users := m.users(z)
 		n := float64(len(lines) + len(levels))
 		if n == 0 {
 			continue
@@ -646,14 +632,14 @@
 // A server that returned is readmitted once its first small weight is laid.
 func (m *Manager) returned() *server {
 	for _, s := range m.servers {
-		if s.withdrawn && s.state == Ready && !(s.climbing && m.flooded) && !m.batch && m.cause == "" && m.room(m.proxies, 1, false) {
+		if s.withdrawn && s.state == Ready && !(s.climbing && m.flooded) && m.room(m.proxies, 1, false) {
 			return s
 		}
 	}
 	return nil
 }
 
-func (m *Manager) readmitWaits() bool { return m.returned() != nil }
+func (m *Manager) readmitWaits() bool { return !m.batch && m.cause == "" && m.returned() != nil }
 
 func (m *Manager) readmit() {
 	s := m.returned()
@@ -663,26 +649,19 @@
 
 // differences are the lines in which a table must change; the scale is that of most standing lines.
 // A table never becomes empty: without any server to name it stays as it is.
-func (t *table) differences(id TableID) []Line {
-	var scales []float64
-	names := map[ServerID]bool{}
+func (m *Manager) differences(id TableID) (lines []Line) {
+	t, scales := m.tables[id], []float64{}
 	for s, w := range t.wanted {
-		if names[s] = true; t.standing[s] > 0 {
+		if t.standing[s] > 0 {
 			scales = append(scales, t.standing[s]/w)
 		}
 	}
 	scale := cmp.Or(median(scales), 100)
-	var lines []Line
-	if len(t.wanted) == 0 {
-		return nil
-	}
-	for s := range t.standing {
-		names[s] = true
-	}
-	for _, s := range slices.Sorted(maps.Keys(names)) {
-		weight := math.Round(t.wanted[s]*scale*1000) / 1000
-		if was := t.standing[s]; (weight == 0) != (was == 0) || math.Abs(weight-was) > lineDiffers*max(weight, was) {
-			lines = append(lines, Line{id, s, weight})
+	for _, s := range m.servers {
+		was, weight := t.standing[s.id], math.Round(t.wanted[s.id]*scale*1000)/1000
+		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > lineDiffers*max(weight, was)
+		if moved && len(t.wanted) > 0 {
+			lines = append(lines, Line{id, s.id, weight})
 		}
 	}
 	return lines
@@ -704,14 +683,15 @@
 
 func (m *Manager) waitingProxy() *proxy {
 	for _, p := range m.proxies {
-		if t := m.tables[p.zone]; !p.bound && !m.sliced && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
+		t := m.tables[p.zone]
+		if !p.bound && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
 			return p
 		}
 	}
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool { return m.waitingProxy() != nil }
+func (m *Manager) proxyWaits() bool { return !m.sliced && m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -265,3 +265,14 @@
 	}
 	return parts
 }
+
+// usable is the part of the listed weight that the tables can use.
+func (m *Manager) usable() float64 {
+	all := 0.0
+	for _, s := range m.servers {
+		if s.state == Ready && !s.out && !(s.climbing && m.flooded) {
+			all += max(s.weight, 1e-6) * m.climbed(s)
+		}
+	}
+	return all / max(m.listed(), 1e-6)
+}
--- /dev/null
+++ b/choice/ledger.go
@@ -0,0 +1,58 @@
+package choice
+
+import (
+	"slices"
+	"time"
+)
+
+// The ledger counts what waits in the channel, at the slowest that a channel is taken to be until marks
+// are answered, and the messages that each proxy was sent. What goes out by it is decided in choice.go.
+
+// room tells whether lines for each of these proxies fit into the queue and the messages they may get.
+func (m *Manager) room(to []*proxy, lines float64, urgent bool) bool {
+	limit, most := m.roomBatch, m.perBatch
+	if urgent {
+		limit, most = m.roomUrgent, m.perUrgent
+	}
+	for _, p := range to {
+		p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return m.now-at > m.span })
+		if most > 0 && len(p.sent) >= most && p.sent[len(p.sent)-1] != m.now {
+			return false
+		}
+	}
+	return len(to) == 0 || m.waiting()+float64(len(to))*(m.head+1+lines) <= limit
+}
+
+// waiting is what the ledger takes to wait in the channel.
+func (m *Manager) waiting() float64 {
+	if len(m.queue) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, q := range m.queue {
+		sum += q.lines
+	}
+	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
+}
+
+// post books lines for each proxy concerned, and a message and a mark for those that have none yet.
+func (m *Manager) post(to []*proxy, lines float64) {
+	if len(to) == 0 {
+		return
+	}
+	if m.waiting() == 0 {
+		m.queue = nil
+	}
+	if m.markedAt != m.now {
+		m.mark, m.markedAt = m.mark%65535+1, m.now
+		m.o.Mark = m.mark
+		m.queue = append(m.queue, owed{mark: m.mark, at: m.now})
+	}
+	q := &m.queue[len(m.queue)-1]
+	for _, p := range to {
+		q.lines += lines
+		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
+			p.sent, q.lines = append(p.sent, m.now), q.lines+m.head+1
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -226,36 +226,7 @@
 	return m.decide()
 }
 
-// waiting is what the ledger takes to wait in the channel.
-func (m *Manager) waiting() float64 {
-	if len(m.queue) == 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, q := range m.queue {
-		sum += q.lines
-	}
-	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
-}
-
-// post books lines for each proxy concerned, and a message and a mark for those that have none yet.
-func (m *Manager) post(to []*proxy, lines float64) {
-	if len(to) == 0 {
-		return
-	}
-	if m.waiting() == 0 {
-		m.queue = nil
-	}
-	if m.markedAt != m.now {
-		m.mark, m.markedAt = m.mark%65535+1, m.now
-		m.o.Mark = m.mark
-		m.queue = append(m.queue, owed{mark: m.mark, at: m.now})
-	}
-	q := &m.queue[len(m.queue)-1]
-	for _, p := range to {
-		q.lines += lines
-		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
-			p.sent, q.lines = append(p.sent, m.now), q.lines+m.head+1
-		}
-	}
+// users are the proxies bound to a zone's table.
+func (m *Manager) users(z int) []*proxy {
+	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.zone != z })
 }
