The line falls at a lower pressure still

Cause: under overload a quarter of what is let in is late; at 0.47 of the mean budget the groups with short budgets already are.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,7 @@
 	queueBatch   = 0.5  // of the queue limit for ordinary batches
 	queueUrgent  = 0.85 // and for drains and joining proxies
 	perProxy     = 0.6  // of the messages that a proxy may be sent, for ordinary batches
-	pressureHigh = 0.47 // mean latency over latency budget at which the line moves down
+	pressureHigh = 0.42 // mean latency over latency budget at which the line moves down
 	pressureLow  = 0.37 // and under which it moves up
 	dropsHigh    = 0.25 // share of drops at which it moves down
 	lineFall     = 0.87 // of what is delivered
