--- a/choice/choice.go
+++ b/choice/choice.go
@@ -185,7 +185,7 @@
 	return m.decide()
 }
 
-func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, held float64) Orders {
+func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && s.state == Ready {
 		wait := took.Seconds()
@@ -707,5 +707,5 @@
 
 func (m *Manager) setWake() {
 	m.wakeAt = max(m.due, m.now+time.Millisecond)
-	m.o.Wake, m.o.WakeID = m.wakeAt, 1
+	m.o.Wake = m.wakeAt
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -111,7 +111,7 @@
 		t.Errorf("readmitted before the batch: %v", o.Readmit)
 	}
 	m.due = 6 * time.Second
-	o := m.Woke(6*time.Second, 1)
+	o := m.Woke(6 * time.Second)
 	if !slices.Equal(o.Readmit, []ServerID{"a0"}) || len(o.Lines) == 0 || o.Lines[0].Weight > 20 {
 		t.Errorf("readmitted %v with %v", o.Readmit, o.Lines)
 	}
@@ -272,13 +272,13 @@
 	if !slices.Equal(m.o.Probe, []ServerID{"a0"}) || m.servers[0].out {
 		t.Errorf("probed %v, out %v", m.o.Probe, m.servers[0].out)
 	}
-	if m.Probed(m.now, "a0", Answered, time.Millisecond, -1); m.servers[0].out {
+	if m.Probed(m.now, "a0", Answered, time.Millisecond); m.servers[0].out {
 		t.Error("out though it answered")
 	}
-	if m.Probed(m.now, "a0", Silent, time.Second, -1); !m.servers[0].out {
+	if m.Probed(m.now, "a0", Silent, time.Second); !m.servers[0].out {
 		t.Error("not out though silent to a probe")
 	}
-	if m.Probed(m.now, "a0", Answered, time.Millisecond, -1); m.servers[0].out || m.servers[0].health > 0.2 {
+	if m.Probed(m.now, "a0", Answered, time.Millisecond); m.servers[0].out || m.servers[0].health > 0.2 {
 		t.Errorf("back with health %.2f", m.servers[0].health)
 	}
 }
@@ -286,7 +286,7 @@
 func TestDistrustFollowsOwnStall(t *testing.T) {
 	m := manager(2)
 	m.due = time.Second
-	if m.Woke(3*time.Second, 1); m.blind <= 3*time.Second {
+	if m.Woke(3 * time.Second); m.blind <= 3*time.Second {
 		t.Error("trusts silence after standing still")
 	}
 }
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -8,15 +8,13 @@
 )
 
 var terms = Terms{
-	Zone: "a", Zones: []ZoneID{"a", "b"},
+	Zones: []ZoneID{"a", "b"},
 	Groups: []Group{
 		{Budget: 2 * time.Second, Expiry: 6 * time.Second, Utility: 1, Repeat: Retriable},
 		{Budget: time.Second, Expiry: 4 * time.Second, Utility: 3},
 	},
-	Managers: 1, MayProbe: true, Admit: AdmitShare, UsualTries: TryUnrun, ColdShare: 0.15,
-	WarmAfter: 16 * time.Second, FallMultiple: 2.5, FallFor: 2 * time.Second, DrainGrace: 2 * time.Second,
-	BareFor: 2 * time.Second, QueueLines: 1000, LinesPerS: 1000, HeadLines: 4,
-	MessagesMost: 20, MessagesOver: 10 * time.Second, ReportEvery: time.Second,
+	MayProbe: true, Admit: AdmitShare, UsualTries: TryUnrun, ColdShare: 0.15, WarmAfter: 16 * time.Second,
+	QueueLines: 1000, LinesPerS: 1000, HeadLines: 4, MessagesMost: 20, MessagesOver: 10 * time.Second,
 }
 
 // manager holds per zone n ready servers a0.., b0.. and a proxy, bound to its zone's table.
--- a/choice/state.go
+++ b/choice/state.go
@@ -221,7 +221,7 @@
 	return m.decide()
 }
 
-func (m *Manager) Woke(now time.Duration, id WakeID) Orders {
+func (m *Manager) Woke(now time.Duration) Orders {
 	m.now = now
 	return m.decide()
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -7,13 +7,10 @@
 type (
 	ServerID string
 	ZoneID   string
-	ShapeID  string
-	CellID   string
 	ProxyID  int
 	GroupID  int // position of a traffic group in what the site states
 	TableID  int
 	MarkID   int
-	WakeID   uint64
 )
 
 // Condition is what the list says of a server.
@@ -29,8 +26,6 @@
 type Entry struct {
 	Server  ServerID
 	Zone    ZoneID
-	Cell    CellID
-	Shape   ShapeID
 	Weight  float64
 	Started time.Duration
 	Fresh   bool
@@ -66,34 +61,21 @@
 
 // Terms is all that a site states when a manager starts.
 type Terms struct {
-	Zone          ZoneID
 	Zones         []ZoneID
 	Groups        []Group
-	Managers      int
 	AsksList      bool
 	Sliced        bool // keys fall into slices with tables of their own
 	GoneStaysOpen bool // only draining binds
 	MayProbe      bool
-	LoadInProbes  bool
-	LoadInReports bool
 	Admit         AdmitBy
 	UsualTries    Tries
-	TryBudgets    float64
 	ColdShare     float64
 	WarmAfter     time.Duration
-	FallMultiple  float64
-	FallFor       time.Duration
-	DrainGrace    time.Duration
-	BareFor       time.Duration
 	QueueLines    float64
 	LinesPerS     float64
 	HeadLines     float64
-	Transit       time.Duration
-	TransitMost   time.Duration
 	MessagesMost  int
 	MessagesOver  time.Duration
-	ReportEvery   time.Duration
-	Proxies       int
 }
 
 // Report sums what the proxies of one zone met at one server.
@@ -158,7 +140,6 @@
 	Probe    []ServerID
 	Listen   bool
 	Wake     time.Duration // 0: none
-	WakeID   WakeID
 	Notes    []string
 }
 
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -161,12 +161,13 @@
 			return m.Listed(now, scope != "Partial", entries)
 		}
 	case "REMINDER":
-		label := choice.WakeID(c.whole("label", 0, math.MaxInt64))
-		call = func() choice.Orders { return m.Woke(now, label) }
+		c.whole("label", 0, math.MaxInt64)
+		call = func() choice.Orders { return m.Woke(now) }
 	case "HEALTH_RESULT":
 		server := choice.ServerID(c.id("worker"))
 		code := c.oneOf("code", "delivered", "app_error", "shed", "expired", "dial_failed", "dropped", "revoked", "unused")
-		took, held := c.span("elapsedUs"), c.load("pressure")
+		took := c.span("elapsedUs")
+		c.load("pressure")
 		answer := choice.Silent
 		switch code {
 		case "delivered":
@@ -176,7 +177,7 @@
 		case "shed":
 			answer = choice.Full
 		}
-		call = func() choice.Orders { return m.Probed(now, server, answer, took, held) }
+		call = func() choice.Orders { return m.Probed(now, server, answer, took) }
 	case "DIALLED_IN":
 		rate := c.number("part")
 		c.truth("flag")
@@ -276,7 +277,7 @@
 	}
 	if o.Wake > 0 {
 		at := (o.Wake + one.born + time.Microsecond - 1) / time.Microsecond
-		fmt.Fprintf(h.out, "SLEEP\t%d\t%d\t%d\n", who, o.WakeID, int64(at))
+		fmt.Fprintf(h.out, "SLEEP\t%d\t1\t%d\n", who, int64(at))
 	}
 	for _, n := range o.Notes {
 		fmt.Fprintf(h.out, "JOURNAL_LINE\t%d\t%s\n", who, n)
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -119,7 +119,7 @@
 		return choice.Entry{}, errors.New("an M line is due")
 	}
 	e := choice.Entry{}
-	e.Cell = choice.CellID(c.text("unitGroup"))
+	c.text("unitGroup")
 	e.Zone = choice.ZoneID(c.id("dc"))
 	if started := c.span("lastStartUs"); started > 0 {
 		e.Started, e.Fresh = started-born, true
@@ -136,40 +136,31 @@
 	case "gone":
 		e.State = choice.Gone
 	}
-	e.Shape = choice.ShapeID(c.text("shape"))
+	c.text("shape")
 	return e, c.end()
 }
 
 // terms reads the settings; names that it does not know are ignored.
 func terms(text string) (choice.Terms, []string, error) {
 	var in struct {
-		Zone    string
 		Zones   []string
 		Classes []struct {
 			Name, Repeat, Group          string
 			AimUs, HardLimitUs, WindowUs int64
 			Worth                        float64
 		}
-		PeersTotal     int
 		MembershipMode string
 		Domain         struct {
-			Admit                              string
-			Ranges, MessagesMost, Proxies      int
-			EgressPerS, Envelope, QueueCap     float64
-			TryAims                            float64
-			UsualHow                           int
-			EmptyForUs, PeriodUs, ReloadSpanUs int64
-			WorstTransitUs, PropagationUs      int64
+			Admit                          string
+			Ranges, MessagesMost, UsualHow int
+			EgressPerS, Envelope, QueueCap float64
+			ReloadSpanUs                   int64
 		}
 		Limits struct{ Probing bool }
-		Report struct {
-			Fields []string
-			How    string
-		}
-		Rules struct {
-			ColdFrom, OverloadFactor                 float64
-			DrainGraceUs, OverloadForUs, WarmAfterUs int64
-			DroppedStayOpen                          bool
+		Rules  struct {
+			ColdFrom        float64
+			WarmAfterUs     int64
+			DroppedStayOpen bool
 		}
 	}
 	if err := json.Unmarshal([]byte(text), &in); err != nil {
@@ -177,21 +168,12 @@
 	}
 	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 	t := choice.Terms{
-		Zone: choice.ZoneID(in.Zone), Managers: in.PeersTotal, Sliced: in.Domain.Ranges > 0,
-		AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
-		LoadInReports: in.Report.How == "piggyback", LoadInProbes: in.Report.How != "silent",
-		UsualTries: choice.Tries(in.Domain.UsualHow), TryBudgets: in.Domain.TryAims,
-		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
-		FallMultiple: in.Rules.OverloadFactor, FallFor: span(in.Rules.OverloadForUs),
-		DrainGrace: span(in.Rules.DrainGraceUs), GoneStaysOpen: in.Rules.DroppedStayOpen,
-		BareFor: span(in.Domain.EmptyForUs), QueueLines: in.Domain.QueueCap,
+		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
+		UsualTries: choice.Tries(in.Domain.UsualHow),
+		ColdShare:  in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
+		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
 		LinesPerS: in.Domain.EgressPerS, HeadLines: in.Domain.Envelope,
-		Transit: span(in.Domain.PropagationUs), TransitMost: span(in.Domain.WorstTransitUs),
 		MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
-		ReportEvery: span(in.Domain.PeriodUs), Proxies: in.Domain.Proxies,
-	}
-	if !slices.Contains(in.Report.Fields, "outstanding") {
-		t.LoadInReports, t.LoadInProbes = false, false
 	}
 	switch in.Domain.Admit {
 	case "share":
