--- a/choice/choice.go
+++ b/choice/choice.go
@@ -81,7 +81,7 @@
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
-	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), t.WarmAfter
+	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
 	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
 	if t.MessagesMost > 0 {
