A start before the manager's own is heard of; the list is asked again after a second

Cause: found on rereading: times are spans since the manager's start, and a known server without a stated start counted as started at 0, so one that restarted while the manager was away passed for warm. And a failed call for the list was repeated at once. Both have tests.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,17 +160,19 @@
 	seen := map[ServerID]bool{}
 	for _, e := range entries {
 		seen[e.Server] = true
-		s := m.server(e.Server)
+		s, started := m.server(e.Server), time.Duration(math.MinInt64)
+		if e.Fresh {
+			started = e.Started
+		}
 		if s == nil {
-			s = &server{id: e.Server, health: 1, quietFrom: now, started: e.Started, probedAt: -probeEvery}
-			s.climbing = e.Fresh && (now-e.Started < m.warmAfter || !whole)
-			s.startedAt = now
+			s = &server{id: e.Server, health: 1, quietFrom: now, startedAt: now, probedAt: -probeEvery}
+			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
 			m.servers = append(m.servers, s)
 			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-		} else if e.Fresh && e.Started > s.started {
+		} else if started > s.started {
 			// guards against pushing over a cold server that came back before its end was listed:
 			// what stands in the tables is lowered at once
-			s.climbing, s.startedAt, s.started = true, now, e.Started
+			s.climbing, s.startedAt, s.started = true, now, started
 			s.out, s.health, s.heard, s.heardAt, s.quietFrom = false, 1, nil, nil, now
 			m.urgent = m.urgent || !s.withdrawn
 		}
@@ -207,7 +209,7 @@
 
 // The list must be asked for at some sites.
 
-func (m *Manager) unasked() bool { return m.asks && !m.asked && len(m.servers) > 0 }
+func (m *Manager) unasked() bool { return m.asks && !m.asked && m.now >= m.askFrom }
 func (m *Manager) ask()          { m.asked, m.o.Listen = true, true }
 
 // Drains: a server that drains or is gone is withdrawn from all that joined proxies hold, at once,
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -82,6 +82,26 @@
 	}
 }
 
+func TestListedHearsOfAStartBeforeItsOwn(t *testing.T) {
+	m := manager(3)
+	m.servers[0].started = math.MinInt64
+	m.Listed(time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, Started: -2 * time.Second, Fresh: true}})
+	if !m.servers[0].climbing {
+		t.Error("a server that started before this manager did is held for warm")
+	}
+}
+
+func TestListFailedAsksAgainInASecond(t *testing.T) {
+	m := manager(2)
+	m.asks, m.asked = true, true
+	if o := m.ListFailed(time.Second); o.Listen {
+		t.Error("asked at once")
+	}
+	if o := m.Woke(2 * time.Second); !o.Listen {
+		t.Error("not asked again")
+	}
+}
+
 func TestListedWithdrawsADrainAtOnce(t *testing.T) {
 	m := manager(2)
 	o := m.Listed(time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
--- a/choice/state.go
+++ b/choice/state.go
@@ -102,6 +102,7 @@
 	mark       MarkID
 	markedAt   time.Duration
 	asked      bool
+	askFrom    time.Duration
 	line       float64 // flows a second that are let in, the most useful first
 	lineMoved  time.Duration
 	peaks      []float64 // flows delivered a second, lately
@@ -152,7 +153,7 @@
 
 // ListFailed keeps the list and asks again with the next second.
 func (m *Manager) ListFailed(now time.Duration) Orders {
-	m.now, m.asked = now, false
+	m.now, m.asked, m.askFrom = now, false, now+batchEvery
 	return m.decide()
 }
 
