Tables are solved anew before a newcomer is bound, while servers climb

Should also guard when all proxies of a zone were away; may harm by some messages out of turn while many join.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -120,6 +120,7 @@
 	{at(stepPairs), (*Manager).judgePairs},
 	{at(stepLine), (*Manager).moveLine},
 	{at(stepVolumes), (*Manager).compareVolumes},
+	{(*Manager).newcomer, (*Manager).weigh},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
 	{(*Manager).readmitWaits, (*Manager).readmit},
@@ -459,6 +460,21 @@
 	return levels
 }
 
+// A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
+// guards against a table laid for a zone without proxies, as after a cut, that names cold servers only.
+func (m *Manager) newcomer() bool {
+	return slices.ContainsFunc(m.proxies, func(p *proxy) bool { return !p.weighed })
+}
+
+func (m *Manager) weigh() {
+	for _, p := range m.proxies {
+		p.weighed = true
+	}
+	if slices.ContainsFunc(m.servers, func(s *server) bool { return s.climbing && s.state == Ready }) {
+		m.cause, m.urgent = "join", true
+	}
+}
+
 // The split: tables are solved anew when the list, health, a climb, usage or a pair calls for it.
 
 func (m *Manager) unsolved() bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -175,6 +175,24 @@
 	}
 }
 
+func TestJoinedIsNotBoundToColdServersAlone(t *testing.T) {
+	m := manager(3)
+	m.proxies, m.servers[0].climbing = m.proxies[:1], true
+	for _, s := range m.servers {
+		s.zone = 1 - s.zone
+	}
+	m.servers[1].out, m.servers[2].out = true, true
+	m.tables[1].standing = map[ServerID]float64{"a0": 100}
+	m.Joined(time.Millisecond, 9, "b", 40)
+	sum := 0.0
+	for _, w := range m.tables[1].standing {
+		sum += w
+	}
+	if m.tables[1].standing["a0"] > 0.2*sum {
+		t.Errorf("bound to %v", m.tables[1].standing)
+	}
+}
+
 func TestRoomTakesTheChannelForSlowUntilMarksAreAnswered(t *testing.T) {
 	m := manager(2)
 	m.post(m.proxies, 240)
--- a/choice/state.go
+++ b/choice/state.go
@@ -29,12 +29,13 @@
 }
 
 type proxy struct {
-	id    ProxyID
-	zone  int
-	rate  float64 // as told when it joined
-	bound bool
-	sent  []time.Duration // messages within the span that a limit counts
-	flows [][]figure      // by traffic group, the last samples
+	id      ProxyID
+	zone    int
+	rate    float64 // as told when it joined
+	bound   bool
+	weighed bool            // its flows are counted in the tables
+	sent    []time.Duration // messages within the span that a limit counts
+	flows   [][]figure      // by traffic group, the last samples
 }
 
 // figure is one sample of what is measured.
