--- a/choice/figures.go
+++ b/choice/figures.go
@@ -40,7 +40,19 @@
 // window is the time, in seconds, that the last samples of a server can span: up to the last report of
 // any server, since reports are late.
 func (m *Manager) window(s *server) float64 {
-	return max(batchEvery, m.reportedAt-max(s.firstHeard, m.now-samplesOld)).Seconds()
+	last := m.covered[len(m.covered)-1].at
+	return max(batchEvery, last-max(s.firstHeard, m.now-samplesOld)).Seconds()
+}
+
+// coveredFor is the time that the last reports span: a time without any says nothing of a rate.
+func (m *Manager) coveredFor() float64 {
+	all := 0.0
+	for _, c := range m.covered {
+		if m.now-c.at <= samplesOld {
+			all += c.value
+		}
+	}
+	return max(batchEvery.Seconds(), all)
 }
 
 // rate is how many tries a second ended at a server.
@@ -62,7 +74,7 @@
 			good += float64(r.Tries - r.Failed)
 		}
 	}
-	return good / m.window(s)
+	return good / m.coveredFor()
 }
 
 // demand is how many flows of a traffic group come to a proxy a second.
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -31,7 +31,7 @@
 		flows := [][]figure{{{0, 30}}, {{0, 10}}}
 		m.proxies = append(m.proxies, &proxy{id: ProxyID(z), zone: z, bound: true, weighed: true, flows: flows})
 	}
-	m.used, m.solved = true, []float64{40, 40}
+	m.used, m.solved, m.covered = true, []float64{40, 40}, []figure{{0, 1}}
 	return m
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -21,7 +21,7 @@
 	heard      []Report
 	heardAt    []time.Duration
 	quietFrom  time.Duration
-	firstHeard time.Duration // less the span of that report
+	firstHeard time.Duration
 	health     float64
 	due        []float64 // tries that should have come, by second
 	out        bool      // does not answer at all
@@ -82,37 +82,37 @@
 
 type Manager struct {
 	bounds
-	chance     uint64
-	now        time.Duration
-	o          Orders
-	zones      []ZoneID
-	servers    []*server // by id
-	proxies    []*proxy  // by number
-	tables     []*table  // by zone
-	pairs      [][]pair  // by zone of proxies, of servers
-	solved     []float64 // volumes last solved with
-	cause      string    // why the tables are to be solved anew
-	urgent     bool
-	heldAt     time.Duration // the batch found no room then
-	batch      bool          // a second has passed
-	due        time.Duration // when the next has
-	blind      time.Duration // silence proves nothing until then: this manager stood still
-	used       bool
-	reportedAt time.Duration
-	queue      []owed
-	mark       MarkID
-	markedAt   time.Duration
-	asked      bool
-	askFrom    time.Duration
-	line       float64 // flows a second that are let in, the most useful first
-	lineMoved  time.Duration
-	peaks      []float64 // flows delivered a second, lately
-	repeating  bool
-	flooded    bool     // most flows are turned away
-	answers    []figure // seconds that probes took, lately
-	loadTold   bool
-	step       int // of the judging of a second
-	wakeAt     time.Duration
+	chance    uint64
+	now       time.Duration
+	o         Orders
+	zones     []ZoneID
+	servers   []*server // by id
+	proxies   []*proxy  // by number
+	tables    []*table  // by zone
+	pairs     [][]pair  // by zone of proxies, of servers
+	solved    []float64 // volumes last solved with
+	cause     string    // why the tables are to be solved anew
+	urgent    bool
+	heldAt    time.Duration // the batch found no room then
+	batch     bool          // a second has passed
+	due       time.Duration // when the next has
+	blind     time.Duration // silence proves nothing until then: this manager stood still
+	used      bool
+	covered   []figure // seconds that the reports of a time span
+	queue     []owed
+	mark      MarkID
+	markedAt  time.Duration
+	asked     bool
+	askFrom   time.Duration
+	line      float64 // flows a second that are let in, the most useful first
+	lineMoved time.Duration
+	peaks     []float64 // flows delivered a second, lately
+	repeating bool
+	flooded   bool     // most flows are turned away
+	answers   []figure // seconds that probes took, lately
+	loadTold  bool
+	step      int // of the judging of a second
+	wakeAt    time.Duration
 }
 
 func (m *Manager) note(format string, figures ...any) {
@@ -187,7 +187,9 @@
 	if len(s.heard) == 0 {
 		s.firstHeard = now - r.Span
 	}
-	m.reportedAt = now
+	if n := len(m.covered); n == 0 || m.covered[n-1].at != now {
+		m.covered = lastOf(append(m.covered, figure{now, r.Span.Seconds()}), samplesKept)
+	}
 	m.loadTold = m.loadTold || r.Load >= 0
 	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
 	if r.Failed < r.Tries {
