Two defences that were worth nothing are taken out

Cause: with further tries held back and the band lost early, the guard against servers that don't end their flows and the steep fall of very late servers no longer showed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,8 +31,6 @@
 	fullTries    = 6               // tries after which older samples are left out
 	enoughTries  = 3               // tries without which a server is no peer
 	slowLatency  = 1.25            // multiple of the peers' median latency that is not yet slow
-	slowestPart  = 0.8             // of the budget: a slower server is taken back steeply
-	slowestPeer  = 2.0             // and multiple of the peers that it must be, too
 	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
 	failWorst    = 0.35            // from here on a server gets the least
 	fewDrops     = 0.05            // share of the peers' drops under which a failing server is an exception
@@ -44,9 +42,6 @@
 	healthMoved  = 0.05            // change that is worth solving anew
 	weakHealth   = 0.5             // from here on it is said in the log
 	soundHealth  = 0.97            // below it a server has no floor
-	endedPart    = 0.5             // of the peers' part of tries ended: below it a server is filling up
-	endedOver    = 3 * time.Second // over which it is taken
-	endedTries   = 12.0            // that must be due in that time
 	silentTries  = 6.0             // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second // and the least time
 	probeEvery   = 2 * time.Second // of a server that does not answer
@@ -280,9 +275,7 @@
 func (m *Manager) judgeServers() {
 	m.step, m.repeating = m.step+1, false
 	latency, drops, _ := m.peers()
-	budget, ended := m.meanBudget(), m.ended()
-	usual := median(slices.DeleteFunc(slices.Clone(ended), func(x float64) bool { return x < 0 }))
-	for i, s := range m.servers {
+	for _, s := range m.servers {
 		if s.state != Ready {
 			continue
 		}
@@ -295,14 +288,7 @@
 			m.repeating = m.repeating || quick && drops < fewDrops
 		}
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
-			// a server later than the budget earns nothing: what it keeps falls steeply from there
-			lateness := max(1, l/max(slowestPeer*latency, slowestPart*budget))
-			aim = min(aim, slowLatency*latency/l/lateness/lateness)
-		}
-		// guards against servers that take flows and don't end them, before late answers or time-outs show
-		// it; judged against the peers' part, since proxies that stand still end none anywhere
-		if ended[i] >= 0 && ended[i] < endedPart*usual {
-			aim = min(aim, ended[i]/usual)
+			aim = min(aim, slowLatency*latency/l)
 		}
 		s.health *= max(healthFall, min(healthRise, math.Pow(max(leastHealth, aim)/was, healthPace)))
 		if was-s.health > healthMoved || s.health-was > healthMoved*was {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -259,19 +259,6 @@
 	}
 }
 
-func TestJudgeServersLowersOneThatEndsNoTries(t *testing.T) {
-	m := manager(3)
-	m.now = 4 * time.Second
-	for _, s := range m.servers {
-		s.due = []float64{13, 13, 13}
-		m.hear(s.id, 39, 0, 200*time.Millisecond)
-	}
-	m.servers[0].heard[0].Tries = 6
-	if m.judgeServers(); m.servers[0].health >= 1 || m.servers[1].health < 1 {
-		t.Errorf("filling up %.2f, sound %.2f", m.servers[0].health, m.servers[1].health)
-	}
-}
-
 func TestColdServersWaitWhileTheirPeersTurnFlowsAway(t *testing.T) {
 	m := manager(3)
 	for _, s := range m.servers {
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -258,26 +258,6 @@
 	return float64(n)
 }
 
-// ended is, for each server, the part of the tries due to it that ended lately; -1 where too few were
-// due. What is due is the least of the last seconds, so that a raised weight does not count at once.
-func (m *Manager) ended() []float64 {
-	parts, over := make([]float64, len(m.servers)), endedOver.Seconds()
-	for i, due := range m.expected() {
-		s, tries := m.servers[i], 0.0
-		s.due = lastOf(append(s.due, due), int(over)+1)
-		for j, r := range s.heard {
-			if m.now-s.heardAt[j] <= endedOver {
-				tries += float64(r.Tries)
-			}
-		}
-		need := slices.Min(s.due) * over
-		if parts[i] = tries / max(need, 1e-6); need < endedTries || len(s.due) <= int(over) {
-			parts[i] = -1
-		}
-	}
-	return parts
-}
-
 // usable is the part of the listed weight that the tables can use.
 func (m *Manager) usable() float64 {
 	all := 0.0
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,8 +23,7 @@
 	quietFrom  time.Duration
 	firstHeard time.Duration
 	health     float64
-	due        []float64 // tries that should have come, by second
-	out        bool      // does not answer at all
+	out        bool // does not answer at all
 	probedAt   time.Duration
 }
 
