While servers climb, a proxy counts for a part of what it usually gets

A proxy that has just joined counts for all that it usually gets, later for half at least, but only while servers climb, so the ordinary path stays. Should also guard when proxies stand still; may spill flows of quiet zones while a server climbs.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,6 +26,7 @@
 	lineDiffers  = 0.1             // a weight is sent when it moved by this part
 	leastLine    = 0.002           // part of a table below which a server has no line
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
+	usualVolume  = 0.5             // of what a proxy usually gets, the least that it counts for
 	samplesKept  = 24              // reports of one server that its figures are made from
 	samplesOld   = 5 * time.Second // and their greatest age
 	fullTries    = 6               // tries after which older samples are left out
@@ -456,7 +457,7 @@
 	for _, p := range m.proxies {
 		p.weighed = true
 	}
-	if slices.ContainsFunc(m.servers, func(s *server) bool { return s.climbing && s.state == Ready }) {
+	if slices.ContainsFunc(m.servers, (*server).cold) {
 		m.cause, m.urgent = "join", true
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -357,6 +357,15 @@
 	}
 }
 
+func TestVolumesCountANewcomerAsUsual(t *testing.T) {
+	m := manager(2)
+	m.proxies[0].rate, m.proxies[0].flows[0], m.servers[0].climbing = 60, []figure{{0, 2}}, true
+	near(t, "just joined", m.volumes()[0], 60)
+	m.now = 4 * time.Second
+	m.proxies[0].joinedAt = -10 * time.Second
+	near(t, "later", m.volumes()[0], 30)
+}
+
 func TestVolumesFollowListedWeightBeforeUsage(t *testing.T) {
 	m := manager(2)
 	m.used, m.servers[0].weight = false, 3
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -133,14 +133,19 @@
 
 // volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
 func (m *Manager) volumes() []float64 {
-	v := make([]float64, len(m.zones))
+	v, cold := make([]float64, len(m.zones)), slices.ContainsFunc(m.servers, (*server).cold)
 	for _, p := range m.proxies {
 		sum := 0.0
 		for g := range p.flows {
 			sum += p.demand(g, m.now)
 		}
-		if sum == 0 {
-			sum = p.rate
+		// guards against tables for few flows of a zone that are full of cold servers when the rest comes:
+		// while servers climb, a proxy counts for a part of what it usually gets, and for all of it
+		// when it has just joined
+		if cold && m.now-p.joinedAt <= samplesOld || sum == 0 {
+			sum = max(sum, p.rate)
+		} else if cold {
+			sum = max(sum, usualVolume*p.rate)
 		}
 		v[p.zone] += sum
 	}
@@ -268,3 +273,6 @@
 	}
 	return all / max(m.listed(), 1e-6)
 }
+
+// cold tells whether a server may get flows and climbs.
+func (s *server) cold() bool { return s.climbing && s.state == Ready }
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,13 +28,14 @@
 }
 
 type proxy struct {
-	id      ProxyID
-	zone    int
-	rate    float64 // as told when it joined
-	bound   bool
-	weighed bool            // its flows are counted in the tables
-	sent    []time.Duration // messages within the span that a limit counts
-	flows   [][]figure      // by traffic group, the last samples
+	id       ProxyID
+	zone     int
+	rate     float64 // as told when it joined
+	joinedAt time.Duration
+	bound    bool
+	weighed  bool            // its flows are counted in the tables
+	sent     []time.Duration // messages within the span that a limit counts
+	flows    [][]figure      // by traffic group, the last samples
 }
 
 // figure is one sample of what is measured.
@@ -159,7 +160,7 @@
 
 func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64) Orders {
 	m.now = now
-	p := &proxy{id: id, zone: m.zone(zone), rate: rate, flows: make([][]figure, len(m.budget))}
+	p := &proxy{id: id, zone: m.zone(zone), rate: rate, joinedAt: now, flows: make([][]figure, len(m.budget))}
 	i, again := m.proxy(id)
 	if again {
 		m.proxies[i] = p
