Rates are taken over what reports span; told load counts by this manager's part of proxies

Cause: with several managers the load a server tells comes from all proxies, while its rate was this manager's alone, so flows seemed to take a multiple of their time; spans of late reports were added up over all servers. It may harm where the managers' proxies get very unequal parts of the traffic.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,7 @@
 	m := &Manager{chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
-	m.goneStays, m.sliced = t.GoneStaysOpen, t.Sliced
+	m.goneStays, m.sliced, m.allProxies = t.GoneStaysOpen, t.Sliced, float64(t.Proxies)
 	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
 	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
@@ -191,7 +191,7 @@
 		if a != Answered {
 			wait = math.Inf(1)
 		}
-		m.answers = lastOf(append(m.answers, figure{now, wait}), answersKept)
+		m.answers = lastOf(append(m.answers, figure{at: now, value: wait}), answersKept)
 		switch {
 		case a == Silent && !s.out && now-s.quietFrom >= silentFor:
 			s.out, s.health, m.cause = true, returnHealth, "silence"
@@ -244,6 +244,10 @@
 func (m *Manager) secondOver() bool { return m.now >= m.due }
 func (m *Manager) openSecond() {
 	m.due, m.batch, m.step = m.now+batchEvery, true, stepFlood
+	asked := sum(m.volumes())
+	for i, flows := range m.expected() {
+		m.servers[i].due = flows * min(1, m.line/asked)
+	}
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away: proxies that
@@ -344,8 +348,8 @@
 	var waits []float64
 	if m.loadTold {
 		for _, s := range m.servers {
-			if n := len(s.heard); n > 0 && s.state == Ready && m.now-s.heardAt[n-1] <= samplesOld {
-				waits = append(waits, s.heard[n-1].Load/max(0.1, m.rate(s)))
+			if held := m.held(s); held >= 0 && s.state == Ready {
+				waits = append(waits, held)
 			}
 		}
 		return min(latency, median(waits))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -322,11 +322,11 @@
 	for _, s := range m.servers {
 		m.hear(s.id, 50, 10, 1500*time.Millisecond)
 	}
-	m.answers = []figure{{m.now, 0.005}, {m.now, 0.004}, {m.now, 0.006}}
+	m.answers = []figure{{at: m.now, value: 0.005}, {at: m.now, value: 0.004}, {at: m.now, value: 0.006}}
 	if m.moveLine(); !math.IsInf(m.line, 1) {
 		t.Errorf("line at %.0f over idle servers", m.line)
 	}
-	m.answers = []figure{{m.now, 0.9}, {m.now, math.Inf(1)}, {m.now, 0.8}}
+	m.answers = []figure{{at: m.now, value: 0.9}, {at: m.now, value: math.Inf(1)}, {at: m.now, value: 0.8}}
 	if m.moveLine(); math.IsInf(m.line, 1) {
 		t.Error("all let in at full servers")
 	}
@@ -359,7 +359,7 @@
 
 func TestVolumesCountANewcomerAsUsual(t *testing.T) {
 	m := manager(2)
-	m.proxies[0].rate, m.proxies[0].flows[0], m.servers[0].climbing = 60, []figure{{0, 2}}, true
+	m.proxies[0].rate, m.proxies[0].flows[0], m.servers[0].climbing = 60, []figure{{0, 2, 1}}, true
 	near(t, "just joined", m.volumes()[0], 60)
 	m.now = 4 * time.Second
 	m.proxies[0].joinedAt = -10 * time.Second
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -31,61 +31,60 @@
 		}
 	}
 	latency /= max(1, good)
-	if n := len(s.heard); tries > 0 && s.heard[n-1].Load >= 0 {
-		latency = (latency + s.heard[n-1].Load/max(m.rate(s), 0.5)) / 2
+	if held := m.held(s); tries > 0 && held >= 0 {
+		latency = (latency + held) / 2
 	}
 	return tries, failed, latency
 }
 
-// window is the time, in seconds, that the last samples of a server can span: up to the last report of
-// any server, since reports are late.
-func (m *Manager) window(s *server) float64 {
-	last := m.covered[len(m.covered)-1].at
-	return max(batchEvery, last-max(s.firstHeard, m.now-samplesOld)).Seconds()
+// held is the time that the flows at a server take by the load that it tells, which all managers' proxies
+// bring, and by this manager's part of it; below 0 where none is told.
+func (m *Manager) held(s *server) float64 {
+	n := len(s.heard)
+	if n == 0 || s.heard[n-1].Load < 0 || m.now-s.heardAt[n-1] > samplesOld {
+		return -1
+	}
+	return s.heard[n-1].Load * m.ownPart() / max(s.due, m.rate(s)/2, 0.05)
 }
 
-// coveredFor is the time that the last reports span: a time without any says nothing of a rate.
-func (m *Manager) coveredFor() float64 {
-	all := 0.0
-	for _, c := range m.covered {
-		if m.now-c.at <= samplesOld {
-			all += c.value
-		}
-	}
-	return max(batchEvery.Seconds(), all)
+// ownPart is the part of all proxies that is joined to this manager.
+func (m *Manager) ownPart() float64 {
+	return min(1, max(1, float64(len(m.proxies)))/max(1, m.allProxies))
 }
 
-// rate is how many tries a second ended at a server.
+// rate is how many tries a second ended at a server, and delivered how many well: by zone of the proxies,
+// what the samples count over what they span.
 func (m *Manager) rate(s *server) float64 {
-	tries := 0.0
-	for i, r := range s.heard {
-		if m.now-s.heardAt[i] <= samplesOld {
-			tries += float64(r.Tries)
-		}
-	}
-	return tries / m.window(s)
+	return m.perSecond(s, func(r Report) int { return r.Tries })
 }
 
-// delivered is a server's rate of good answers.
 func (m *Manager) delivered(s *server) float64 {
-	good := 0.0
-	for i, r := range s.heard {
-		if m.now-s.heardAt[i] <= samplesOld {
-			good += float64(r.Tries - r.Failed)
+	return m.perSecond(s, func(r Report) int { return r.Tries - r.Failed })
+}
+
+func (m *Manager) perSecond(s *server, count func(Report) int) float64 {
+	all := 0.0
+	for _, z := range m.zones {
+		n, span := 0.0, 0.0
+		for i, r := range s.heard {
+			if r.Zone == z && m.now-s.heardAt[i] <= samplesOld {
+				n, span = n+float64(count(r)), span+r.Span.Seconds()
+			}
 		}
+		all += n / max(span, 0.1)
 	}
-	return good / m.coveredFor()
+	return all
 }
 
 // demand is how many flows of a traffic group come to a proxy a second.
 func (p *proxy) demand(g int, now time.Duration) float64 {
-	sum, n := 0.0, 0.0
+	flows, span := 0.0, 0.0
 	for _, u := range p.flows[g] {
 		if now-u.at <= samplesOld {
-			sum, n = sum+u.value, n+1
+			flows, span = flows+u.value, span+u.span
 		}
 	}
-	return sum / max(1, n)
+	return flows / max(span, 0.1)
 }
 
 // peers gives the median latency and share of failures of the servers heard of, and their number.
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -28,17 +28,17 @@
 			m.tables[z].standing[id] = 100
 			m.tables[z].wanted[id] = 1 / float64(n)
 		}
-		flows := [][]figure{{{0, 30}}, {{0, 10}}}
+		flows := [][]figure{{{0, 30, 1}}, {{0, 10, 1}}}
 		m.proxies = append(m.proxies, &proxy{id: ProxyID(z), zone: z, bound: true, weighed: true, flows: flows})
 	}
-	m.used, m.solved, m.covered = true, []float64{40, 40}, []figure{{0, 1}}
+	m.used, m.solved = true, []float64{40, 40}
 	return m
 }
 
 // hear gives a server one report of late tries, in a second that just ended.
 func (m *Manager) hear(id ServerID, tries, failed int, latency time.Duration) {
 	s := m.server(id)
-	s.heard = append(s.heard, Report{Server: id, Tries: tries, Failed: failed, Latency: latency, Span: time.Second, Load: -1})
+	s.heard = append(s.heard, Report{Server: id, Zone: m.zones[s.zone], Tries: tries, Failed: failed, Latency: latency, Span: time.Second, Load: -1})
 	s.heardAt, s.quietFrom = append(s.heardAt, m.now), m.now
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -10,21 +10,21 @@
 // This file is what a manager remembers and how it looks things up; it decides nothing.
 
 type server struct {
-	id         ServerID
-	zone       int
-	weight     float64
-	state      Condition
-	started    time.Duration // as listed
-	climbing   bool
-	startedAt  time.Duration // when that start was heard of
-	withdrawn  bool
-	heard      []Report
-	heardAt    []time.Duration
-	quietFrom  time.Duration
-	firstHeard time.Duration
-	health     float64
-	out        bool // does not answer at all
-	probedAt   time.Duration
+	id        ServerID
+	zone      int
+	weight    float64
+	state     Condition
+	started   time.Duration // as listed
+	climbing  bool
+	startedAt time.Duration // when that start was heard of
+	withdrawn bool
+	heard     []Report
+	heardAt   []time.Duration
+	quietFrom time.Duration
+	due       float64 // tries a second that the standing tables send it
+	health    float64
+	out       bool // does not answer at all
+	probedAt  time.Duration
 }
 
 type proxy struct {
@@ -38,10 +38,11 @@
 	flows    [][]figure      // by traffic group, the last samples
 }
 
-// figure is one sample of what is measured.
+// figure is one sample of what is measured, and the seconds that it spans if it counts something.
 type figure struct {
 	at    time.Duration
 	value float64
+	span  float64
 }
 
 // pair is what proxies of one zone met in another.
@@ -78,6 +79,7 @@
 	span                    time.Duration
 	asks, probes, goneStays bool
 	sliced                  bool
+	allProxies              float64 // of all managers
 }
 
 type Manager struct {
@@ -98,7 +100,6 @@
 	due       time.Duration // when the next has
 	blind     time.Duration // silence proves nothing until then: this manager stood still
 	used      bool
-	covered   []figure // seconds that the reports of a time span
 	queue     []owed
 	mark      MarkID
 	markedAt  time.Duration
@@ -184,12 +185,6 @@
 	if s == nil || r.Tries <= 0 {
 		return m.decide()
 	}
-	if len(s.heard) == 0 {
-		s.firstHeard = now - r.Span
-	}
-	if n := len(m.covered); n == 0 || m.covered[n-1].at != now {
-		m.covered = lastOf(append(m.covered, figure{now, r.Span.Seconds()}), samplesKept)
-	}
 	m.loadTold = m.loadTold || r.Load >= 0
 	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
 	if r.Failed < r.Tries {
@@ -208,7 +203,7 @@
 	m.now = now
 	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
 		f := &m.proxies[i].flows[u.Group]
-		*f = lastOf(append(*f, figure{now, float64(u.Flows) / u.Span.Seconds()}), samplesKept)
+		*f = lastOf(append(*f, figure{now, float64(u.Flows), u.Span.Seconds()}), samplesKept)
 		if !m.used {
 			m.used, m.cause = true, "usage"
 		}
--- a/choice/types.go
+++ b/choice/types.go
@@ -64,6 +64,7 @@
 	Zones         []ZoneID
 	Groups        []Group
 	AsksList      bool
+	Proxies       int  // of all managers
 	Sliced        bool // keys fall into slices with tables of their own
 	GoneStaysOpen bool // only draining binds
 	MayProbe      bool
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -153,6 +153,7 @@
 		Domain         struct {
 			Admit                          string
 			Ranges, MessagesMost, UsualHow int
+			Proxies                        int
 			EgressPerS, Envelope, QueueCap float64
 			ReloadSpanUs                   int64
 		}
@@ -169,8 +170,8 @@
 	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 	t := choice.Terms{
 		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
-		UsualTries: choice.Tries(in.Domain.UsualHow),
-		ColdShare:  in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
+		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies,
+		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
 		LinesPerS: in.Domain.EgressPerS, HeadLines: in.Domain.Envelope,
 		MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
