Batches send the lines that move most flows, as many as the queue has room for

Lines count less often where orders are dear. It may harm by tables that are partly laid for some seconds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,8 @@
 	climbFrom    = 0.1             // a fresh server's first part of its target, and
 	climbCold    = 0.6             // never more than this part of the stated cold share
 	floodDrops   = 0.4             // median share of drops at which cold servers wait
-	lineDiffers  = 0.1             // a weight is sent when it moved by this part
+	lineDiffers  = 0.1             // a weight is sent when it moved by this part, and by so much
+	linePriced   = 1.5             // more for what a line costs
 	leastLine    = 0.002           // part of a table below which a server has no line
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
 	usualVolume  = 0.5             // of what a proxy usually gets, the least that it counts for
@@ -78,6 +79,7 @@
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.goneStays, m.sliced, m.allProxies = t.GoneStaysOpen, t.Sliced, float64(t.Proxies)
 	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
+	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
 	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
 	if t.MessagesMost > 0 {
@@ -607,23 +609,39 @@
 
 func (m *Manager) batchWaits() bool { return m.batch && m.heldAt != m.now && !m.sliced }
 
+// lay sends the levels and then, of all tables, the lines that move most flows, as far as the queue has
+// room: guards against tables so large that all their differences never fit at once. What is left over
+// waits for the next second and is solved anew with it.
 func (m *Manager) lay() {
 	m.batch = false
-	for z, t := range m.tables {
-		lines, levels := m.differences(TableID(z)), m.levels(z)
-		levels = slices.DeleteFunc(levels, func(l Level) bool { return !m.differs(t.levels[l.Groups], l) })
-		users := m.users(z)
-		n := float64(len(lines) + len(levels))
-		if n == 0 {
-			continue
+	var moves []move
+	levels, users, n := make([][]Level, len(m.tables)), make([][]*proxy, len(m.tables)), make([]float64, len(m.tables))
+	room, rest := m.free(m.urgent), false
+	take := func(z int) bool {
+		cost := float64(len(users[z]))
+		if n[z] == 0 {
+			cost *= m.head + 2
 		}
-		if !m.room(users, n, m.urgent) {
-			m.batch, m.heldAt = true, m.now
-			continue
+		if cost > room || n[z] == 0 && !m.mayWrite(users[z], m.urgent) {
+			rest = true
+			return false
+		}
+		room, n[z] = room-cost, n[z]+1
+		return true
+	}
+	for z, t := range m.tables {
+		users[z] = m.users(z)
+		for _, l := range m.levels(z) {
+			if m.differs(t.levels[l.Groups], l) && take(z) {
+				t.levels[l.Groups], levels[z] = l, append(levels[z], l)
+			}
 		}
-		m.post(users, n)
-		m.o.Lines, m.o.Levels = append(m.o.Lines, lines...), append(m.o.Levels, levels...)
-		for _, l := range lines {
+		moves = append(moves, m.differences(TableID(z))...)
+	}
+	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
+	for _, l := range moves {
+		if t := m.tables[l.Table]; take(int(l.Table)) {
+			m.o.Lines = append(m.o.Lines, l.Line)
 			if s := m.server(l.Server); t.standing[l.Server] == 0 {
 				s.quietFrom = m.now
 			}
@@ -631,13 +649,27 @@
 				delete(t.standing, l.Server)
 			}
 		}
-		for _, l := range levels {
-			t.levels[l.Groups] = l
+	}
+	for z := range m.tables {
+		m.o.Levels = append(m.o.Levels, levels[z]...)
+		if n[z] > 0 {
+			m.post(users[z], n[z])
 		}
 	}
+	if rest && m.urgent {
+		m.batch, m.heldAt = true, m.now
+	} else if rest {
+		m.cause = "rest"
+	}
 	m.urgent = m.urgent && m.batch
 }
 
+// move is a line in which a table must change, and how many flows a second it moves.
+type move struct {
+	Line
+	flows float64
+}
+
 // A server that returned is readmitted once its first small weight is laid.
 func (m *Manager) returned() *server {
 	for _, s := range m.servers {
@@ -658,7 +690,7 @@
 
 // differences are the lines in which a table must change; the scale is that of most standing lines.
 // A table never becomes empty: without any server to name it stays as it is.
-func (m *Manager) differences(id TableID) (lines []Line) {
+func (m *Manager) differences(id TableID) (moves []move) {
 	t, scales := m.tables[id], []float64{}
 	for s, w := range t.wanted {
 		if t.standing[s] > 0 {
@@ -668,12 +700,17 @@
 	scale := cmp.Or(median(scales), 100)
 	for _, s := range m.servers {
 		was, weight := t.standing[s.id], math.Round(t.wanted[s.id]*scale*1000)/1000
-		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > lineDiffers*max(weight, was)
+		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > m.lineDiffers*max(weight, was)
 		if moved && len(t.wanted) > 0 {
-			lines = append(lines, Line{id, s.id, weight})
+			flows := math.Abs(weight-was) / scale * m.solved[id]
+			if weight < was && (s.climbing || weight == 0) {
+				// what guards a rule or is lost goes first
+				flows = math.Inf(1)
+			}
+			moves = append(moves, move{Line{id, s.id, weight}, flows})
 		}
 	}
-	return lines
+	return moves
 }
 
 func (m *Manager) differs(was, is Level) bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -159,11 +159,27 @@
 func TestDifferencesSendOnlyWhatMoved(t *testing.T) {
 	m := manager(3)
 	m.tables[0].wanted = map[ServerID]float64{"a0": 0.34, "a1": 0.33, "a2": 0.1}
-	if got := m.differences(0); len(got) != 1 || got[0].Server != "a2" {
+	if got := m.differences(0); len(got) != 1 || got[0].Server != "a2" || got[0].flows < 8 {
 		t.Errorf("lines %v", got)
 	}
 }
 
+func TestLaySendsWhatMovesMostWhenNotAllFits(t *testing.T) {
+	m := manager(12)
+	m.roomBatch = 7
+	for _, s := range m.servers[:3] {
+		m.tables[0].wanted[s.id] *= 0.8
+	}
+	m.tables[0].wanted["a7"] *= 1.5
+	m.lay()
+	if len(m.o.Lines) != 2 || m.o.Lines[0].Server != "a7" || m.cause != "rest" {
+		t.Errorf("lines %v, cause %q", m.o.Lines, m.cause)
+	}
+	if m.batchWaits() {
+		t.Error("the rest does not wait for the next second")
+	}
+}
+
 func TestJoinedIsBoundOnlyToATableWithLines(t *testing.T) {
 	m := manager(2)
 	if o := m.Joined(time.Second, 7, "a", 5); len(o.Bind) != 1 || o.Bind[0] != (Place{7, 0}) {
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -10,9 +10,14 @@
 
 // room tells whether lines for each of these proxies fit into the queue and the messages they may get.
 func (m *Manager) room(to []*proxy, lines float64, urgent bool) bool {
-	limit, most := m.roomBatch, m.perBatch
+	return m.mayWrite(to, urgent) && float64(len(to))*(m.head+1+lines) <= m.free(urgent)
+}
+
+// mayWrite tells whether each of these proxies may get a further message.
+func (m *Manager) mayWrite(to []*proxy, urgent bool) bool {
+	most := m.perBatch
 	if urgent {
-		limit, most = m.roomUrgent, m.perUrgent
+		most = m.perUrgent
 	}
 	for _, p := range to {
 		p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return m.now-at > m.span })
@@ -20,7 +25,15 @@
 			return false
 		}
 	}
-	return len(to) == 0 || m.waiting()+float64(len(to))*(m.head+1+lines) <= limit
+	return true
+}
+
+// free is how many lines may still join the queue.
+func (m *Manager) free(urgent bool) float64 {
+	if urgent {
+		return max(0, m.roomUrgent-m.waiting())
+	}
+	return max(0, m.roomBatch-m.waiting())
 }
 
 // waiting is what the ledger takes to wait in the channel.
--- a/choice/state.go
+++ b/choice/state.go
@@ -80,6 +80,7 @@
 	asks, probes, goneStays bool
 	sliced                  bool
 	allProxies              float64 // of all managers
+	lineDiffers             float64
 }
 
 type Manager struct {
--- a/choice/types.go
+++ b/choice/types.go
@@ -74,6 +74,7 @@
 	WarmAfter     time.Duration
 	QueueLines    float64
 	LinesPerS     float64
+	LinePrice     float64 // of sending at that pace all day, as a part of the service
 	HeadLines     float64
 	MessagesMost  int
 	MessagesOver  time.Duration
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -155,6 +155,7 @@
 			Ranges, MessagesMost, UsualHow int
 			Proxies                        int
 			EgressPerS, Envelope, QueueCap float64
+			LineFee                        float64
 			ReloadSpanUs                   int64
 		}
 		Limits struct{ Probing bool }
@@ -173,7 +174,7 @@
 		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies,
 		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
-		LinesPerS: in.Domain.EgressPerS, HeadLines: in.Domain.Envelope,
+		LinesPerS: in.Domain.EgressPerS, LinePrice: in.Domain.LineFee, HeadLines: in.Domain.Envelope,
 		MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
 	}
 	switch in.Domain.Admit {
