A list that calls servers gone is one witness, a probe the other, where gone does not bind

Cause: a wrong list took up to 90% of the running servers out of the tables, and the rest fell over. Now a server listed gone is probed at once and keeps its flows until a probe fails; one that the first list did not name gets flows once it answers a probe; zone and size stay as first listed unless weights are live; a return in the list climbs only with a new start. It should also catch empty, old and mixed lists and servers that don't exist; it harms by a probe's time when servers really die.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -77,6 +77,7 @@
 	m := &Manager{chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
+	m.liveWeights = t.LiveWeights
 	m.goneStays, m.sliced, m.allProxies = t.GoneStaysOpen, t.Sliced, float64(t.Proxies)
 	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
@@ -110,6 +111,7 @@
 }{
 	{(*Manager).unasked, (*Manager).ask},
 	{(*Manager).drainWaits, (*Manager).withdraw},
+	{(*Manager).doubtWaits, (*Manager).askDoubted},
 	{(*Manager).stoodStill, (*Manager).distrust},
 	{(*Manager).secondOver, (*Manager).openSecond},
 	{at(stepFlood), (*Manager).holdBackCold},
@@ -164,42 +166,77 @@
 			started = e.Started
 		}
 		if s == nil {
-			s = &server{id: e.Server, health: 1, quietFrom: now, startedAt: now, probedAt: -probeEvery}
+			// guards against a list that names servers that do not exist: one that the first list did not
+			// name gets flows once it answers a probe
+			s = &server{id: e.Server, zone: m.zone(e.Zone), health: 1, quietFrom: now, startedAt: now, probedAt: -probeEvery}
 			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
+			s.out = m.probes && m.listedOnce
 			m.servers = append(m.servers, s)
 			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 		} else if started > s.started {
 			// guards against pushing over a cold server that came back before its end was listed:
 			// what stands in the tables is lowered at once
 			s.climbing, s.startedAt, s.started = true, now, started
-			s.out, s.health, s.heard, s.heardAt, s.quietFrom = false, 1, nil, nil, now
+			s.health, s.heard, s.heardAt, s.quietFrom = 1, nil, nil, now
+			s.out, s.probedAt = s.out && m.probes, -probeEvery
 			m.urgent = m.urgent || !s.withdrawn
 		}
-		s.zone, s.weight, s.state = m.zone(e.Zone), e.Weight, e.State
+		switch {
+		case e.State == Gone:
+			m.miss(s)
+		case s.state == Gone && s.out:
+			s.state, s.probedAt = e.State, -probeEvery
+		default:
+			s.state = e.State
+		}
+		if s.weight == 0 || m.liveWeights {
+			s.weight = e.Weight
+		}
 	}
 	for _, s := range m.servers {
 		if whole && !seen[s.id] {
-			s.state = Gone
+			m.miss(s)
 		}
 	}
+	m.listedOnce = true
 	m.cause = "list"
 	return m.decide()
 }
 
+// miss notes that the list calls a server gone. Where that does not bind, the list is one witness: a
+// probe is the other, and until it fails the server keeps its flows.
+func (m *Manager) miss(s *server) {
+	if s.state == Ready {
+		s.state, s.probedAt = Gone, -probeEvery
+	}
+}
+
+// open tells whether a server may get flows.
+func (m *Manager) open(s *server) bool {
+	return s.state == Ready || s.state == Gone && m.goneStays && m.probes
+}
+
 func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration) Orders {
 	m.now = now
-	if s := m.server(id); s != nil && s.state == Ready {
+	if s := m.server(id); s != nil && m.open(s) {
 		wait := took.Seconds()
 		if a != Answered {
 			wait = math.Inf(1)
 		}
 		m.answers = lastOf(append(m.answers, figure{at: now, value: wait}), answersKept)
 		switch {
-		case a == Silent && !s.out && now-s.quietFrom >= silentFor:
+		case a == Silent && !s.out && (s.state == Gone || now-s.quietFrom >= silentFor):
 			s.out, s.health, m.cause = true, returnHealth, "silence"
 			m.note("server out: %s silent for %.1fs and to a probe", id, (now - s.quietFrom).Seconds())
-		case a != Silent && s.out:
-			s.out, s.health, s.quietFrom, m.cause = false, returnHealth, now, "answer"
+		case a == Answered && s.out:
+			s.out, s.quietFrom, m.cause = false, now, "answer"
+			if !s.climbing {
+				s.health = returnHealth
+			}
+			if s.state == Gone {
+				// it may be a fresh process that the list does not know yet
+				s.climbing, s.startedAt = true, now
+			}
 			m.note("server back: %s answers a probe", id)
 		}
 	}
@@ -218,6 +255,23 @@
 	return !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
 }
 
+// A server that the list calls gone, or names for the first time, is asked at once.
+func (m *Manager) doubtWaits() bool {
+	return m.probes && m.cause == "list" && slices.ContainsFunc(m.servers, m.doubted)
+}
+
+func (m *Manager) doubted(s *server) bool {
+	return m.open(s) && s.probedAt < 0 && (s.state == Gone || s.out)
+}
+
+func (m *Manager) askDoubted() {
+	for _, s := range m.servers {
+		if m.doubted(s) {
+			s.probedAt, m.o.Probe = m.now, append(m.o.Probe, s.id)
+		}
+	}
+}
+
 func (m *Manager) drainWaits() bool {
 	return slices.ContainsFunc(m.servers, m.mustWithdraw) && m.room(m.proxies, 1, true)
 }
@@ -260,7 +314,7 @@
 	_, drops, heard := m.peers()
 	steady := 0
 	for _, s := range m.servers {
-		if s.state == Ready && !s.out && !s.climbing {
+		if m.open(s) && !s.out && !s.climbing {
 			steady++
 		}
 	}
@@ -283,7 +337,7 @@
 	m.step, m.repeating = m.step+1, false
 	latency, drops, _ := m.peers()
 	for _, s := range m.servers {
-		if s.state != Ready {
+		if !m.open(s) {
 			continue
 		}
 		tries, failed, l := m.figures(s)
@@ -316,7 +370,7 @@
 	for i, s := range m.servers {
 		quiet := m.now - s.quietFrom
 		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries && m.now >= m.blind
-		suspect := s.state == Ready && (silent || s.out || s.health < returnHealth)
+		suspect := m.open(s) && (silent || s.out || s.health < returnHealth || s.state == Gone && quiet >= silentFor)
 		if m.probes && suspect && m.now-s.probedAt >= probeEvery {
 			s.probedAt = m.now
 			m.o.Probe = append(m.o.Probe, s.id)
@@ -350,7 +404,7 @@
 	var waits []float64
 	if m.loadTold {
 		for _, s := range m.servers {
-			if held := m.held(s); held >= 0 && s.state == Ready {
+			if held := m.held(s); held >= 0 && m.open(s) {
 				waits = append(waits, held)
 			}
 		}
@@ -374,7 +428,7 @@
 	}
 	for range probesAtOnce {
 		s := m.servers[int(m.random()*float64(len(m.servers)))]
-		if s.state == Ready && !s.out && s.health > weakHealth && !slices.Contains(m.o.Probe, s.id) {
+		if m.open(s) && !s.out && s.health > weakHealth && !slices.Contains(m.o.Probe, s.id) {
 			m.o.Probe = append(m.o.Probe, s.id)
 		}
 	}
@@ -463,7 +517,7 @@
 	for _, p := range m.proxies {
 		p.weighed = true
 	}
-	if slices.ContainsFunc(m.servers, (*server).cold) {
+	if slices.ContainsFunc(m.servers, m.cold) {
 		m.cause, m.urgent = "join", true
 	}
 }
@@ -492,10 +546,10 @@
 	var parts []part
 	var ids []ServerID
 	// health never takes the last server of all: without any sound one, those listed share the flows
-	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return s.state == Ready && !s.out })
+	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return m.open(s) && !s.out })
 	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
 	for _, s := range m.servers {
-		if s.state != Ready || s.out && anyIn || s.climbing && m.flooded {
+		if !m.open(s) || s.out && anyIn || s.climbing && m.flooded {
 			continue
 		}
 		p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
@@ -673,7 +727,7 @@
 // A server that returned is readmitted once its first small weight is laid.
 func (m *Manager) returned() *server {
 	for _, s := range m.servers {
-		if s.withdrawn && s.state == Ready && !(s.climbing && m.flooded) && m.room(m.proxies, 1, false) {
+		if s.withdrawn && m.open(s) && !(s.climbing && m.flooded) && m.room(m.proxies, 1, false) {
 			return s
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -118,6 +118,48 @@
 	}
 }
 
+func TestListedKeepsAServerThatGoneDoesNotBindUntilAProbeFails(t *testing.T) {
+	m := manager(2)
+	m.goneStays = true
+	o := m.Listed(time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Gone}})
+	if len(o.Withdraw) != 0 || !slices.Equal(o.Probe, []ServerID{"a0"}) || !m.open(m.servers[0]) {
+		t.Errorf("withdrawn %v, probed %v", o.Withdraw, o.Probe)
+	}
+	if m.Probed(time.Second, "a0", Answered, time.Millisecond); m.servers[0].out {
+		t.Error("out though it answers")
+	}
+	if m.Probed(time.Second, "a0", Silent, time.Millisecond); !m.servers[0].out {
+		t.Error("not out though the list and a probe agree")
+	}
+	if m.Probed(3*time.Second, "a0", Answered, time.Millisecond); m.servers[0].out || !m.servers[0].climbing {
+		t.Error("one that may be a fresh process does not climb")
+	}
+}
+
+func TestListedTrueAgainStartsNoClimb(t *testing.T) {
+	m := manager(2)
+	m.goneStays, m.servers[0].state, m.servers[0].started = true, Gone, -time.Hour
+	m.Listed(time.Second, true, []Entry{{Server: "a0", Zone: "b", Weight: 9}})
+	if s := m.servers[0]; s.state != Ready || s.climbing || s.zone != 0 || s.weight != 1 {
+		t.Errorf("%+v", *s)
+	}
+}
+
+func TestListedAsksANewServerBeforeItGetsFlows(t *testing.T) {
+	m := manager(2)
+	m.listedOnce = true
+	o := m.Listed(time.Second, false, []Entry{{Server: "ghost", Zone: "a", Weight: 1}})
+	if !slices.Equal(o.Probe, []ServerID{"ghost"}) || !m.server("ghost").out {
+		t.Errorf("probed %v", o.Probe)
+	}
+	if m.Probed(time.Second, "ghost", Full, time.Millisecond); !m.server("ghost").out {
+		t.Error("in without an answer")
+	}
+	if m.Probed(time.Second, "ghost", Answered, time.Millisecond); m.server("ghost").out {
+		t.Error("out though it answers")
+	}
+}
+
 func TestReturnWaitsForItsFirstWeight(t *testing.T) {
 	m := manager(2)
 	m.servers[0].withdrawn, m.servers[0].state = true, Gone
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -91,7 +91,7 @@
 func (m *Manager) peers() (latency, drops float64, heard int) {
 	var latencies, shares []float64
 	for _, s := range m.servers {
-		if tries, failed, l := m.figures(s); s.state == Ready && tries >= enoughTries {
+		if tries, failed, l := m.figures(s); m.open(s) && tries >= enoughTries {
 			shares = append(shares, failed/tries)
 			if l > 0 {
 				latencies = append(latencies, l)
@@ -132,7 +132,7 @@
 
 // volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
 func (m *Manager) volumes() []float64 {
-	v, cold := make([]float64, len(m.zones)), slices.ContainsFunc(m.servers, (*server).cold)
+	v, cold := make([]float64, len(m.zones)), slices.ContainsFunc(m.servers, m.cold)
 	for _, p := range m.proxies {
 		sum := 0.0
 		for g := range p.flows {
@@ -151,7 +151,7 @@
 	if !m.used {
 		clear(v)
 		for _, s := range m.servers {
-			if s.state == Ready {
+			if m.open(s) {
 				v[s.zone] += s.weight
 			}
 		}
@@ -202,7 +202,7 @@
 func (m *Manager) listed() float64 {
 	all := 0.0
 	for _, s := range m.servers {
-		if s.state == Ready {
+		if m.open(s) {
 			all += max(s.weight, 1e-6)
 		}
 	}
@@ -266,7 +266,7 @@
 func (m *Manager) usable() float64 {
 	all := 0.0
 	for _, s := range m.servers {
-		if s.state == Ready && !s.out && !(s.climbing && m.flooded) {
+		if m.open(s) && !s.out && !(s.climbing && m.flooded) {
 			all += max(s.weight, 1e-6) * m.climbed(s)
 		}
 	}
@@ -274,4 +274,4 @@
 }
 
 // cold tells whether a server may get flows and climbs.
-func (s *server) cold() bool { return s.climbing && s.state == Ready }
+func (m *Manager) cold(s *server) bool { return s.climbing && m.open(s) }
--- a/choice/state.go
+++ b/choice/state.go
@@ -81,40 +81,42 @@
 	sliced                  bool
 	allProxies              float64 // of all managers
 	lineDiffers             float64
+	liveWeights             bool
 }
 
 type Manager struct {
 	bounds
-	chance    uint64
-	now       time.Duration
-	o         Orders
-	zones     []ZoneID
-	servers   []*server // by id
-	proxies   []*proxy  // by number
-	tables    []*table  // by zone
-	pairs     [][]pair  // by zone of proxies, of servers
-	solved    []float64 // volumes last solved with
-	cause     string    // why the tables are to be solved anew
-	urgent    bool
-	heldAt    time.Duration // the batch found no room then
-	batch     bool          // a second has passed
-	due       time.Duration // when the next has
-	blind     time.Duration // silence proves nothing until then: this manager stood still
-	used      bool
-	queue     []owed
-	mark      MarkID
-	markedAt  time.Duration
-	asked     bool
-	askFrom   time.Duration
-	line      float64 // flows a second that are let in, the most useful first
-	lineMoved time.Duration
-	peaks     []float64 // flows delivered a second, lately
-	repeating bool
-	flooded   bool     // most flows are turned away
-	answers   []figure // seconds that probes took, lately
-	loadTold  bool
-	step      int // of the judging of a second
-	wakeAt    time.Duration
+	chance     uint64
+	now        time.Duration
+	o          Orders
+	zones      []ZoneID
+	servers    []*server // by id
+	proxies    []*proxy  // by number
+	tables     []*table  // by zone
+	pairs      [][]pair  // by zone of proxies, of servers
+	solved     []float64 // volumes last solved with
+	cause      string    // why the tables are to be solved anew
+	urgent     bool
+	heldAt     time.Duration // the batch found no room then
+	batch      bool          // a second has passed
+	due        time.Duration // when the next has
+	blind      time.Duration // silence proves nothing until then: this manager stood still
+	used       bool
+	queue      []owed
+	mark       MarkID
+	markedAt   time.Duration
+	asked      bool
+	listedOnce bool
+	askFrom    time.Duration
+	line       float64 // flows a second that are let in, the most useful first
+	lineMoved  time.Duration
+	peaks      []float64 // flows delivered a second, lately
+	repeating  bool
+	flooded    bool     // most flows are turned away
+	answers    []figure // seconds that probes took, lately
+	loadTold   bool
+	step       int // of the judging of a second
+	wakeAt     time.Duration
 }
 
 func (m *Manager) note(format string, figures ...any) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -68,6 +68,7 @@
 	Sliced        bool // keys fall into slices with tables of their own
 	GoneStaysOpen bool // only draining binds
 	MayProbe      bool
+	LiveWeights   bool // listed weights follow the load
 	Admit         AdmitBy
 	UsualTries    Tries
 	ColdShare     float64
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -149,8 +149,8 @@
 			AimUs, HardLimitUs, WindowUs int64
 			Worth                        float64
 		}
-		MembershipMode string
-		Domain         struct {
+		MembershipMode, WeightSource string
+		Domain                       struct {
 			Admit                          string
 			Ranges, MessagesMost, UsualHow int
 			Proxies                        int
@@ -174,7 +174,7 @@
 		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies,
 		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
-		LinesPerS: in.Domain.EgressPerS, LinePrice: in.Domain.LineFee, HeadLines: in.Domain.Envelope,
+		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee, HeadLines: in.Domain.Envelope,
 		MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
 	}
 	switch in.Domain.Admit {
