--- a/choice/state.go
+++ b/choice/state.go
@@ -219,6 +219,7 @@
 	m.now = now
 	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i > 0 {
 		m.queue = slices.Delete(m.queue, 0, i)
+		m.queue[0].at = now
 	}
 	return m.decide()
 }
