The line of utility goes by how quick most good answers are, and rises faster after a while

The mean latency, with dropped flows at the budget, told of a few slow servers or of one-sided and lost answers, not of full servers; and the knee, the most delivered lately, was what the line itself let in. Now: the latency that 60% of the fresh good answers stay under; drops count only with it; the creep grows with the time since the last fall. Tried and not kept: falls by a quarter at most, holding the line for the reports' span, drops against the best quarter of peers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	slowLatency  = 1.25            // multiple of the peers' median latency that is not yet slow
 	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
 	failWorst    = 0.35            // from here on a server gets the least
-	fewDrops     = 0.05            // share of the peers' drops under which a failing server is an exception
+	fewDrops     = 0.03            // share of tries dropped from which those that may run again get another
 	leastHealth  = 0.02            // what a failing server keeps, to be heard by
 	returnHealth = 0.15            // what a server gets that answers again
 	healthFall   = 0.8             // in a second, a health factor falls to this part at most
@@ -53,8 +53,8 @@
 	queueBatch   = 0.5  // of the queue limit for ordinary batches
 	queueUrgent  = 0.85 // and for drains and joining proxies
 	perProxy     = 0.6  // of the messages that a proxy may be sent, for ordinary batches
-	pressureHigh = 0.42 // mean latency over latency budget at which the line moves down
-	pressureLow  = 0.37 // and under which it moves up
+	pressureHigh = 0.32 // mean latency over latency budget at which the line moves down
+	pressureLow  = 0.26 // and under which it moves up
 	dropsHigh    = 0.25 // share of drops at which it moves down
 	lineFall     = 0.87 // of what is delivered
 	lineLeast    = 0.6  // of the most that was delivered lately
@@ -64,8 +64,12 @@
 	kneePart     = 0.85 // of the most delivered lately: beyond it the line only creeps up
 	lineCreep    = 0.05
 	peaksKept    = 20
+	nearlyAll    = 0.9             // of the good answers, that must be quick for further tries
+	mostFlows    = 0.6             // of the good answers, whose latency tells how full the servers are
 	lineHold     = 3 * time.Second // between falls of the line
-	probePart    = 0.3             // of the flows' latency: probes that take less find idle servers
+	lineSure     = 4 * time.Second
+	freshFor     = 1500 * time.Millisecond // reports of that time tell how full servers are
+	probePart    = 0.3                     // of the flows' latency: probes that take less find idle servers
 	probesAtOnce = 4
 	answersKept  = 8
 	answersOld   = 3 * time.Second
@@ -77,7 +81,7 @@
 	m := &Manager{chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
-	m.liveWeights = t.LiveWeights
+	m.liveWeights, m.tryWait = t.LiveWeights, t.TryWait
 	m.goneStays, m.sliced, m.allProxies = t.GoneStaysOpen, t.Sliced, float64(t.Proxies)
 	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
@@ -334,19 +338,21 @@
 // whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
 // all servers seem to do; the peers' median stands against that.
 func (m *Manager) judgeServers() {
-	m.step, m.repeating = m.step+1, false
+	m.step++
 	latency, drops, _ := m.peers()
+	lost, all := 0.0, 0.0
 	for _, s := range m.servers {
 		if !m.open(s) {
 			continue
 		}
 		tries, failed, l := m.figures(s)
+		all += tries
+		if tries > failed && l <= slowLatency*latency {
+			lost += failed
+		}
 		aim, was := 1.0, s.health
 		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
-			// quick errors at a few servers; at slow or full ones a further try would only add load
-			quick := tries-failed >= enoughTries && m.now-s.quietFrom <= batchEvery && l <= latency
-			m.repeating = m.repeating || quick && drops < fewDrops
 		}
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
 			aim = min(aim, slowLatency*latency/l)
@@ -360,6 +366,7 @@
 				s.id, s.health, failed, tries, l, latency, drops)
 		}
 	}
+	m.lost = lost / max(all, 1)
 }
 
 // probeSilent guards against servers that no longer answer, before the list knows: silence alone may
@@ -438,20 +445,24 @@
 // whole they are late or drop flows, up slowly. All is let in while they are healthy.
 func (m *Manager) moveLine() {
 	m.step++
-	latency, drops := m.flowsMeet()
+	latency, drops := m.flowsMeet(mostFlows)
 	budget, was := m.meanBudget(), m.line
 	pressure := latency / budget
-	if pressure > pressureLow || drops > dropsHigh {
+	if pressure > pressureLow {
 		m.askServers()
-		inside := m.atServers(latency)
-		pressure, drops = inside/budget, drops*inside/max(latency, 1e-6)
+		pressure = m.atServers(latency) / budget
 	}
+	// guards against servers and links that lose or fail some flows while others come back as quick as the
+	// peers': what may run again gets another try. A proxy waits some time for the first then, so that
+	// slow flows would run twice: nearly all must be quicker than that.
+	slowest, _ := m.flowsMeet(nearlyAll)
+	m.repeating = m.lost > fewDrops && slowest < m.tryWait*budget && pressure < pressureLow
 	asked, usual, delivered := m.traffic()
 	m.peaks = lastOf(append(m.peaks, delivered), peaksKept)
 	knee := slices.Max(m.peaks)
 	switch {
 	case m.now < m.blind || m.admit == AdmitNone:
-	case pressure > pressureHigh || drops > dropsHigh:
+	case pressure > pressureHigh || pressure > pressureLow && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
 			m.line = max(lineFall*min(m.line, delivered), m.usable()*max(lineLeast*knee, lineUsual*usual))
 			m.lineMoved = m.now
@@ -459,7 +470,8 @@
 	case pressure < pressureLow && m.line > lineOpen*asked:
 		m.line = math.Inf(1)
 	case pressure < pressureLow && m.line > kneePart*knee:
-		m.line *= 1 + lineCreep*(1-pressure/pressureLow)
+		// the longer the line has not fallen, the faster: guards against a knee that the line itself made
+		m.line *= 1 + lineCreep*(1-pressure/pressureLow)*(1+(m.now-m.lineMoved).Seconds()/lineSure.Seconds())
 	case pressure < pressureLow:
 		m.line *= 1 + lineRise*(1-pressure/pressureLow)
 	}
@@ -495,8 +507,7 @@
 				l.Amount = evenRate(rates[g], part)
 			}
 		}
-		// guards against servers that fail some flows: those that may run again get another try, but
-		// not under overload, where each further try takes room from a first one
+		// under overload each further try takes room from a first one
 		if m.repeating && math.IsInf(m.line, 1) && m.mayRepeat[g] {
 			l.Tries = TryTwice
 		} else if !math.IsInf(m.line, 1) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -401,6 +401,25 @@
 	near(t, "line", m.line, lineUsual*200)
 }
 
+func TestLineStaysOpenOverQuickServersThatDropFlows(t *testing.T) {
+	m := manager(2)
+	m.now = 10 * time.Second
+	for _, s := range m.servers {
+		m.hear(s.id, 20, 9, 100*time.Millisecond)
+	}
+	m.judgeServers()
+	if m.moveLine(); !math.IsInf(m.line, 1) || !m.repeating {
+		t.Errorf("line %.0f, further tries %v", m.line, m.repeating)
+	}
+	for _, s := range m.servers {
+		m.hear(s.id, 20, 0, 1900*time.Millisecond)
+	}
+	m.judgeServers()
+	if m.moveLine(); m.repeating {
+		t.Error("further tries for flows that are only slow")
+	}
+}
+
 func TestJudgePairsClosesAtTwiceTheNorm(t *testing.T) {
 	m := manager(2)
 	p := &m.pairs[0][1]
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -59,7 +59,23 @@
 }
 
 func (m *Manager) delivered(s *server) float64 {
-	return m.perSecond(s, func(r Report) int { return r.Tries - r.Failed })
+	all := 0.0
+	for z := range m.zones {
+		if r := m.last(s, z); r != nil {
+			all += float64(r.Tries-r.Failed) / max(r.Span.Seconds(), 0.1)
+		}
+	}
+	return all
+}
+
+// last is the newest report of what the proxies of a zone met at a server.
+func (m *Manager) last(s *server, z int) *Report {
+	for i := len(s.heard) - 1; i >= 0 && m.now-s.heardAt[i] <= samplesOld; i-- {
+		if s.heard[i].Zone == m.zones[z] {
+			return &s.heard[i]
+		}
+	}
+	return nil
 }
 
 func (m *Manager) perSecond(s *server, count func(Report) int) float64 {
@@ -101,18 +117,30 @@
 	return median(latencies), median(shares), len(shares)
 }
 
-// flowsMeet gives the mean latency of all tries, dropped ones at the budget, and the share dropped, at
-// the servers that give good answers: those that give none are lost, not full.
-func (m *Manager) flowsMeet() (latency, drops float64) {
-	all := 0.0
+// flowsMeet gives the latency that a part of the good answers heard of lately stay under, and the share of
+// tries dropped.
+func (m *Manager) flowsMeet(part float64) (latency, drops float64) {
+	type sample struct{ latency, good float64 }
+	var samples []sample
+	all, good := 0.0, 0.0
 	for _, s := range m.servers {
-		if tries, failed, l := m.figures(s); tries > 0 && m.now-s.quietFrom < silentFor {
-			rate := m.rate(s)
-			all, drops = all+rate, drops+rate*failed/tries
-			latency += rate * (l*(tries-failed) + m.meanBudget()*failed) / tries
+		for i := len(s.heard) - 1; i >= 0 && m.now-s.heardAt[i] <= freshFor; i-- {
+			r := s.heard[i]
+			all, drops = all+float64(r.Tries), drops+float64(r.Failed)
+			if x := float64(r.Tries - r.Failed); x > 0 {
+				samples, good = append(samples, sample{r.Latency.Seconds(), x}), good+x
+			}
+		}
+	}
+	slices.SortFunc(samples, func(a, b sample) int { return cmp.Compare(a.latency, b.latency) })
+	under := 0.0
+	for _, s := range samples {
+		if under <= part*good {
+			latency = s.latency
 		}
+		under += s.good
 	}
-	return latency / max(all, 1e-6), drops / max(all, 1e-6)
+	return latency, drops / max(all, 1e-6)
 }
 
 // expected is the rate at which tries should come to each server by the standing tables.
--- a/choice/state.go
+++ b/choice/state.go
@@ -82,6 +82,7 @@
 	allProxies              float64 // of all managers
 	lineDiffers             float64
 	liveWeights             bool
+	tryWait                 float64 // budgets that a try may take before the next
 }
 
 type Manager struct {
@@ -111,6 +112,7 @@
 	line       float64 // flows a second that are let in, the most useful first
 	lineMoved  time.Duration
 	peaks      []float64 // flows delivered a second, lately
+	lost       float64   // share of tries dropped by servers that answer others quickly
 	repeating  bool
 	flooded    bool     // most flows are turned away
 	answers    []figure // seconds that probes took, lately
--- a/choice/types.go
+++ b/choice/types.go
@@ -71,6 +71,7 @@
 	LiveWeights   bool // listed weights follow the load
 	Admit         AdmitBy
 	UsualTries    Tries
+	TryWait       float64 // latency budgets that proxies wait before a further try, from TryTwice on
 	ColdShare     float64
 	WarmAfter     time.Duration
 	QueueLines    float64
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -155,7 +155,7 @@
 			Ranges, MessagesMost, UsualHow int
 			Proxies                        int
 			EgressPerS, Envelope, QueueCap float64
-			LineFee                        float64
+			LineFee, TryAims               float64
 			ReloadSpanUs                   int64
 		}
 		Limits struct{ Probing bool }
@@ -171,7 +171,7 @@
 	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 	t := choice.Terms{
 		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
-		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies,
+		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, TryWait: in.Domain.TryAims,
 		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
 		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee, HeadLines: in.Domain.Envelope,
