Told load over the rate that reports show; the line falls by less at a time

Tried and not kept: told load over what is due, averaged over 3 s or 5 s; slower rises; the 70% answer; a lower and a higher line.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,7 @@
 	pressureHigh = 0.32 // mean latency over latency budget at which the line moves down
 	pressureLow  = 0.26 // and under which it moves up
 	dropsHigh    = 0.25 // share of drops at which it moves down
-	lineFall     = 0.87 // of what is delivered
+	lineFall     = 0.92 // of what is delivered
 	lineLeast    = 0.6  // of the most that was delivered lately
 	lineUsual    = 0.35 // of what the proxies usually get: guards against a line set by a collapse
 	lineRise     = 0.3  // in a second, with idle servers
@@ -69,6 +69,7 @@
 	lineHold     = 3 * time.Second // between falls of the line
 	lineSure     = 4 * time.Second
 	freshFor     = 1500 * time.Millisecond // reports of that time tell how full servers are
+	heldLeast    = 0.3                     // tries a second below which told load says little of latency
 	probePart    = 0.3                     // of the flows' latency: probes that take less find idle servers
 	probesAtOnce = 4
 	answersKept  = 8
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -44,7 +44,7 @@
 	if n == 0 || s.heard[n-1].Load < 0 || m.now-s.heardAt[n-1] > samplesOld {
 		return -1
 	}
-	return s.heard[n-1].Load * m.ownPart() / max(s.due, m.rate(s)/2, 0.05)
+	return s.heard[n-1].Load * m.ownPart() / max(m.rate(s), heldLeast)
 }
 
 // ownPart is the part of all proxies that is joined to this manager.
