Newcomers wait for the next second while servers climb; targets are capped; readmissions get through

Cause: after a lost zone hundreds of proxies joined one by one, each with tables laid anew, which used up the messages that they may get; greedy batches left no room for readmissions for 18 s; a server at the end of its climb got up to 36 times its weight, the flows of all its weak peers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	floodDrops   = 0.4             // median share of drops at which cold servers wait
 	lineDiffers  = 0.1             // a weight is sent when it moved by this part, and by so much
 	linePriced   = 1.5             // more for what a line costs
+	shareMost    = 2.0             // of its listed share, the most that a server's target is
 	leastLine    = 0.002           // part of a table below which a server has no line
 	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
 	usualVolume  = 0.5             // of what a proxy usually gets, the least that it counts for
@@ -520,9 +521,11 @@
 }
 
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
-// guards against a table laid for a zone without proxies, as after a cut, that names cold servers only.
+// guards against a table laid for a zone without proxies, as after a cut, that names cold servers only. It
+// waits for the next second, with the tables that it holds: hundreds join one by one after a restart.
 func (m *Manager) newcomer() bool {
-	return slices.ContainsFunc(m.proxies, func(p *proxy) bool { return !p.weighed })
+	return slices.ContainsFunc(m.proxies, func(p *proxy) bool { return !p.weighed }) &&
+		(m.batch || m.noneBound() || !slices.ContainsFunc(m.servers, m.cold))
 }
 
 func (m *Manager) weigh() {
@@ -530,7 +533,7 @@
 		p.weighed = true
 	}
 	if slices.ContainsFunc(m.servers, m.cold) {
-		m.cause, m.urgent = "join", true
+		m.cause = "join"
 	}
 }
 
@@ -585,6 +588,8 @@
 		case steady == 0:
 			parts[i].target *= all / cold
 		}
+		// guards against a sound server that gets the flows of all its weak peers, as after its climb
+		parts[i].target = min(parts[i].target, shareMost*all*max(m.server(id).weight, 1e-6)/listed)
 	}
 	shares := split(m.solved, parts, m.nearest(), func(a, b int) bool { return m.pairs[a][b].closed })
 	for z, t := range m.tables {
@@ -739,7 +744,7 @@
 // A server that returned is readmitted once its first small weight is laid.
 func (m *Manager) returned() *server {
 	for _, s := range m.servers {
-		if s.withdrawn && m.open(s) && !(s.climbing && m.flooded) && m.room(m.proxies, 1, false) {
+		if s.withdrawn && m.open(s) && !(s.climbing && m.flooded) && m.room(m.proxies, 1, true) {
 			return s
 		}
 	}
@@ -796,7 +801,7 @@
 func (m *Manager) waitingProxy() *proxy {
 	for _, p := range m.proxies {
 		t := m.tables[p.zone]
-		if !p.bound && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
+		if !p.bound && p.weighed && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
 			return p
 		}
 	}
