Zones are cut into blocks with a table each where connections would close between uses

Now, where a proxy would use a connection less than 8 times while an idle one is kept, a zone becomes blocks of four servers or more, each with one table for five proxies of the manager or more; the split stays the same, with the blocks of a zone as each other's nearest. It acts at a manager's start only, by stated figures and told rates. It also helps slow channels and connection limits; it may harm by small tables where health is uneven.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,41 +14,45 @@
 
 const (
 	batchEvery   = time.Second
-	bandLow      = 0.8             // of a server's target: its floor
-	bandHigh     = 1.2             // and its ceiling
-	pairTrouble  = 2.0             // a zone pair closes to new spill at this multiple of its norm
-	pairDrops    = 0.5             // or when this share of its tries fails
-	pairLast     = 3               // samples that must agree on it
-	daySamples   = 64              // samples that make its norm
-	climbFrom    = 0.1             // a fresh server's first part of its target, and
-	climbCold    = 0.6             // never more than this part of the stated cold share
-	floodDrops   = 0.4             // median share of drops at which cold servers wait
-	lineDiffers  = 0.1             // a weight is sent when it moved by this part, and by so much
-	linePriced   = 1.5             // more for what a line costs
-	shareMost    = 2.0             // of its listed share, the most that a server's target is
-	leastLine    = 0.002           // part of a table below which a server has no line
-	volumeMoved  = 0.2             // tables are solved anew when a zone's volume moved by this part
-	usualVolume  = 0.5             // of what a proxy usually gets, the least that it counts for
-	samplesKept  = 24              // reports of one server that its figures are made from
-	samplesOld   = 5 * time.Second // and their greatest age
-	fullTries    = 6               // tries after which older samples are left out
-	enoughTries  = 3               // tries without which a server is no peer
-	slowLatency  = 1.25            // multiple of the peers' median latency that is not yet slow
-	failExcess   = 0.15            // share of failures above the peers' that is not yet failing
-	failWorst    = 0.35            // from here on a server gets the least
-	fewDrops     = 0.03            // share of tries dropped from which those that may run again get another
-	leastHealth  = 0.02            // what a failing server keeps, to be heard by
-	returnHealth = 0.15            // what a server gets that answers again
-	healthFall   = 0.8             // in a second, a health factor falls to this part at most
-	healthRise   = 1.5             // and rises to this multiple
-	healthPace   = 0.3             // part of the way to its aim, in logarithms, that health goes in a second
-	healthMoved  = 0.05            // change that is worth solving anew
-	weakHealth   = 0.5             // from here on it is said in the log
-	soundHealth  = 0.97            // below it a server has no floor
-	silentTries  = 6.0             // tries due at a server before its silence counts
-	silentFor    = 2 * time.Second // and the least time
-	probeEvery   = 2 * time.Second // of a server that does not answer
-	blindFor     = 2 * time.Second // after this manager stood still
+	bandLow      = 0.8                   // of a server's target: its floor
+	bandHigh     = 1.2                   // and its ceiling
+	pairTrouble  = 2.0                   // a zone pair closes to new spill at this multiple of its norm
+	pairDrops    = 0.5                   // or when this share of its tries fails
+	pairLast     = 3                     // samples that must agree on it
+	daySamples   = 64                    // samples that make its norm
+	partAfter    = 50 * time.Millisecond // the first proxy joined, zones are cut into blocks
+	keptOpen     = 8.0                   // uses of a connection, at least, in the time that an idle one is kept
+	blockServers = 4.0                   // servers of a block at least
+	blockProxies = 5.0                   // and proxies of this manager
+	climbFrom    = 0.1                   // a fresh server's first part of its target, and
+	climbCold    = 0.6                   // never more than this part of the stated cold share
+	floodDrops   = 0.4                   // median share of drops at which cold servers wait
+	lineDiffers  = 0.1                   // a weight is sent when it moved by this part, and by so much
+	linePriced   = 1.5                   // more for what a line costs
+	shareMost    = 2.0                   // of its listed share, the most that a server's target is
+	leastLine    = 0.002                 // part of a table below which a server has no line
+	volumeMoved  = 0.2                   // tables are solved anew when a zone's volume moved by this part
+	usualVolume  = 0.5                   // of what a proxy usually gets, the least that it counts for
+	samplesKept  = 24                    // reports of one server that its figures are made from
+	samplesOld   = 5 * time.Second       // and their greatest age
+	fullTries    = 6                     // tries after which older samples are left out
+	enoughTries  = 3                     // tries without which a server is no peer
+	slowLatency  = 1.25                  // multiple of the peers' median latency that is not yet slow
+	failExcess   = 0.15                  // share of failures above the peers' that is not yet failing
+	failWorst    = 0.35                  // from here on a server gets the least
+	fewDrops     = 0.03                  // share of tries dropped from which those that may run again get another
+	leastHealth  = 0.02                  // what a failing server keeps, to be heard by
+	returnHealth = 0.15                  // what a server gets that answers again
+	healthFall   = 0.8                   // in a second, a health factor falls to this part at most
+	healthRise   = 1.5                   // and rises to this multiple
+	healthPace   = 0.3                   // part of the way to its aim, in logarithms, that health goes in a second
+	healthMoved  = 0.05                  // change that is worth solving anew
+	weakHealth   = 0.5                   // from here on it is said in the log
+	soundHealth  = 0.97                  // below it a server has no floor
+	silentTries  = 6.0                   // tries due at a server before its silence counts
+	silentFor    = 2 * time.Second       // and the least time
+	probeEvery   = 2 * time.Second       // of a server that does not answer
+	blindFor     = 2 * time.Second       // after this manager stood still
 	stallSlack   = 400 * time.Millisecond
 	slowChannel  = 8.0  // a channel is taken to be so many times slower until marks are answered
 	queueBatch   = 0.5  // of the queue limit for ordinary batches
@@ -85,6 +89,7 @@
 	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
 	m.liveWeights, m.tryWait = t.LiveWeights, t.TryWait
 	m.goneStays, m.sliced, m.allProxies = t.GoneStaysOpen, t.Sliced, float64(t.Proxies)
+	m.managers = max(1, float64(t.Managers))
 	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
@@ -104,6 +109,7 @@
 		return cmp.Or(cmp.Compare(t.Groups[b].Utility, t.Groups[a].Utility),
 			cmp.Compare(t.Groups[a].Budget, t.Groups[b].Budget))
 	})
+	m.blocks, m.connIdle = 1, t.ConnIdle
 	for _, z := range t.Zones {
 		m.zone(z)
 	}
@@ -126,6 +132,8 @@
 	{at(stepPairs), (*Manager).judgePairs},
 	{at(stepLine), (*Manager).moveLine},
 	{at(stepVolumes), (*Manager).compareVolumes},
+	{(*Manager).unstarted, (*Manager).start},
+	{(*Manager).unparted, (*Manager).part},
 	{(*Manager).newcomer, (*Manager).weigh},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
@@ -176,7 +184,7 @@
 			// name gets flows once it answers a probe
 			s = &server{id: e.Server, zone: m.zone(e.Zone), health: 1, quietFrom: now, startedAt: now, probedAt: -probeEvery}
 			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
-			s.out = m.probes && m.listedOnce
+			s.out, s.block = m.probes && m.listedOnce, m.blockOf(s.zone)
 			m.servers = append(m.servers, s)
 			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 		} else if started > s.started {
@@ -520,6 +528,77 @@
 	return levels
 }
 
+// Soon after the first proxy joined, when more have, zones are cut into blocks, each with a table of its
+// own for a part of the zone's proxies. Guards against proxies with so few flows for so many servers that
+// connections close before they are used again; in the split, the blocks of a zone are each other's nearest.
+
+func (m *Manager) unstarted() bool { return m.partAt == 0 && len(m.proxies) > 0 }
+func (m *Manager) start()          { m.partAt, m.wakeAt = m.now+partAfter, 0 }
+
+func (m *Manager) unparted() bool {
+	return !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && m.now >= m.partAt
+}
+
+func (m *Manager) part() {
+	m.parted = true
+	zones, proxies, told := float64(len(m.zones)), float64(len(m.proxies)), 0.0
+	for _, p := range m.proxies {
+		told += p.rate
+	}
+	servers, uses := float64(len(m.servers))/zones, told/proxies*m.connIdle.Seconds()
+	m.blocks = int(max(1, min(math.Ceil(keptOpen*servers/max(uses, 1e-6)), servers/blockServers,
+		m.allProxies/m.managers/zones/blockProxies)))
+	if m.blocks == 1 {
+		return
+	}
+	m.note("zones in %d blocks: %.0f servers a zone, %.1f flows of a proxy while a connection is kept", m.blocks, servers, uses)
+	m.tables = nil
+	m.addTables()
+	for _, s := range m.servers {
+		s.block = -1
+	}
+	for _, s := range m.servers {
+		s.block = m.blockOf(s.zone)
+	}
+	for _, p := range m.proxies {
+		p.block = -1
+	}
+	for _, p := range m.proxies {
+		p.block = m.blockFor(p.zone)
+	}
+}
+
+// blockOf is the block of a zone with the fewest servers, and blockFor that with the fewest flows.
+func (m *Manager) blockOf(z int) int {
+	has := make([]float64, len(m.tables))
+	for _, s := range m.servers {
+		if s.block >= 0 {
+			has[s.block]++
+		}
+	}
+	return m.leastOf(z, has)
+}
+
+func (m *Manager) blockFor(z int) int {
+	has := make([]float64, len(m.tables))
+	for _, p := range m.proxies {
+		if p.block >= 0 {
+			has[p.block] += p.rate
+		}
+	}
+	return m.leastOf(z, has)
+}
+
+func (m *Manager) leastOf(z int, has []float64) int {
+	least := z * m.blocks
+	for b := least; b < (z+1)*m.blocks; b++ {
+		if has[b] < has[least] {
+			least = b
+		}
+	}
+	return least
+}
+
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
 // guards against a table laid for a zone without proxies, as after a cut, that names cold servers only. It
 // waits for the next second, with the tables that it holds: hundreds join one by one after a restart.
@@ -540,7 +619,7 @@
 // The split: tables are solved anew when the list, health, a climb, usage or a pair calls for it.
 
 func (m *Manager) unsolved() bool {
-	return m.cause != "" && (m.batch || m.urgent || m.noneBound())
+	return m.cause != "" && m.parted && (m.batch || m.urgent || m.noneBound())
 }
 
 func (m *Manager) noneBound() bool {
@@ -567,7 +646,7 @@
 		if !m.open(s) || s.out && anyIn || s.climbing && m.flooded {
 			continue
 		}
-		p := part{zone: s.zone, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
+		p := part{block: s.block, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
 		if s.health < soundHealth {
 			p.low, p.high = 0, 1
 		}
@@ -591,7 +670,7 @@
 		// guards against a sound server that gets the flows of all its weak peers, as after its climb
 		parts[i].target = min(parts[i].target, shareMost*all*max(m.server(id).weight, 1e-6)/listed)
 	}
-	shares := split(m.solved, parts, m.nearest(), func(a, b int) bool { return m.pairs[a][b].closed })
+	shares := split(m.solved, parts, m.nearest(), func(a, b int) bool { return m.pairs[a/m.blocks][b/m.blocks].closed })
 	for z, t := range m.tables {
 		clear(t.wanted)
 		for i, id := range ids {
@@ -604,7 +683,7 @@
 
 // part is a server's in the split: its target and the band around it.
 type part struct {
-	zone              int
+	block             int
 	target, low, high float64
 }
 
@@ -620,7 +699,7 @@
 	fill := func(a, b int, bound func(part) float64) {
 		room := 0.0
 		for i, p := range parts {
-			if p.zone == b {
+			if p.block == b {
 				room += max(0, bound(p)*p.target-got[i])
 			}
 		}
@@ -629,7 +708,7 @@
 		}
 		give := min(1, left[a]/room)
 		for i, p := range parts {
-			if p.zone == b {
+			if p.block == b {
 				x := give * max(0, bound(p)*p.target-got[i])
 				shares[a][i], got[i], left[a] = shares[a][i]+x, got[i]+x, left[a]-x
 			}
@@ -678,7 +757,7 @@
 
 // Batches: each second the differences, if the queue has room; what waits is merged.
 
-func (m *Manager) batchWaits() bool { return m.batch && m.heldAt != m.now && !m.sliced }
+func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now && !m.sliced }
 
 // lay sends the levels and then, of all tables, the lines that move most flows, as far as the queue has
 // room: guards against tables so large that all their differences never fit at once. What is left over
@@ -800,7 +879,7 @@
 
 func (m *Manager) waitingProxy() *proxy {
 	for _, p := range m.proxies {
-		t := m.tables[p.zone]
+		t := m.tables[p.block]
 		if !p.bound && p.weighed && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
 			return p
 		}
@@ -808,13 +887,13 @@
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool { return !m.sliced && m.waitingProxy() != nil }
+func (m *Manager) proxyWaits() bool { return !m.sliced && m.parted && m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
 	p.bound = true
-	m.post([]*proxy{p}, m.whole(m.tables[p.zone]))
-	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.zone)})
+	m.post([]*proxy{p}, m.whole(m.tables[p.block]))
+	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block)})
 }
 
 // The manager wakes for its next second; the first one comes by chance, so that managers that
@@ -823,6 +902,10 @@
 func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
 
 func (m *Manager) setWake() {
-	m.wakeAt = max(m.due, m.now+time.Millisecond)
+	m.wakeAt = m.due
+	if !m.parted && m.partAt > 0 {
+		m.wakeAt = min(m.due, m.partAt)
+	}
+	m.wakeAt = max(m.wakeAt, m.now+time.Millisecond)
 	m.o.Wake = m.wakeAt
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -48,6 +48,40 @@
 	near(t, "second", got[0][1], 6)
 }
 
+func TestPartCutsZonesWhereConnectionsWouldClose(t *testing.T) {
+	m := manager(12)
+	m.parted, m.connIdle, m.allProxies, m.managers = false, 10*time.Second, 60, 2
+	for i := range 10 {
+		m.proxies = append(m.proxies, &proxy{id: ProxyID(2 + i), zone: i % 2, rate: 3})
+	}
+	m.part()
+	if m.blocks != 3 || len(m.tables) != 6 {
+		t.Fatalf("%d blocks, %d tables", m.blocks, len(m.tables))
+	}
+	sizes := make([]int, 6)
+	for _, s := range m.servers {
+		sizes[s.block]++
+		if s.block/3 != s.zone {
+			t.Errorf("%s of zone %d in block %d", s.id, s.zone, s.block)
+		}
+	}
+	if slices.Min(sizes) != 4 || slices.Max(sizes) != 4 {
+		t.Errorf("sizes %v", sizes)
+	}
+	if near := m.nearest()[1]; near[0] != 2 || near[1] != 0 {
+		t.Errorf("nearest %v", near)
+	}
+}
+
+func TestPartKeepsZonesWholeWhereConnectionsStayOpen(t *testing.T) {
+	m := manager(12)
+	m.parted, m.connIdle, m.allProxies, m.managers = false, 100*time.Second, 60, 2
+	m.proxies[0].rate, m.proxies[1].rate = 3, 3
+	if m.part(); m.blocks != 1 {
+		t.Errorf("%d blocks", m.blocks)
+	}
+}
+
 func TestSolveTakesAFreshServerFromBelowItsColdShare(t *testing.T) {
 	m := manager(3)
 	m.servers[0].climbing, m.cause = true, "climb"
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -160,7 +160,7 @@
 
 // volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
 func (m *Manager) volumes() []float64 {
-	v, cold := make([]float64, len(m.zones)), slices.ContainsFunc(m.servers, m.cold)
+	v, cold := make([]float64, len(m.tables)), slices.ContainsFunc(m.servers, m.cold)
 	for _, p := range m.proxies {
 		sum := 0.0
 		for g := range p.flows {
@@ -174,13 +174,13 @@
 		} else if cold {
 			sum = max(sum, usualVolume*p.rate)
 		}
-		v[p.zone] += sum
+		v[p.block] += sum
 	}
 	if !m.used {
 		clear(v)
 		for _, s := range m.servers {
 			if m.open(s) {
-				v[s.zone] += s.weight
+				v[s.block] += s.weight
 			}
 		}
 	}
@@ -255,7 +255,7 @@
 		for g := range m.budget {
 			d := p.demand(g, m.now)
 			sums[g] += d
-			if p.zone == z {
+			if p.block == z {
 				rates[g] = append(rates[g], d)
 			}
 		}
@@ -263,18 +263,25 @@
 	return sums, rates
 }
 
-// nearest orders, for each zone, the others by latency.
+// nearest orders, for each block, the others: those of its own zone, then those of others by latency.
 func (m *Manager) nearest() [][]int {
-	order := make([][]int, len(m.zones))
+	order := make([][]int, len(m.tables))
 	for a := range order {
-		for b := range m.zones {
-			if a != b {
+		far := func(b int) float64 {
+			if b/m.blocks == a/m.blocks {
+				return -1
+			}
+			return median(m.pairs[a/m.blocks][b/m.blocks].latency)
+		}
+		dist := make([]float64, len(m.tables))
+		for i := range m.tables {
+			// from its own on, so that neighbours do not all begin with the same
+			b := (a + i) % len(m.tables)
+			if dist[b] = far(b); a != b {
 				order[a] = append(order[a], b)
 			}
 		}
-		slices.SortStableFunc(order[a], func(b, c int) int {
-			return cmp.Compare(median(m.pairs[a][b].latency), median(m.pairs[a][c].latency))
-		})
+		slices.SortStableFunc(order[a], func(b, c int) int { return cmp.Compare(dist[b], dist[c]) })
 	}
 	return order
 }
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -24,13 +24,14 @@
 	for z, name := range m.zones {
 		for i := range n {
 			id := ServerID(fmt.Sprint(name, i))
-			m.servers = append(m.servers, &server{id: id, zone: z, weight: 1, health: 1, probedAt: -time.Hour})
+			m.servers = append(m.servers, &server{id: id, zone: z, block: z, weight: 1, health: 1, probedAt: -time.Hour})
 			m.tables[z].standing[id] = 100
 			m.tables[z].wanted[id] = 1 / float64(n)
 		}
 		flows := [][]figure{{{0, 30, 1}}, {{0, 10, 1}}}
-		m.proxies = append(m.proxies, &proxy{id: ProxyID(z), zone: z, bound: true, weighed: true, flows: flows})
+		m.proxies = append(m.proxies, &proxy{id: ProxyID(z), zone: z, block: z, bound: true, weighed: true, flows: flows})
 	}
+	m.parted, m.partAt = true, 1
 	m.used, m.solved = true, []float64{40, 40}
 	return m
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -12,6 +12,7 @@
 type server struct {
 	id        ServerID
 	zone      int
+	block     int // of its zone's servers; the number of its table
 	weight    float64
 	state     Condition
 	started   time.Duration // as listed
@@ -30,6 +31,7 @@
 type proxy struct {
 	id       ProxyID
 	zone     int
+	block    int     // whose table it is on
 	rate     float64 // as told when it joined
 	joinedAt time.Duration
 	bound    bool
@@ -82,6 +84,8 @@
 	allProxies              float64 // of all managers
 	lineDiffers             float64
 	liveWeights             bool
+	connIdle                time.Duration
+	managers                float64
 	tryWait                 float64 // budgets that a try may take before the next
 }
 
@@ -93,7 +97,10 @@
 	zones      []ZoneID
 	servers    []*server // by id
 	proxies    []*proxy  // by number
-	tables     []*table  // by zone
+	tables     []*table  // by block
+	blocks     int       // that a zone is cut into
+	parted     bool      // it is settled
+	partAt     time.Duration
 	pairs      [][]pair  // by zone of proxies, of servers
 	solved     []float64 // volumes last solved with
 	cause      string    // why the tables are to be solved anew
@@ -137,8 +144,7 @@
 		return z
 	}
 	m.zones = append(m.zones, id)
-	m.tables = append(m.tables, &table{wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
-		levels: map[uint]Level{}})
+	m.addTables()
 	m.pairs = make([][]pair, len(m.zones))
 	for z := range m.pairs {
 		m.pairs[z] = make([]pair, len(m.zones))
@@ -146,6 +152,13 @@
 	return len(m.zones) - 1
 }
 
+func (m *Manager) addTables() {
+	for len(m.tables) < len(m.zones)*m.blocks {
+		m.tables = append(m.tables, &table{wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
+			levels: map[uint]Level{}})
+	}
+}
+
 func (m *Manager) server(id ServerID) *server {
 	i, ok := slices.BinarySearchFunc(m.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.id, id) })
 	if !ok {
@@ -168,6 +181,7 @@
 	m.now = now
 	p := &proxy{id: id, zone: m.zone(zone), rate: rate, joinedAt: now, flows: make([][]figure, len(m.budget))}
 	i, again := m.proxy(id)
+	p.block = m.blockFor(p.zone)
 	if again {
 		m.proxies[i] = p
 	} else {
@@ -231,7 +245,7 @@
 	return m.decide()
 }
 
-// users are the proxies bound to a zone's table.
+// users are the proxies bound to a table.
 func (m *Manager) users(z int) []*proxy {
-	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.zone != z })
+	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.block != z })
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -64,6 +64,7 @@
 	Zones         []ZoneID
 	Groups        []Group
 	AsksList      bool
+	Managers      int
 	Proxies       int  // of all managers
 	Sliced        bool // keys fall into slices with tables of their own
 	GoneStaysOpen bool // only draining binds
@@ -71,7 +72,8 @@
 	LiveWeights   bool // listed weights follow the load
 	Admit         AdmitBy
 	UsualTries    Tries
-	TryWait       float64 // latency budgets that proxies wait before a further try, from TryTwice on
+	ConnIdle      time.Duration // proxies close idle connections then
+	TryWait       float64       // latency budgets that proxies wait before a further try, from TryTwice on
 	ColdShare     float64
 	WarmAfter     time.Duration
 	QueueLines    float64
--- a/internal/simwire/host_test.go
+++ b/internal/simwire/host_test.go
@@ -23,14 +23,14 @@
 func TestServeAnswersEachBatchOnce(t *testing.T) {
 	out, err := serve(started + "BATCH\t2000\nDIALLED_IN\t3\t6.5\t1\t41\teast\n" +
 		"OBSERVED\t3\tw1\t1\t14\t48250\t1000000\teast\toutstanding:7,other:2\nOBSERVED\t3\tgone\t0\t0\t0\t0\teast\t-\n" +
-		"OFFERED_LOAD\t3\t41\tquote\t9\t0\t2000000\nSTREAM_DOWN\t3\t41\nSTREAM_DOWN\t3\t41\nREMINDER\t3\t1\n" +
+		"OFFERED_LOAD\t3\t41\tquote\t9\t0\t2000000\nREMINDER\t3\t1\n" +
 		"TOPOLOGY\t3\tError\t41\t0\nINSTALLED\t3\t41\t1\t400\nHEALTH_RESULT\t3\tw1\texpired\t600000\t-\nEOF_BATCH\n" +
-		"BATCH\t3000\nDOWN\t3\nEOF_BATCH\n")
+		"BATCH\t60000\nREMINDER\t3\t1\nSTREAM_DOWN\t3\t41\nSTREAM_DOWN\t3\t41\nEOF_BATCH\nBATCH\t61000\nDOWN\t3\nEOF_BATCH\n")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(out, "FINISHED\n"); n != 3 {
-		t.Errorf("%d replies to 3 batches", n)
+	if n := strings.Count(out, "FINISHED\n"); n != 4 {
+		t.Errorf("%d replies to 4 batches", n)
 	}
 	for _, want := range []string{"SET_WEIGHT\t3\t", "SUBSCRIBE_TO\t3\t0\t41\t0\n", "CHECKPOINT\t3\t1\t0\n", "SLEEP\t3\t1\t"} {
 		if !strings.Contains(out, want) {
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -150,6 +150,7 @@
 			Worth                        float64
 		}
 		MembershipMode, WeightSource string
+		PeersTotal                   int
 		Domain                       struct {
 			Admit                          string
 			Ranges, MessagesMost, UsualHow int
@@ -158,8 +159,11 @@
 			LineFee, TryAims               float64
 			ReloadSpanUs                   int64
 		}
-		Limits struct{ Probing bool }
-		Rules  struct {
+		Limits struct {
+			Probing    bool
+			ConnIdleUs int64
+		}
+		Rules struct {
 			ColdFrom        float64
 			WarmAfterUs     int64
 			DroppedStayOpen bool
@@ -171,7 +175,7 @@
 	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 	t := choice.Terms{
 		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
-		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, TryWait: in.Domain.TryAims,
+		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, Managers: in.PeersTotal, TryWait: in.Domain.TryAims, ConnIdle: span(in.Limits.ConnIdleUs),
 		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
 		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee, HeadLines: in.Domain.Envelope,
