Drains count only proxies that hold the server, have room of their own, and bare tables are laid at once

Now a withdrawal counts where it goes, each answered mark counts its message out, ordinary batches, pressing orders and drains have 0.5, 0.75 and 0.9 of the queue, a withdrawn server's lines stay until it returns, and a table without a usable line is laid in the same reply. It should also catch mass drains and restarts; it may harm if proxies keep tables that they were told to leave.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,8 +56,10 @@
 	stallSlack   = 400 * time.Millisecond
 	slowChannel  = 8.0  // a channel is taken to be so many times slower until marks are answered
 	queueBatch   = 0.5  // of the queue limit for ordinary batches
-	queueUrgent  = 0.85 // and for drains and joining proxies
-	perProxy     = 0.6  // of the messages that a proxy may be sent, for ordinary batches
+	queueUrgent  = 0.75 // for joining proxies, and tables that must change at once
+	queueDrain   = 0.9  // for drains
+	perBatch     = 0.6  // of the messages that a proxy may be sent, for ordinary batches
+	perUrgent    = 0.8
 	pressureHigh = 0.32 // mean latency over latency budget at which the line moves down
 	pressureLow  = 0.26 // and under which it moves up
 	dropsHigh    = 0.25 // share of drops at which it moves down
@@ -93,10 +95,9 @@
 	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
-	m.roomBatch, m.roomUrgent = queueBatch*t.QueueLines, queueUrgent*t.QueueLines
-	if t.MessagesMost > 0 {
-		m.perBatch = max(1, int(perProxy*float64(t.MessagesMost)))
-		m.perUrgent = max(m.perBatch, t.MessagesMost-2)
+	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
+	if most := t.MessagesMost; most > 0 {
+		m.perProxy = [3]int{max(1, int(perBatch*float64(most))), max(1, int(perUrgent*float64(most))), max(1, most-1)}
 	}
 	for g, group := range t.Groups {
 		m.budget = append(m.budget, group.Budget.Seconds())
@@ -287,18 +288,24 @@
 }
 
 func (m *Manager) drainWaits() bool {
-	return slices.ContainsFunc(m.servers, m.mustWithdraw) && m.room(m.proxies, 1, true)
+	return slices.ContainsFunc(m.servers, func(s *server) bool {
+		return m.mustWithdraw(s) && m.room(m.holders(s), 1, draining)
+	})
 }
 
 func (m *Manager) withdraw() {
-	n := 0.0
 	for _, s := range m.servers {
-		if m.mustWithdraw(s) {
-			s.withdrawn, n = true, n+1
+		if !m.mustWithdraw(s) {
+			continue
+		}
+		if to := m.holders(s); m.room(to, 1, draining) {
+			s.withdrawn = true
 			m.o.Withdraw = append(m.o.Withdraw, s.id)
+			m.post(to, 1)
 		}
 	}
-	m.post(m.proxies, n)
+	// guards against proxies without any server: a table whose last ones are withdrawn is laid at once
+	m.urgent = m.urgent || slices.ContainsFunc(m.tables, m.bare)
 }
 
 // Each second what was heard is judged, and a batch falls due.
@@ -766,13 +773,17 @@
 	m.batch = false
 	var moves []move
 	levels, users, n := make([][]Level, len(m.tables)), make([][]*proxy, len(m.tables)), make([]float64, len(m.tables))
-	room, rest := m.free(m.urgent), false
+	need := calm
+	if m.urgent {
+		need = pressing
+	}
+	room, rest := m.free(need), false
 	take := func(z int) bool {
 		cost := float64(len(users[z]))
 		if n[z] == 0 {
 			cost *= m.head + 2
 		}
-		if cost > room || n[z] == 0 && !m.mayWrite(users[z], m.urgent) {
+		if cost > room || n[z] == 0 && !m.mayWrite(users[z], need) {
 			rest = true
 			return false
 		}
@@ -823,7 +834,7 @@
 // A server that returned is readmitted once its first small weight is laid.
 func (m *Manager) returned() *server {
 	for _, s := range m.servers {
-		if s.withdrawn && m.open(s) && !(s.climbing && m.flooded) && m.room(m.proxies, 1, true) {
+		if s.withdrawn && m.open(s) && !(s.climbing && m.flooded) && m.room(m.proxies, 1, pressing) {
 			return s
 		}
 	}
@@ -847,13 +858,16 @@
 			scales = append(scales, t.standing[s]/w)
 		}
 	}
-	scale := cmp.Or(median(scales), 100)
+	scale, bare := cmp.Or(median(scales), 100), m.bare(t)
 	for _, s := range m.servers {
+		if s.withdrawn && !m.open(s) {
+			continue // its line does no harm
+		}
 		was, weight := t.standing[s.id], math.Round(t.wanted[s.id]*scale*1000)/1000
 		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > m.lineDiffers*max(weight, was)
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
-			if weight < was && (s.climbing || weight == 0) {
+			if bare || weight < was && (s.climbing || weight == 0) {
 				// what guards a rule or is lost goes first
 				flows = math.Inf(1)
 			}
@@ -880,7 +894,7 @@
 func (m *Manager) waitingProxy() *proxy {
 	for _, p := range m.proxies {
 		t := m.tables[p.block]
-		if !p.bound && p.weighed && len(t.standing) > 0 && m.room([]*proxy{p}, m.whole(t), true) {
+		if !p.bound && p.weighed && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
 			return p
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -144,6 +144,37 @@
 	}
 }
 
+func TestWithdrawReachesHoldersThoughOthersMayGetNoMessage(t *testing.T) {
+	m := manager(2)
+	m.now, m.servers[0].state = 10*time.Second, Draining
+	for range 19 {
+		m.proxies[1].sent = append(m.proxies[1].sent, 9*time.Second)
+	}
+	if m.withdraw(); !slices.Equal(m.o.Withdraw, []ServerID{"a0"}) {
+		t.Errorf("withdrawn %v", m.o.Withdraw)
+	}
+	m.servers[2].state = Draining
+	if m.drainWaits() {
+		t.Error("a 20th message in 10 s")
+	}
+}
+
+func TestListedLaysABareTableAtOnce(t *testing.T) {
+	m := manager(2)
+	o := m.Listed(time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Gone},
+		{Server: "a1", Zone: "a", Weight: 1, State: Gone}})
+	if len(o.Withdraw) != 2 || len(o.Lines) != 2 || o.Lines[0].Table != 0 || o.Lines[0].Server[0] != 'b' {
+		t.Errorf("withdrawn %v, lines %v", o.Withdraw, o.Lines)
+	}
+}
+
+func TestAppliedCountsTheMessagesThatLeft(t *testing.T) {
+	m := manager(2)
+	m.post(m.proxies, 95)
+	m.Applied(m.now, 0, m.mark)
+	near(t, "waiting", m.waiting(), 100)
+}
+
 func TestListedTakesTheMissingForGone(t *testing.T) {
 	m := manager(2)
 	o := m.Listed(time.Second, true, []Entry{{Server: "a0", Zone: "a", Weight: 1}, {Server: "b0", Zone: "b", Weight: 1}})
@@ -242,7 +273,7 @@
 
 func TestLaySendsWhatMovesMostWhenNotAllFits(t *testing.T) {
 	m := manager(12)
-	m.roomBatch = 7
+	m.rooms[calm] = 7
 	for _, s := range m.servers[:3] {
 		m.tables[0].wanted[s.id] *= 0.8
 	}
@@ -293,12 +324,12 @@
 	m := manager(2)
 	m.post(m.proxies, 240)
 	m.now = time.Second
-	if m.room(m.proxies, 100, false) || !m.room(m.proxies, 100, true) {
+	if m.room(m.proxies, 100, calm) || !m.room(m.proxies, 100, draining) {
 		t.Errorf("with %.0f lines waiting", m.waiting())
 	}
 	m.post(m.proxies[:1], 1)
 	m.Applied(m.now, 0, m.mark)
-	if !m.room(m.proxies, 100, false) {
+	if !m.room(m.proxies, 100, calm) {
 		t.Errorf("still %.0f lines waiting", m.waiting())
 	}
 }
@@ -309,7 +340,7 @@
 	for i := range 12 {
 		m.proxies[0].sent = append(m.proxies[0].sent, time.Duration(i)*time.Second/2)
 	}
-	if m.room(m.proxies, 1, false) || !m.room(m.proxies, 1, true) {
+	if m.room(m.proxies, 1, calm) || !m.room(m.proxies, 1, draining) {
 		t.Error("an ordinary batch may not take the last messages, a drain may")
 	}
 }
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -149,7 +149,9 @@
 	for z, v := range m.volumes() {
 		weights := make([]float64, len(m.servers))
 		for i, s := range m.servers {
-			weights[i] = m.tables[z].standing[s.id]
+			if !s.withdrawn {
+				weights[i] = m.tables[z].standing[s.id]
+			}
 		}
 		for i, w := range weights {
 			flows[i] += v * w / max(sum(weights), 1e-9)
@@ -290,13 +292,23 @@
 func (m *Manager) whole(t *table) float64 {
 	n := 1 + len(t.standing) + len(t.levels)
 	for _, s := range m.servers {
-		if s.withdrawn {
+		if s.withdrawn && t.standing[s.id] > 0 {
 			n++
 		}
 	}
 	return float64(n)
 }
 
+// bare tells whether no line of a table can be picked.
+func (m *Manager) bare(t *table) bool {
+	for _, s := range m.servers {
+		if t.standing[s.id] > 0 && !s.withdrawn {
+			return false
+		}
+	}
+	return true
+}
+
 // usable is the part of the listed weight that the tables can use.
 func (m *Manager) usable() float64 {
 	all := 0.0
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -9,19 +9,15 @@
 // are answered, and the messages that each proxy was sent. What goes out by it is decided in choice.go.
 
 // room tells whether lines for each of these proxies fit into the queue and the messages they may get.
-func (m *Manager) room(to []*proxy, lines float64, urgent bool) bool {
-	return m.mayWrite(to, urgent) && float64(len(to))*(m.head+1+lines) <= m.free(urgent)
+func (m *Manager) room(to []*proxy, lines float64, u urgency) bool {
+	return m.mayWrite(to, u) && float64(len(to))*(m.head+1+lines) <= m.free(u)
 }
 
 // mayWrite tells whether each of these proxies may get a further message.
-func (m *Manager) mayWrite(to []*proxy, urgent bool) bool {
-	most := m.perBatch
-	if urgent {
-		most = m.perUrgent
-	}
+func (m *Manager) mayWrite(to []*proxy, u urgency) bool {
 	for _, p := range to {
 		p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return m.now-at > m.span })
-		if most > 0 && len(p.sent) >= most && p.sent[len(p.sent)-1] != m.now {
+		if most := m.perProxy[u]; most > 0 && len(p.sent) >= most && p.sent[len(p.sent)-1] != m.now {
 			return false
 		}
 	}
@@ -29,21 +25,17 @@
 }
 
 // free is how many lines may still join the queue.
-func (m *Manager) free(urgent bool) float64 {
-	if urgent {
-		return max(0, m.roomUrgent-m.waiting())
-	}
-	return max(0, m.roomBatch-m.waiting())
-}
+func (m *Manager) free(u urgency) float64 { return max(0, m.rooms[u]-m.waiting()) }
 
-// waiting is what the ledger takes to wait in the channel.
+// waiting is what the ledger takes to wait in the channel: of the oldest batch, the part whose marks are
+// not answered, less what the slowest channel has sent since the last answer.
 func (m *Manager) waiting() float64 {
 	if len(m.queue) == 0 {
 		return 0
 	}
 	sum := 0.0
 	for _, q := range m.queue {
-		sum += q.lines
+		sum += q.lines * (1 - q.answered/max(q.sent, 1))
 	}
 	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
 }
@@ -65,7 +57,7 @@
 	for _, p := range to {
 		q.lines += lines
 		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
-			p.sent, q.lines = append(p.sent, m.now), q.lines+m.head+1
+			p.sent, q.lines, q.sent = append(p.sent, m.now), q.lines+m.head+1, q.sent+1
 		}
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -60,11 +60,22 @@
 
 // owed is what was ordered at one time and no answered mark shows to have left the channel.
 type owed struct {
-	mark  MarkID
-	at    time.Duration
-	lines float64
+	mark     MarkID
+	at       time.Duration // of its order, or of the last answer
+	lines    float64
+	sent     float64 // messages
+	answered float64 // of them
 }
 
+// urgency says how much of the queue an order may use.
+type urgency int
+
+const (
+	calm urgency = iota
+	pressing
+	draining
+)
+
 // bounds are the few figures that decisions use of what the site states.
 type bounds struct {
 	budget                  []float64 // seconds, by traffic group
@@ -74,10 +85,10 @@
 	admit                   AdmitBy
 	climbBase               float64
 	warmAfter               time.Duration
-	head                    float64 // lines of a message besides its own
-	roomBatch, roomUrgent   float64 // lines that may wait
-	slowPace                float64 // lines a second
-	perBatch, perUrgent     int     // messages to one proxy within span; 0: no limit
+	head                    float64    // lines of a message besides its own
+	rooms                   [3]float64 // lines that may wait, by urgency
+	slowPace                float64    // lines a second
+	perProxy                [3]int     // messages to one proxy within span, by urgency; 0: no limit
 	span                    time.Duration
 	asks, probes, goneStays bool
 	sliced                  bool
@@ -233,9 +244,9 @@
 // Applied shows that what was ordered before the mark has left the channel.
 func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID) Orders {
 	m.now = now
-	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i > 0 {
+	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i >= 0 {
 		m.queue = slices.Delete(m.queue, 0, i)
-		m.queue[0].at = now
+		m.queue[0].at, m.queue[0].answered = now, min(m.queue[0].answered+1, m.queue[0].sent)
 	}
 	return m.decide()
 }
@@ -245,6 +256,13 @@
 	return m.decide()
 }
 
+// holders are the proxies whose table names a server, and those that hold tables of others.
+func (m *Manager) holders(s *server) []*proxy {
+	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool {
+		return p.bound && m.tables[p.block].standing[s.id] == 0
+	})
+}
+
 // users are the proxies bound to a table.
 func (m *Manager) users(z int) []*proxy {
 	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.block != z })
