Readmissions go where the server stands, and are not held up by other tables or proxies

Now a server is readmitted at the proxies whose tables name it, once no line above its part is left, and with the drains' room while a table is bare; bare tables are looked for each second.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -214,7 +214,7 @@
 		}
 	}
 	m.listedOnce = true
-	m.cause = "list"
+	m.cause, m.relisted = "list", true
 	return m.decide()
 }
 
@@ -304,8 +304,14 @@
 			m.post(to, 1)
 		}
 	}
-	// guards against proxies without any server: a table whose last ones are withdrawn is laid at once
-	m.urgent = m.urgent || slices.ContainsFunc(m.tables, m.bare)
+	m.lookForBare()
+}
+
+// lookForBare guards against proxies without any server: a table whose last ones are withdrawn is laid at
+// once, and those that return to it are readmitted with what room there is.
+func (m *Manager) lookForBare() {
+	m.bareWaits = slices.ContainsFunc(m.tables, m.bare)
+	m.urgent = m.urgent || m.bareWaits
 }
 
 // Each second what was heard is judged, and a batch falls due.
@@ -321,6 +327,7 @@
 func (m *Manager) secondOver() bool { return m.now >= m.due }
 func (m *Manager) openSecond() {
 	m.due, m.batch, m.step = m.now+batchEvery, true, stepFlood
+	m.lookForBare()
 	asked := sum(m.volumes())
 	for i, flows := range m.expected() {
 		m.servers[i].due = flows * min(1, m.line/asked)
@@ -642,7 +649,7 @@
 }
 
 func (m *Manager) solve() {
-	m.cause, m.batch = "", true
+	m.cause, m.batch, m.relisted = "", true, false
 	m.solved = m.volumes()
 	var parts []part
 	var ids []ServerID
@@ -800,15 +807,21 @@
 		moves = append(moves, m.differences(TableID(z))...)
 	}
 	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
+	for _, s := range m.servers {
+		s.unlaid = false
+	}
 	for _, l := range moves {
+		s := m.server(l.Server)
 		if t := m.tables[l.Table]; take(int(l.Table)) {
 			m.o.Lines = append(m.o.Lines, l.Line)
-			if s := m.server(l.Server); t.standing[l.Server] == 0 {
+			if t.standing[l.Server] == 0 {
 				s.quietFrom = m.now
 			}
 			if t.standing[l.Server] = l.Weight; l.Weight == 0 {
 				delete(t.standing, l.Server)
 			}
+		} else {
+			s.unlaid = s.unlaid || l.Weight < t.standing[l.Server]
 		}
 	}
 	for z := range m.tables {
@@ -831,22 +844,31 @@
 	flows float64
 }
 
-// A server that returned is readmitted once its first small weight is laid.
+// A server that returned is readmitted where it stands in tables, once no line of more than it should get
+// is left there: one that waits behind others for the queue would be picked at its old weight.
 func (m *Manager) returned() *server {
+	if m.batch || m.relisted {
+		return nil
+	}
+	need := pressing
+	if m.bareWaits {
+		need = draining
+	}
 	for _, s := range m.servers {
-		if s.withdrawn && m.open(s) && !(s.climbing && m.flooded) && m.room(m.proxies, 1, pressing) {
+		waits := s.withdrawn && m.open(s) && !s.unlaid && !(s.climbing && m.flooded)
+		if waits && m.room(m.holders(s), 1, need) {
 			return s
 		}
 	}
 	return nil
 }
 
-func (m *Manager) readmitWaits() bool { return !m.batch && m.cause == "" && m.returned() != nil }
+func (m *Manager) readmitWaits() bool { return m.returned() != nil }
 
 func (m *Manager) readmit() {
 	s := m.returned()
 	s.withdrawn, m.o.Readmit = false, append(m.o.Readmit, s.id)
-	m.post(m.proxies, 1)
+	m.post(m.holders(s), 1)
 }
 
 // differences are the lines in which a table must change; the scale is that of most standing lines.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -244,6 +244,21 @@
 	}
 }
 
+func TestReturnIsNotHeldUpByOtherProxiesOrTables(t *testing.T) {
+	m := manager(2)
+	m.now, m.cause = 10*time.Second, "rest"
+	m.servers[0].withdrawn = true
+	for range 18 {
+		m.proxies[1].sent = append(m.proxies[1].sent, 9*time.Second)
+	}
+	if m.returned() != m.servers[0] {
+		t.Error("held up")
+	}
+	if m.servers[0].unlaid = true; m.returned() != nil {
+		t.Error("readmitted at its old weight")
+	}
+}
+
 func TestSolveKeepsServersWhenHealthWouldTakeAll(t *testing.T) {
 	m := manager(2)
 	for _, s := range m.servers {
--- a/choice/state.go
+++ b/choice/state.go
@@ -19,6 +19,7 @@
 	climbing  bool
 	startedAt time.Duration // when that start was heard of
 	withdrawn bool
+	unlaid    bool // a table still names it for more than it should get
 	heard     []Report
 	heardAt   []time.Duration
 	quietFrom time.Duration
@@ -125,6 +126,8 @@
 	mark       MarkID
 	markedAt   time.Duration
 	asked      bool
+	relisted   bool // since the tables were solved
+	bareWaits  bool // some table has no line that can be picked
 	listedOnce bool
 	askFrom    time.Duration
 	line       float64 // flows a second that are let in, the most useful first
