The same decisions in fewer rules; a second opens just after reports come

The module was over its 680 lines; steps, the doubt rule, the distrust after a stall (idle in every ablation, a probe decides) and the special case without bound proxies are folded into others, and batches book line by line in the ledger.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,6 +14,7 @@
 
 const (
 	batchEvery   = time.Second
+	afterReport  = 10 * time.Millisecond // a second opens, once reports come
 	bandLow      = 0.8                   // of a server's target: its floor
 	bandHigh     = 1.2                   // and its ceiling
 	pairTrouble  = 2.0                   // a zone pair closes to new spill at this multiple of its norm
@@ -52,13 +53,11 @@
 	silentTries  = 6.0                   // tries due at a server before its silence counts
 	silentFor    = 2 * time.Second       // and the least time
 	probeEvery   = 2 * time.Second       // of a server that does not answer
-	blindFor     = 2 * time.Second       // after this manager stood still
-	stallSlack   = 400 * time.Millisecond
-	slowChannel  = 8.0  // a channel is taken to be so many times slower until marks are answered
-	queueBatch   = 0.5  // of the queue limit for ordinary batches
-	queueUrgent  = 0.75 // for joining proxies, and tables that must change at once
-	queueDrain   = 0.9  // for drains
-	perBatch     = 0.6  // of the messages that a proxy may be sent, for ordinary batches
+	slowChannel  = 8.0                   // a channel is taken to be so many times slower until marks are answered
+	queueBatch   = 0.5                   // of the queue limit for ordinary batches
+	queueUrgent  = 0.75                  // for joining proxies, and tables that must change at once
+	queueDrain   = 0.9                   // for drains
+	perBatch     = 0.6                   // of the messages that a proxy may be sent, for ordinary batches
 	perUrgent    = 0.8
 	pressureHigh = 0.32 // mean latency over latency budget at which the line moves down
 	pressureLow  = 0.26 // and under which it moves up
@@ -122,19 +121,10 @@
 	when func(*Manager) bool
 	then func(*Manager)
 }{
-	{(*Manager).unasked, (*Manager).ask},
+	{(*Manager).unasked, (*Manager).listen},
 	{(*Manager).drainWaits, (*Manager).withdraw},
-	{(*Manager).doubtWaits, (*Manager).askDoubted},
-	{(*Manager).stoodStill, (*Manager).distrust},
-	{(*Manager).secondOver, (*Manager).openSecond},
-	{at(stepFlood), (*Manager).holdBackCold},
-	{at(stepHealth), (*Manager).judgeServers},
-	{at(stepProbes), (*Manager).probeSilent},
-	{at(stepPairs), (*Manager).judgePairs},
-	{at(stepLine), (*Manager).moveLine},
-	{at(stepVolumes), (*Manager).compareVolumes},
 	{(*Manager).unstarted, (*Manager).start},
-	{(*Manager).unparted, (*Manager).part},
+	{(*Manager).secondOver, (*Manager).openSecond},
 	{(*Manager).newcomer, (*Manager).weigh},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
@@ -143,19 +133,6 @@
 	{(*Manager).unwoken, (*Manager).setWake},
 }
 
-// The steps of a second, in which what was heard is judged.
-const (
-	stepNone = iota
-	stepFlood
-	stepHealth
-	stepProbes
-	stepPairs
-	stepLine
-	stepVolumes
-)
-
-func at(step int) func(*Manager) bool { return func(m *Manager) bool { return m.step == step } }
-
 // decide ends every input.
 func (m *Manager) decide() Orders {
 	for i := 0; i < len(rules); i++ {
@@ -185,7 +162,7 @@
 			// name gets flows once it answers a probe
 			s = &server{id: e.Server, zone: m.zone(e.Zone), health: 1, quietFrom: now, startedAt: now, probedAt: -probeEvery}
 			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
-			s.out, s.block = m.probes && m.listedOnce, m.blockOf(s.zone)
+			s.weight, s.out, s.block = e.Weight, m.probes && m.listedOnce, m.blockOf(s.zone)
 			m.servers = append(m.servers, s)
 			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 		} else if started > s.started {
@@ -193,36 +170,36 @@
 			// what stands in the tables is lowered at once
 			s.climbing, s.startedAt, s.started = true, now, started
 			s.health, s.heard, s.heardAt, s.quietFrom = 1, nil, nil, now
-			s.out, s.probedAt = s.out && m.probes, -probeEvery
-			m.urgent = m.urgent || !s.withdrawn
+			s.out, m.urgent = s.out && m.probes, m.urgent || !s.withdrawn
 		}
-		switch {
-		case e.State == Gone:
-			m.miss(s)
-		case s.state == Gone && s.out:
-			s.state, s.probedAt = e.State, -probeEvery
-		default:
-			s.state = e.State
-		}
-		if s.weight == 0 || m.liveWeights {
+		if m.liveWeights {
 			s.weight = e.Weight
 		}
+		m.list(s, e.State)
 	}
 	for _, s := range m.servers {
 		if whole && !seen[s.id] {
-			m.miss(s)
+			m.list(s, Gone)
 		}
 	}
-	m.listedOnce = true
-	m.cause, m.relisted = "list", true
+	m.listedOnce, m.relisted, m.cause = true, true, "list"
 	return m.decide()
 }
 
-// miss notes that the list calls a server gone. Where that does not bind, the list is one witness: a
-// probe is the other, and until it fails the server keeps its flows.
-func (m *Manager) miss(s *server) {
-	if s.state == Ready {
-		s.state, s.probedAt = Gone, -probeEvery
+// list notes what the list says of a server. Where gone does not bind, the list is one witness, a probe the
+// other: until it fails the server keeps its flows. One that drained before it went stays withdrawn.
+func (m *Manager) list(s *server, c Condition) {
+	if c != Gone || s.state == Ready {
+		s.state = c
+	}
+	if s.out || s.state == Gone {
+		m.ask(s)
+	}
+}
+
+func (m *Manager) ask(s *server) {
+	if m.probes && m.open(s) {
+		s.probedAt, m.o.Probe = m.now, append(m.o.Probe, s.id)
 	}
 }
 
@@ -261,7 +238,7 @@
 // The list must be asked for at some sites.
 
 func (m *Manager) unasked() bool { return m.asks && !m.asked && m.now >= m.askFrom }
-func (m *Manager) ask()          { m.asked, m.o.Listen = true, true }
+func (m *Manager) listen()       { m.asked, m.o.Listen = true, true }
 
 // Drains: a server that drains or is gone is withdrawn from all that joined proxies hold, at once,
 // whatever else waits.
@@ -270,23 +247,6 @@
 	return !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
 }
 
-// A server that the list calls gone, or names for the first time, is asked at once.
-func (m *Manager) doubtWaits() bool {
-	return m.probes && m.cause == "list" && slices.ContainsFunc(m.servers, m.doubted)
-}
-
-func (m *Manager) doubted(s *server) bool {
-	return m.open(s) && s.probedAt < 0 && (s.state == Gone || s.out)
-}
-
-func (m *Manager) askDoubted() {
-	for _, s := range m.servers {
-		if m.doubted(s) {
-			s.probedAt, m.o.Probe = m.now, append(m.o.Probe, s.id)
-		}
-	}
-}
-
 func (m *Manager) drainWaits() bool {
 	return slices.ContainsFunc(m.servers, func(s *server) bool {
 		return m.mustWithdraw(s) && m.room(m.holders(s), 1, draining)
@@ -316,29 +276,32 @@
 
 // Each second what was heard is judged, and a batch falls due.
 
-// stoodStill guards against taking the silence of this manager's own stall for that of servers.
-func (m *Manager) stoodStill() bool { return m.now-m.due > stallSlack && m.blind <= m.now }
-
-func (m *Manager) distrust() {
-	m.blind = m.now + blindFor
-	m.note("this manager stood still for %.1fs", (m.now - m.due).Seconds())
-}
+// The first second comes soon after the first proxy joined, when more have.
+func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
+func (m *Manager) start()          { m.due, m.wakeAt = m.now+partAfter, 0 }
 
 func (m *Manager) secondOver() bool { return m.now >= m.due }
 func (m *Manager) openSecond() {
-	m.due, m.batch, m.step = m.now+batchEvery, true, stepFlood
-	m.lookForBare()
-	asked := sum(m.volumes())
-	for i, flows := range m.expected() {
-		m.servers[i].due = flows * min(1, m.line/asked)
+	m.due, m.batch = m.now+batchEvery, true
+	if next := m.reportAt + batchEvery + afterReport; m.reportAt > 0 && next > m.now+batchEvery/2 {
+		m.due = min(next, m.due+batchEvery/2) // what is heard is judged while it is fresh
+	}
+	if !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && !m.sliced {
+		m.part()
 	}
+	m.lookForBare()
+	m.holdBackCold()
+	m.judgeServers()
+	m.probeSilent()
+	m.judgePairs()
+	m.moveLine()
+	m.compareVolumes()
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away: proxies that
 // avoid them, or try again, would all come to it; it waits outside while it warms, until half of its
 // peers are heard of and they answer most flows. It may harm by holding back what is needed.
 func (m *Manager) holdBackCold() {
-	m.step++
 	_, drops, heard := m.peers()
 	steady := 0
 	for _, s := range m.servers {
@@ -362,7 +325,6 @@
 // whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
 // all servers seem to do; the peers' median stands against that.
 func (m *Manager) judgeServers() {
-	m.step++
 	latency, drops, _ := m.peers()
 	lost, all := 0.0, 0.0
 	for _, s := range m.servers {
@@ -396,22 +358,19 @@
 // probeSilent guards against servers that no longer answer, before the list knows: silence alone may
 // be the proxies' or this manager's standing still, so only a probe can tell.
 func (m *Manager) probeSilent() {
-	m.step++
 	flows := m.expected()
 	for i, s := range m.servers {
 		quiet := m.now - s.quietFrom
-		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries && m.now >= m.blind
+		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries
 		suspect := m.open(s) && (silent || s.out || s.health < returnHealth || s.state == Gone && quiet >= silentFor)
-		if m.probes && suspect && m.now-s.probedAt >= probeEvery {
-			s.probedAt = m.now
-			m.o.Probe = append(m.o.Probe, s.id)
+		if suspect && m.now-s.probedAt >= probeEvery {
+			m.ask(s)
 		}
 	}
 }
 
 // judgePairs closes a zone pair to new spill while its latency is a multiple of its norm.
 func (m *Manager) judgePairs() {
-	m.step++
 	for a := range m.pairs {
 		for b := range m.pairs[a] {
 			p := &m.pairs[a][b]
@@ -468,7 +427,6 @@
 // moveLine moves the line of utility, in flows a second: down to what the servers deliver when as a
 // whole they are late or drop flows, up slowly. All is let in while they are healthy.
 func (m *Manager) moveLine() {
-	m.step++
 	latency, drops := m.flowsMeet(mostFlows)
 	budget, was := m.meanBudget(), m.line
 	pressure := latency / budget
@@ -485,7 +443,7 @@
 	m.peaks = lastOf(append(m.peaks, delivered), peaksKept)
 	knee := slices.Max(m.peaks)
 	switch {
-	case m.now < m.blind || m.admit == AdmitNone:
+	case m.admit == AdmitNone:
 	case pressure > pressureHigh || pressure > pressureLow && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
 			m.line = max(lineFall*min(m.line, delivered), m.usable()*max(lineLeast*knee, lineUsual*usual))
@@ -506,7 +464,6 @@
 }
 
 func (m *Manager) compareVolumes() {
-	m.step = stepNone
 	for z, v := range m.volumes() {
 		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
 			m.cause = "volume"
@@ -542,17 +499,9 @@
 	return levels
 }
 
-// Soon after the first proxy joined, when more have, zones are cut into blocks, each with a table of its
-// own for a part of the zone's proxies. Guards against proxies with so few flows for so many servers that
-// connections close before they are used again; in the split, the blocks of a zone are each other's nearest.
-
-func (m *Manager) unstarted() bool { return m.partAt == 0 && len(m.proxies) > 0 }
-func (m *Manager) start()          { m.partAt, m.wakeAt = m.now+partAfter, 0 }
-
-func (m *Manager) unparted() bool {
-	return !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && m.now >= m.partAt
-}
-
+// part cuts zones into blocks, each with a table of its own for a part of the zone's proxies. Guards against
+// proxies with so few flows for so many servers that connections close before they are used again; in the
+// split, the blocks of a zone are each other's nearest.
 func (m *Manager) part() {
 	m.parted = true
 	zones, proxies, told := float64(len(m.zones)), float64(len(m.proxies)), 0.0
@@ -618,7 +567,7 @@
 // waits for the next second, with the tables that it holds: hundreds join one by one after a restart.
 func (m *Manager) newcomer() bool {
 	return slices.ContainsFunc(m.proxies, func(p *proxy) bool { return !p.weighed }) &&
-		(m.batch || m.noneBound() || !slices.ContainsFunc(m.servers, m.cold))
+		(m.batch || !slices.ContainsFunc(m.servers, m.cold))
 }
 
 func (m *Manager) weigh() {
@@ -633,11 +582,7 @@
 // The split: tables are solved anew when the list, health, a climb, usage or a pair calls for it.
 
 func (m *Manager) unsolved() bool {
-	return m.cause != "" && m.parted && (m.batch || m.urgent || m.noneBound())
-}
-
-func (m *Manager) noneBound() bool {
-	return !slices.ContainsFunc(m.proxies, func(p *proxy) bool { return p.bound })
+	return m.cause != "" && m.parted && (m.batch || m.urgent)
 }
 
 // climbed is the part of its target that a server gets by now.
@@ -771,63 +716,50 @@
 
 // Batches: each second the differences, if the queue has room; what waits is merged.
 
-func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now && !m.sliced }
+func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now }
 
 // lay sends the levels and then, of all tables, the lines that move most flows, as far as the queue has
 // room: guards against tables so large that all their differences never fit at once. What is left over
 // waits for the next second and is solved anew with it.
 func (m *Manager) lay() {
 	m.batch = false
-	var moves []move
-	levels, users, n := make([][]Level, len(m.tables)), make([][]*proxy, len(m.tables)), make([]float64, len(m.tables))
-	need := calm
+	need, rest := calm, false
 	if m.urgent {
 		need = pressing
 	}
-	room, rest := m.free(need), false
-	take := func(z int) bool {
-		cost := float64(len(users[z]))
-		if n[z] == 0 {
-			cost *= m.head + 2
+	users, moves := make([][]*proxy, len(m.tables)), []move{}
+	book := func(t TableID) bool {
+		fits := m.room(users[t], 1, need)
+		if fits {
+			m.post(users[t], 1)
 		}
-		if cost > room || n[z] == 0 && !m.mayWrite(users[z], need) {
-			rest = true
-			return false
-		}
-		room, n[z] = room-cost, n[z]+1
-		return true
+		rest = rest || !fits
+		return fits
 	}
 	for z, t := range m.tables {
 		users[z] = m.users(z)
 		for _, l := range m.levels(z) {
-			if m.differs(t.levels[l.Groups], l) && take(z) {
-				t.levels[l.Groups], levels[z] = l, append(levels[z], l)
+			if m.differs(t.levels[l.Groups], l) && book(l.Table) {
+				t.levels[l.Groups], m.o.Levels = l, append(m.o.Levels, l)
 			}
 		}
 		moves = append(moves, m.differences(TableID(z))...)
 	}
-	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
 	for _, s := range m.servers {
 		s.unlaid = false
 	}
+	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
 	for _, l := range moves {
-		s := m.server(l.Server)
-		if t := m.tables[l.Table]; take(int(l.Table)) {
-			m.o.Lines = append(m.o.Lines, l.Line)
-			if t.standing[l.Server] == 0 {
-				s.quietFrom = m.now
-			}
-			if t.standing[l.Server] = l.Weight; l.Weight == 0 {
-				delete(t.standing, l.Server)
-			}
-		} else {
-			s.unlaid = s.unlaid || l.Weight < t.standing[l.Server]
+		s, t := m.server(l.Server), m.tables[l.Table]
+		if !book(l.Table) {
+			s.unlaid = s.unlaid || l.Weight < t.standing[s.id]
+			continue
 		}
-	}
-	for z := range m.tables {
-		m.o.Levels = append(m.o.Levels, levels[z]...)
-		if n[z] > 0 {
-			m.post(users[z], n[z])
+		if m.o.Lines = append(m.o.Lines, l.Line); t.standing[s.id] == 0 {
+			s.quietFrom = m.now
+		}
+		if t.standing[s.id] = l.Weight; l.Weight == 0 {
+			delete(t.standing, s.id)
 		}
 	}
 	if rest && m.urgent {
@@ -923,7 +855,7 @@
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool { return !m.sliced && m.parted && m.waitingProxy() != nil }
+func (m *Manager) proxyWaits() bool { return m.parted && m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
@@ -938,10 +870,6 @@
 func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
 
 func (m *Manager) setWake() {
-	m.wakeAt = m.due
-	if !m.parted && m.partAt > 0 {
-		m.wakeAt = min(m.due, m.partAt)
-	}
-	m.wakeAt = max(m.wakeAt, m.now+time.Millisecond)
+	m.wakeAt = max(m.due, m.now+time.Millisecond)
 	m.o.Wake = m.wakeAt
 }
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -10,23 +10,32 @@
 
 // room tells whether lines for each of these proxies fit into the queue and the messages they may get.
 func (m *Manager) room(to []*proxy, lines float64, u urgency) bool {
-	return m.mayWrite(to, u) && float64(len(to))*(m.head+1+lines) <= m.free(u)
+	cost := 0.0
+	for _, p := range to {
+		cost += lines
+		if !p.written(m.now) {
+			cost += m.head + 1
+		}
+	}
+	return m.mayWrite(to, u) && cost <= max(0, m.rooms[u]-m.waiting())
+}
+
+// written tells whether a proxy gets a message at this time anyway.
+func (p *proxy) written(now time.Duration) bool {
+	return len(p.sent) > 0 && p.sent[len(p.sent)-1] == now
 }
 
 // mayWrite tells whether each of these proxies may get a further message.
 func (m *Manager) mayWrite(to []*proxy, u urgency) bool {
 	for _, p := range to {
 		p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return m.now-at > m.span })
-		if most := m.perProxy[u]; most > 0 && len(p.sent) >= most && p.sent[len(p.sent)-1] != m.now {
+		if most := m.perProxy[u]; most > 0 && len(p.sent) >= most && !p.written(m.now) {
 			return false
 		}
 	}
 	return true
 }
 
-// free is how many lines may still join the queue.
-func (m *Manager) free(u urgency) float64 { return max(0, m.rooms[u]-m.waiting()) }
-
 // waiting is what the ledger takes to wait in the channel: of the oldest batch, the part whose marks are
 // not answered, less what the slowest channel has sent since the last answer.
 func (m *Manager) waiting() float64 {
@@ -56,7 +65,7 @@
 	q := &m.queue[len(m.queue)-1]
 	for _, p := range to {
 		q.lines += lines
-		if len(p.sent) == 0 || p.sent[len(p.sent)-1] != m.now {
+		if !p.written(m.now) {
 			p.sent, q.lines, q.sent = append(p.sent, m.now), q.lines+m.head+1, q.sent+1
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -112,7 +112,6 @@
 	tables     []*table  // by block
 	blocks     int       // that a zone is cut into
 	parted     bool      // it is settled
-	partAt     time.Duration
 	pairs      [][]pair  // by zone of proxies, of servers
 	solved     []float64 // volumes last solved with
 	cause      string    // why the tables are to be solved anew
@@ -120,7 +119,7 @@
 	heldAt     time.Duration // the batch found no room then
 	batch      bool          // a second has passed
 	due        time.Duration // when the next has
-	blind      time.Duration // silence proves nothing until then: this manager stood still
+	reportAt   time.Duration // the last came then
 	used       bool
 	queue      []owed
 	mark       MarkID
@@ -138,7 +137,6 @@
 	flooded    bool     // most flows are turned away
 	answers    []figure // seconds that probes took, lately
 	loadTold   bool
-	step       int // of the judging of a second
 	wakeAt     time.Duration
 }
 
@@ -218,7 +216,7 @@
 	if s == nil || r.Tries <= 0 {
 		return m.decide()
 	}
-	m.loadTold = m.loadTold || r.Load >= 0
+	m.loadTold, m.reportAt = m.loadTold || r.Load >= 0, now
 	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
 	if r.Failed < r.Tries {
 		s.quietFrom = now
