--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,93 +13,58 @@
 )
 
 const (
-	batchEvery   = time.Second
-	afterReport  = 10 * time.Millisecond // a second opens, once reports come
-	bandLow      = 0.8                   // of a server's target: its floor
-	bandHigh     = 1.2                   // and its ceiling
-	pairTrouble  = 2.0                   // a zone pair closes to new spill at this multiple of its norm
-	pairDrops    = 0.5                   // or when this share of its tries fails
-	pairLast     = 3                     // samples that must agree on it
-	daySamples   = 64                    // samples that make its norm
-	partAfter    = 50 * time.Millisecond // the first proxy joined, zones are cut into blocks
-	keptOpen     = 8.0                   // uses of a connection, at least, in the time that an idle one is kept
-	blockServers = 4.0                   // servers of a block at least
-	blockProxies = 5.0                   // and proxies of this manager
-	climbFrom    = 0.1                   // a fresh server's first part of its target, and
-	climbCold    = 0.6                   // never more than this part of the stated cold share
-	floodDrops   = 0.4                   // median share of drops at which cold servers wait
-	lineDiffers  = 0.1                   // a weight is sent when it moved by this part, and by so much
-	linePriced   = 1.5                   // more for what a line costs
-	shareMost    = 2.0                   // of its listed share, the most that a server's target is
-	leastLine    = 0.002                 // part of a table below which a server has no line
-	volumeMoved  = 0.2                   // tables are solved anew when a zone's volume moved by this part
-	usualVolume  = 0.5                   // of what a proxy usually gets, the least that it counts for
-	samplesKept  = 24                    // reports of one server that its figures are made from
-	samplesOld   = 5 * time.Second       // and their greatest age
-	fullTries    = 6                     // tries after which older samples are left out
-	enoughTries  = 3                     // tries without which a server is no peer
-	slowLatency  = 1.25                  // multiple of the peers' median latency that is not yet slow
-	failExcess   = 0.15                  // share of failures above the peers' that is not yet failing
-	failWorst    = 0.35                  // from here on a server gets the least
-	fewDrops     = 0.03                  // share of tries dropped from which those that may run again get another
-	leastHealth  = 0.02                  // what a failing server keeps, to be heard by
-	returnHealth = 0.15                  // what a server gets that answers again
-	healthFall   = 0.8                   // in a second, a health factor falls to this part at most
-	healthRise   = 1.5                   // and rises to this multiple
-	healthPace   = 0.3                   // part of the way to its aim, in logarithms, that health goes in a second
-	healthMoved  = 0.05                  // change that is worth solving anew
-	weakHealth   = 0.5                   // from here on it is said in the log
-	soundHealth  = 0.97                  // below it a server has no floor
-	silentTries  = 6.0                   // tries due at a server before its silence counts
-	silentFor    = 2 * time.Second       // and the least time
-	probeEvery   = 2 * time.Second       // of a server that does not answer
-	slowChannel  = 8.0                   // a channel is taken to be so many times slower until marks are answered
-	queueBatch   = 0.5                   // of the queue limit for ordinary batches
-	queueUrgent  = 0.75                  // for joining proxies, and tables that must change at once
-	queueDrain   = 0.9                   // for drains
-	perBatch     = 0.6                   // of the messages that a proxy may be sent, for ordinary batches
-	perUrgent    = 0.8
-	pressureHigh = 0.32 // mean latency over latency budget at which the line moves down
-	pressureLow  = 0.26 // and under which it moves up
-	dropsHigh    = 0.25 // share of drops at which it moves down
-	lineFall     = 0.92 // of what is delivered
-	lineLeast    = 0.6  // of the most that was delivered lately
-	lineUsual    = 0.35 // of what the proxies usually get: guards against a line set by a collapse
-	lineRise     = 0.3  // in a second, with idle servers
-	lineOpen     = 1.2  // of what is asked: from here on all is let in
-	kneePart     = 0.85 // of the most delivered lately: beyond it the line only creeps up
-	lineCreep    = 0.05
-	peaksKept    = 20
-	nearlyAll    = 0.9             // of the good answers, that must be quick for further tries
-	mostFlows    = 0.6             // of the good answers, whose latency tells how full the servers are
-	lineHold     = 3 * time.Second // between falls of the line
-	lineSure     = 4 * time.Second
-	freshFor     = 1500 * time.Millisecond // reports of that time tell how full servers are
-	heldLeast    = 0.3                     // tries a second below which told load says little of latency
-	probePart    = 0.3                     // of the flows' latency: probes that take less find idle servers
-	probesAtOnce = 4
-	answersKept  = 8
-	answersOld   = 3 * time.Second
-	levelStep    = 0.04 // a level is sent when it moved by this much
-	rateOpen     = 1e6
+	batchEvery, afterReport   = time.Second, 10 * time.Millisecond // a second opens once reports come
+	partAfter                 = 50 * time.Millisecond              // the first proxy joined, the first opens
+	bandLow, bandHigh         = 0.8, 1.2                           // of a server's target: its floor and ceiling
+	shareMost                 = 2.0                                // of its listed share, the most that its target is
+	pairTrouble, pairDrops    = 2.0, 0.5                           // a zone pair closes at this multiple of its norm, or drops
+	pairLast, daySamples      = 3, 64                              // samples that must agree on it, and make its norm
+	keptOpen                  = 8.0                                // uses of a connection before an idle one closes
+	blockServers              = 4.0                                // servers of a block at least,
+	blockProxies              = 5.0                                // and proxies of this manager
+	climbFrom, climbCold      = 0.1, 0.6                           // of its target, and of the stated cold share: a climb's start
+	floodDrops                = 0.4                                // median share of drops at which cold servers wait
+	usualVolume               = 0.5                                // of what a proxy usually gets, while servers climb
+	volumeMoved               = 0.2                                // part by which a volume moves before a new split
+	lineDiffers, linePriced   = 0.1, 1.5                           // part by which a weight moves, more for what a line costs
+	leastLine                 = 0.005                              // part of a table below which a server has no line
+	levelStep                 = 0.04                               // part by which a level moves before it is sent
+	samplesKept, samplesOld   = 24, 5 * time.Second                // reports of one server, and their greatest age
+	fullTries, enoughTries    = 6, 3                               // that make figures full, and a server a peer
+	slowLatency               = 1.25                               // of the peers' median latency, not yet slow
+	failExcess, failWorst     = 0.15, 0.35                         // more drops than the peers': not yet failing, and the worst
+	leastHealth, returnHealth = 0.02, 0.15                         // to be heard by, and once a server answers again
+	healthFall, healthPace    = 0.8, 0.3                           // in a second: the most, and part of the way in logarithms
+	healthMoved               = 0.05                               // change that is worth solving anew
+	soundHealth, weakHealth   = 0.97, 0.5                          // below: no floor, and a line in the log
+	silentTries, silentFor    = 4.0, 2 * time.Second               // tries due and time before silence counts
+	slowChannel               = 8.0                                // times slower, until marks are answered
+	queueBatch, perBatch      = 0.5, 0.6                           // of the queue and a proxy's messages: for batches,
+	queueUrgent, perUrgent    = 0.75, 0.8                          // joining proxies and tables that must change at once,
+	queueDrain                = 0.9                                // and drains
+	mostFlows, freshFor       = 0.6, 1500 * time.Millisecond       // of fresh good answers, whose latency is pressure
+	pressureLow, pressureHigh = 0.26, 0.32                         // of the budget: the line moves up, and down
+	dropsHigh                 = 0.25                               // share of drops at which it moves down between them
+	lineFall, lineLeast       = 0.92, 0.6                          // of what is delivered, and of the most lately
+	lineHold, lineSure        = 3 * time.Second, 4 * time.Second   // between falls, and without one to rise faster
+	lineRise, kneePart        = 0.3, 0.85                          // in a second, up to this part of the most lately,
+	lineCreep, lineOpen       = 0.05, 1.2                          // beyond it, and of what is asked to let in all
+	nearlyAll, fewDrops       = 0.9, 0.03                          // quick answers, and drops, for further tries
+	heldLeast                 = 0.3                                // tries a second for told load to say something
+	probesAtOnce, probePart   = 4, 0.3                             // probes that take less than flows find idle servers
+	rateOpen                  = 1e6
 )
 
 func New(seed uint64, t Terms) *Manager {
-	m := &Manager{chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
+	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1, blocks: 1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
-	m.usual, m.admit, m.asks, m.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
-	m.liveWeights, m.tryWait = t.LiveWeights, t.TryWait
-	m.goneStays, m.sliced, m.allProxies = t.GoneStaysOpen, t.Sliced, float64(t.Proxies)
-	m.managers = max(1, float64(t.Managers))
-	m.climbBase, m.warmAfter = min(climbFrom, climbCold*t.ColdShare), max(t.WarmAfter, 1)
+	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
-	m.head, m.slowPace, m.span = t.HeadLines, t.LinesPerS/slowChannel, t.MessagesOver
 	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
 	if most := t.MessagesMost; most > 0 {
 		m.perProxy = [3]int{max(1, int(perBatch*float64(most))), max(1, int(perUrgent*float64(most))), max(1, most-1)}
 	}
 	for g, group := range t.Groups {
-		m.budget = append(m.budget, group.Budget.Seconds())
 		m.byUtility = append(m.byUtility, GroupID(g))
 		m.mayRepeat = append(m.mayRepeat, group.Repeat == Retriable ||
 			group.Repeat == Deduped && group.Window >= group.Expiry)
@@ -109,7 +74,6 @@
 		return cmp.Or(cmp.Compare(t.Groups[b].Utility, t.Groups[a].Utility),
 			cmp.Compare(t.Groups[a].Budget, t.Groups[b].Budget))
 	})
-	m.blocks, m.connIdle = 1, t.ConnIdle
 	for _, z := range t.Zones {
 		m.zone(z)
 	}
@@ -160,7 +124,7 @@
 		if s == nil {
 			// guards against a list that names servers that do not exist: one that the first list did not
 			// name gets flows once it answers a probe
-			s = &server{id: e.Server, zone: m.zone(e.Zone), health: 1, quietFrom: now, startedAt: now, probedAt: -probeEvery}
+			s = &server{id: e.Server, zone: m.zone(e.Zone), health: 1, quietFrom: now, startedAt: now, probedAt: -silentFor}
 			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
 			s.weight, s.out, s.block = e.Weight, m.probes && m.listedOnce, m.blockOf(s.zone)
 			m.servers = append(m.servers, s)
@@ -192,6 +156,7 @@
 	if c != Gone || s.state == Ready {
 		s.state = c
 	}
+	m.drains = m.drains || c != Ready
 	if s.out || s.state == Gone {
 		m.ask(s)
 	}
@@ -215,7 +180,7 @@
 		if a != Answered {
 			wait = math.Inf(1)
 		}
-		m.answers = lastOf(append(m.answers, figure{at: now, value: wait}), answersKept)
+		m.answers = lastOf(append(m.answers, figure{at: now, value: wait}), samplesKept)
 		switch {
 		case a == Silent && !s.out && (s.state == Gone || now-s.quietFrom >= silentFor):
 			s.out, s.health, m.cause = true, returnHealth, "silence"
@@ -243,27 +208,22 @@
 // Drains: a server that drains or is gone is withdrawn from all that joined proxies hold, at once,
 // whatever else waits.
 
-func (m *Manager) mustWithdraw(s *server) bool {
-	return !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
+func (m *Manager) leaving() *server {
+	for _, s := range m.servers {
+		leaves := !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
+		if leaves && m.room(m.holders(s), 1, draining) {
+			return s
+		}
+	}
+	return nil
 }
 
-func (m *Manager) drainWaits() bool {
-	return slices.ContainsFunc(m.servers, func(s *server) bool {
-		return m.mustWithdraw(s) && m.room(m.holders(s), 1, draining)
-	})
-}
+func (m *Manager) drainWaits() bool { return m.drains && m.leaving() != nil }
 
 func (m *Manager) withdraw() {
-	for _, s := range m.servers {
-		if !m.mustWithdraw(s) {
-			continue
-		}
-		if to := m.holders(s); m.room(to, 1, draining) {
-			s.withdrawn = true
-			m.o.Withdraw = append(m.o.Withdraw, s.id)
-			m.post(to, 1)
-		}
-	}
+	s := m.leaving()
+	s.withdrawn, m.o.Withdraw = true, append(m.o.Withdraw, s.id)
+	m.post(m.holders(s), 1)
 	m.lookForBare()
 }
 
@@ -289,6 +249,7 @@
 	if !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && !m.sliced {
 		m.part()
 	}
+	m.drains = true // those that found no room
 	m.lookForBare()
 	m.holdBackCold()
 	m.judgeServers()
@@ -343,7 +304,7 @@
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
 			aim = min(aim, slowLatency*latency/l)
 		}
-		s.health *= max(healthFall, min(healthRise, math.Pow(max(leastHealth, aim)/was, healthPace)))
+		s.health *= max(healthFall, math.Pow(max(leastHealth, aim)/was, healthPace))
 		if was-s.health > healthMoved || s.health-was > healthMoved*was {
 			m.cause = "health"
 		}
@@ -363,7 +324,7 @@
 		quiet := m.now - s.quietFrom
 		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries
 		suspect := m.open(s) && (silent || s.out || s.health < returnHealth || s.state == Gone && quiet >= silentFor)
-		if suspect && m.now-s.probedAt >= probeEvery {
+		if suspect && m.now-s.probedAt >= silentFor {
 			m.ask(s)
 		}
 	}
@@ -401,7 +362,7 @@
 		return min(latency, median(waits))
 	}
 	for _, f := range m.answers {
-		if m.now-f.at <= answersOld {
+		if m.now-f.at <= samplesOld {
 			waits = append(waits, f.value)
 		}
 	}
@@ -439,14 +400,14 @@
 	// slow flows would run twice: nearly all must be quicker than that.
 	slowest, _ := m.flowsMeet(nearlyAll)
 	m.repeating = m.lost > fewDrops && slowest < m.tryWait*budget && pressure < pressureLow
-	asked, usual, delivered := m.traffic()
-	m.peaks = lastOf(append(m.peaks, delivered), peaksKept)
+	asked, delivered := m.traffic()
+	m.peaks = lastOf(append(m.peaks, delivered), samplesKept)
 	knee := slices.Max(m.peaks)
 	switch {
 	case m.admit == AdmitNone:
 	case pressure > pressureHigh || pressure > pressureLow && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line = max(lineFall*min(m.line, delivered), m.usable()*max(lineLeast*knee, lineUsual*usual))
+			m.line = max(lineFall*min(m.line, delivered), m.usable()*lineLeast*knee)
 			m.lineMoved = m.now
 		}
 	case pressure < pressureLow && m.line > lineOpen*asked:
@@ -471,34 +432,42 @@
 	}
 }
 
-// levels are what a zone's table lets in: the groups by utility, each what those above it left.
-func (m *Manager) levels(z int) []Level {
-	levels, left := make([]Level, len(m.budget)), m.line
+// levels are what must change in what a table lets in: the groups by utility, each what those above it left.
+func (m *Manager) levels(z int) (levels []Level) {
+	left, tries := m.line, m.usual
+	if !math.IsInf(m.line, 1) {
+		tries = TryOnce // under overload each further try takes room from a first one
+	}
 	sums, rates := m.demands(z)
 	for _, g := range m.byUtility {
-		part := 1.0
-		if sums[g] > 0 {
-			part = min(1, left/sums[g])
-		}
+		part := min(1, left/max(sums[g], 1e-9))
+		l := Level{Table: TableID(z), Groups: 1 << g, Amount: m.amount(part, rates[g]), Tries: tries}
 		left = max(0, left-sums[g])
-		l := Level{Table: TableID(z), Groups: 1 << g, Amount: part, Tries: m.usual}
-		if m.admit == AdmitRate {
-			l.Amount = rateOpen
-			if part < 1 {
-				l.Amount = evenRate(rates[g], part)
-			}
-		}
-		// under overload each further try takes room from a first one
 		if m.repeating && math.IsInf(m.line, 1) && m.mayRepeat[g] {
 			l.Tries = TryTwice
-		} else if !math.IsInf(m.line, 1) {
-			l.Tries = TryOnce
 		}
-		levels[g] = l
+		was, stands := m.tables[z].levels[l.Groups]
+		if !stands {
+			was = Level{Amount: m.amount(1, nil), Tries: m.usual}
+		}
+		moved := math.Abs(l.Amount-was.Amount) > levelStep*max(l.Amount, was.Amount)
+		if moved || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
+			levels = append(levels, l)
+		}
 	}
 	return levels
 }
 
+// amount is a level in the unit that proxies take.
+func (m *Manager) amount(part float64, rates []float64) float64 {
+	if m.admit == AdmitRate && part < 1 {
+		return evenRate(rates, part)
+	} else if m.admit == AdmitRate {
+		return rateOpen
+	}
+	return part
+}
+
 // part cuts zones into blocks, each with a table of its own for a part of the zone's proxies. Guards against
 // proxies with so few flows for so many servers that connections close before they are used again; in the
 // split, the blocks of a zone are each other's nearest.
@@ -531,51 +500,14 @@
 	}
 }
 
-// blockOf is the block of a zone with the fewest servers, and blockFor that with the fewest flows.
-func (m *Manager) blockOf(z int) int {
-	has := make([]float64, len(m.tables))
-	for _, s := range m.servers {
-		if s.block >= 0 {
-			has[s.block]++
-		}
-	}
-	return m.leastOf(z, has)
-}
-
-func (m *Manager) blockFor(z int) int {
-	has := make([]float64, len(m.tables))
-	for _, p := range m.proxies {
-		if p.block >= 0 {
-			has[p.block] += p.rate
-		}
-	}
-	return m.leastOf(z, has)
-}
-
-func (m *Manager) leastOf(z int, has []float64) int {
-	least := z * m.blocks
-	for b := least; b < (z+1)*m.blocks; b++ {
-		if has[b] < has[least] {
-			least = b
-		}
-	}
-	return least
-}
-
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
 // guards against a table laid for a zone without proxies, as after a cut, that names cold servers only. It
 // waits for the next second, with the tables that it holds: hundreds join one by one after a restart.
-func (m *Manager) newcomer() bool {
-	return slices.ContainsFunc(m.proxies, func(p *proxy) bool { return !p.weighed }) &&
-		(m.batch || !slices.ContainsFunc(m.servers, m.cold))
-}
-
+func (m *Manager) newcomer() bool { return m.joined }
 func (m *Manager) weigh() {
-	for _, p := range m.proxies {
-		p.weighed = true
-	}
+	m.joined = false
 	if slices.ContainsFunc(m.servers, m.cold) {
-		m.cause = "join"
+		m.cause, m.unweighed = "join", true
 	}
 }
 
@@ -594,7 +526,7 @@
 }
 
 func (m *Manager) solve() {
-	m.cause, m.batch, m.relisted = "", true, false
+	m.cause, m.batch, m.relisted, m.unweighed = "", true, false, false
 	m.solved = m.volumes()
 	var parts []part
 	var ids []ServerID
@@ -695,20 +627,16 @@
 		}
 	}
 	// too little room in all bands: by target, to the steady servers if there are any
-	steady, targets := 0.0, 0.0
-	for _, p := range parts {
-		targets += p.target
-		if p.low > 0 {
-			steady += p.target
+	steady := slices.ContainsFunc(parts, func(p part) bool { return p.low > 0 })
+	by, all := make([]float64, len(parts)), 0.0
+	for i, p := range parts {
+		if p.low > 0 || !steady {
+			by[i], all = p.target, all+p.target
 		}
 	}
 	for z := range volumes {
-		for i, p := range parts {
-			if x := left[z] * p.target; steady == 0 {
-				shares[z][i] += x / targets
-			} else if p.low > 0 {
-				shares[z][i] += x / steady
-			}
+		for i := range parts {
+			shares[z][i] += left[z] * by[i] / all
 		}
 	}
 	return shares
@@ -739,7 +667,7 @@
 	for z, t := range m.tables {
 		users[z] = m.users(z)
 		for _, l := range m.levels(z) {
-			if m.differs(t.levels[l.Groups], l) && book(l.Table) {
+			if book(l.Table) {
 				t.levels[l.Groups], m.o.Levels = l, append(m.o.Levels, l)
 			}
 		}
@@ -831,35 +759,26 @@
 	return moves
 }
 
-func (m *Manager) differs(was, is Level) bool {
-	if was.Groups == 0 {
-		was.Amount, was.Tries = 1, m.usual
-		if m.admit == AdmitRate {
-			was.Amount = rateOpen
-		}
-	}
-	moved := math.Abs(is.Amount-was.Amount) > levelStep*max(is.Amount, was.Amount)
-	return moved || is.Tries != was.Tries || is.Amount != was.Amount && (is.Amount == 1 || is.Amount == 0)
-}
-
 // A proxy that joins is put on its zone's table as soon as the channel has room: until then it goes
 // by what it holds, and drains reach it by withdrawal.
 
 func (m *Manager) waitingProxy() *proxy {
 	for _, p := range m.proxies {
 		t := m.tables[p.block]
-		if !p.bound && p.weighed && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
+		if !p.bound && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
 			return p
 		}
 	}
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool { return m.parted && m.waitingProxy() != nil }
+func (m *Manager) proxyWaits() bool {
+	return m.parted && m.unbound > 0 && !m.unweighed && m.waitingProxy() != nil
+}
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
-	p.bound = true
+	p.bound, m.unbound = true, m.unbound-1
 	m.post([]*proxy{p}, m.whole(m.tables[p.block]))
 	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block)})
 }
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -239,15 +239,12 @@
 	return all
 }
 
-// traffic is what is asked, what the proxies said they usually get, and what is delivered, a second.
-func (m *Manager) traffic() (asked, usual, delivered float64) {
+// traffic is what is asked, and what is delivered, a second.
+func (m *Manager) traffic() (asked, delivered float64) {
 	for _, s := range m.servers {
 		delivered += m.delivered(s)
 	}
-	for _, p := range m.proxies {
-		usual += p.rate
-	}
-	return sum(m.volumes()), usual, delivered
+	return sum(m.volumes()), delivered
 }
 
 // demands are the flows a second by traffic group, of all proxies and of each one of a zone.
@@ -322,3 +319,34 @@
 
 // cold tells whether a server may get flows and climbs.
 func (m *Manager) cold(s *server) bool { return s.climbing && m.open(s) }
+
+// blockOf is the block of a zone with the fewest servers, and blockFor that with the fewest flows.
+func (m *Manager) blockOf(z int) int {
+	has := make([]float64, len(m.tables))
+	for _, s := range m.servers {
+		if s.block >= 0 {
+			has[s.block]++
+		}
+	}
+	return m.leastOf(z, has)
+}
+
+func (m *Manager) blockFor(z int) int {
+	has := make([]float64, len(m.tables))
+	for _, p := range m.proxies {
+		if p.block >= 0 {
+			has[p.block] += p.rate
+		}
+	}
+	return m.leastOf(z, has)
+}
+
+func (m *Manager) leastOf(z int, has []float64) int {
+	least := z * m.blocks
+	for b := least; b < (z+1)*m.blocks; b++ {
+		if has[b] < has[least] {
+			least = b
+		}
+	}
+	return least
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -36,7 +36,6 @@
 	rate     float64 // as told when it joined
 	joinedAt time.Duration
 	bound    bool
-	weighed  bool            // its flows are counted in the tables
 	sent     []time.Duration // messages within the span that a limit counts
 	flows    [][]figure      // by traffic group, the last samples
 }
@@ -126,6 +125,10 @@
 	markedAt   time.Duration
 	asked      bool
 	relisted   bool // since the tables were solved
+	drains     bool // some server may have to be withdrawn
+	joined     bool // a proxy has
+	unweighed  bool // its flows are in no table
+	unbound    int  // proxies
 	bareWaits  bool // some table has no line that can be picked
 	listedOnce bool
 	askFrom    time.Duration
@@ -140,6 +143,19 @@
 	wakeAt     time.Duration
 }
 
+// stated takes over what the site states as it is.
+func stated(t Terms) (b bounds) {
+	b.usual, b.admit, b.asks, b.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
+	b.liveWeights, b.tryWait, b.connIdle = t.LiveWeights, t.TryWait, t.ConnIdle
+	b.goneStays, b.sliced, b.head = t.GoneStaysOpen, t.Sliced, t.HeadLines
+	b.allProxies, b.managers = float64(t.Proxies), max(1, float64(t.Managers))
+	b.warmAfter, b.span = max(t.WarmAfter, 1), t.MessagesOver
+	for _, group := range t.Groups {
+		b.budget = append(b.budget, group.Budget.Seconds())
+	}
+	return b
+}
+
 func (m *Manager) note(format string, figures ...any) {
 	m.o.Notes = append(m.o.Notes, fmt.Sprintf(format, figures...))
 }
@@ -199,14 +215,26 @@
 	} else {
 		m.proxies = slices.Insert(m.proxies, i, p)
 	}
+	m.joined = true
+	m.countUnbound()
 	return m.decide()
 }
 
+func (m *Manager) countUnbound() {
+	m.unbound = 0
+	for _, p := range m.proxies {
+		if !p.bound {
+			m.unbound++
+		}
+	}
+}
+
 func (m *Manager) Left(now time.Duration, id ProxyID) Orders {
 	m.now = now
 	if i, ok := m.proxy(id); ok {
 		m.proxies = slices.Delete(m.proxies, i, i+1)
 	}
+	m.countUnbound()
 	return m.decide()
 }
 
