--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,56 +13,57 @@
 )
 
 const (
-	batchEvery, afterReport   = time.Second, 10 * time.Millisecond // a second opens once reports come
-	partAfter                 = 50 * time.Millisecond              // the first proxy joined, the first opens
-	bandLow, bandHigh         = 0.8, 1.2                           // of a server's target: its floor and ceiling
-	shareMost                 = 2.0                                // of its listed share, the most that its target is
-	pairTrouble, pairDrops    = 2.0, 0.5                           // a zone pair closes at this multiple of its norm, or drops
-	pairLast, daySamples      = 3, 64                              // samples that must agree on it, and make its norm
-	keptOpen                  = 8.0                                // uses of a connection before an idle one closes
-	blockServers              = 4.0                                // servers of a block at least,
-	blockProxies              = 5.0                                // and proxies of this manager
-	climbFrom, climbCold      = 0.1, 0.6                           // of its target, and of the stated cold share: a climb's start
-	floodDrops                = 0.4                                // median share of drops at which cold servers wait
-	usualVolume               = 0.5                                // of what a proxy usually gets, while servers climb
-	volumeMoved               = 0.2                                // part by which a volume moves before a new split
-	lineDiffers, linePriced   = 0.1, 1.5                           // part by which a weight moves, more for what a line costs
-	leastLine                 = 0.005                              // part of a table below which a server has no line
-	levelStep                 = 0.04                               // part by which a level moves before it is sent
-	samplesKept, samplesOld   = 24, 5 * time.Second                // reports of one server, and their greatest age
-	fullTries, enoughTries    = 6, 3                               // that make figures full, and a server a peer
-	slowLatency               = 1.25                               // of the peers' median latency, not yet slow
-	failExcess, failWorst     = 0.15, 0.35                         // more drops than the peers': not yet failing, and the worst
-	leastHealth, returnHealth = 0.02, 0.15                         // to be heard by, and once a server answers again
-	healthFall, healthPace    = 0.8, 0.3                           // in a second: the most, and part of the way in logarithms
-	healthMoved               = 0.05                               // change that is worth solving anew
-	soundHealth, weakHealth   = 0.97, 0.5                          // below: no floor, and a line in the log
-	silentTries, silentFor    = 4.0, 2 * time.Second               // tries due and time before silence counts
-	slowChannel               = 8.0                                // times slower, until marks are answered
-	queueBatch, perBatch      = 0.5, 0.6                           // of the queue and a proxy's messages: for batches,
-	queueUrgent, perUrgent    = 0.75, 0.8                          // joining proxies and tables that must change at once,
-	queueDrain                = 0.9                                // and drains
-	mostFlows, freshFor       = 0.6, 1500 * time.Millisecond       // of fresh good answers, whose latency is pressure
-	pressureLow, pressureHigh = 0.26, 0.32                         // of the budget: the line moves up, and down
-	dropsHigh                 = 0.25                               // share of drops at which it moves down between them
-	lineFall, lineLeast       = 0.92, 0.6                          // of what is delivered, and of the most lately
-	lineHold, lineSure        = 3 * time.Second, 4 * time.Second   // between falls, and without one to rise faster
-	lineRise, kneePart        = 0.3, 0.85                          // in a second, up to this part of the most lately,
-	lineCreep, lineOpen       = 0.05, 1.2                          // beyond it, and of what is asked to let in all
-	nearlyAll, fewDrops       = 0.9, 0.03                          // quick answers, and drops, for further tries
-	heldLeast                 = 0.3                                // tries a second for told load to say something
-	probesAtOnce, probePart   = 4, 0.3                             // probes that take less than flows find idle servers
+	batchEvery, afterReport = time.Second, 10 * time.Millisecond // a second opens once reports come
+	partAfter               = 50 * time.Millisecond              // the first proxy joined, the first opens
+	samplesKept, samplesOld = 24, 5 * time.Second                // reports of a server, and their greatest age
+	silentTries, silentFor  = 4.0, 2 * time.Second               // tries due and time before silence counts
+	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: their latency counts
+	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
+
+	bandLow, bandHigh         = 0.8, 1.2   // of a server's target: its floor and ceiling
+	shareMost                 = 2.0        // of its listed share, the most that its target is
+	pairTrouble, pairDrops    = 2.0, 0.5   // a zone pair closes at this multiple of its norm, or drops
+	pairLast, daySamples      = 3, 64      // samples that must agree on it, and make its norm
+	keptOpen                  = 8.0        // uses of a connection before an idle one closes
+	blockServers              = 4.0        // servers of a block at least,
+	blockProxies              = 5.0        // and proxies of this manager
+	climbFrom, climbCold      = 0.1, 0.6   // of its target, and of the stated cold share: a climb's start
+	floodDrops                = 0.4        // median share of drops at which cold servers wait
+	usualVolume               = 0.5        // of what a proxy usually gets, while servers climb
+	volumeMoved               = 0.2        // part by which a volume moves before a new split
+	lineDiffers, linePriced   = 0.1, 1.5   // part by which a weight moves, more for what a line costs
+	leastLine                 = 0.005      // part of a table below which a server has no line
+	levelStep                 = 0.04       // part by which a level moves before it is sent
+	fullTries, enoughTries    = 6, 3       // that make figures full, and a server a peer
+	slowLatency               = 1.25       // of the peers' median latency, not yet slow
+	failExcess, failWorst     = 0.15, 0.35 // more drops than the peers': not yet failing, and the worst
+	leastHealth, returnHealth = 0.02, 0.15 // to be heard by, and once a server answers again
+	healthFall, healthPace    = 0.8, 0.3   // in a second: the most, and part of the way in logarithms
+	healthMoved               = 0.05       // change that is worth solving anew
+	soundHealth, weakHealth   = 0.97, 0.5  // below: no floor, and a line in the log
+	slowChannel               = 8.0        // times slower, until marks are answered
+	queueBatch, perBatch      = 0.5, 0.6   // of the queue and a proxy's messages: for batches,
+	queueUrgent, perUrgent    = 0.75, 0.8  // joining proxies and tables that must change at once,
+	queueDrain                = 0.9        // and drains
+	pressureLow, pressureHigh = 0.26, 0.32 // of the budget: the line moves up, and down
+	dropsHigh                 = 0.25       // share of drops at which it moves down between them
+	lineFall, lineLeast       = 0.92, 0.6  // of what is delivered, and of the most lately
+	lineRise, kneePart        = 0.3, 0.85  // in a second, up to this part of the most lately,
+	lineCreep, lineOpen       = 0.05, 1.2  // beyond it, and of what is asked to let in all
+	nearlyAll, fewDrops       = 0.9, 0.03  // quick answers, and drops, for further tries
+	heldLeast                 = 0.3        // tries a second for told load to say something
+	probesAtOnce, probePart   = 4, 0.3     // probes that take less than flows find idle servers
 	rateOpen                  = 1e6
 )
 
 func New(seed uint64, t Terms) *Manager {
-	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1, blocks: 1}
+	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
-	if most := t.MessagesMost; most > 0 {
-		m.perProxy = [3]int{max(1, int(perBatch*float64(most))), max(1, int(perUrgent*float64(most))), max(1, most-1)}
+	if most := float64(t.MessagesMost); most > 1 {
+		m.perProxy = [3]int{int(max(1, perBatch*most)), int(max(1, perUrgent*most)), int(most - 1)}
 	}
 	for g, group := range t.Groups {
 		m.byUtility = append(m.byUtility, GroupID(g))
@@ -74,17 +75,12 @@
 		return cmp.Or(cmp.Compare(t.Groups[b].Utility, t.Groups[a].Utility),
 			cmp.Compare(t.Groups[a].Budget, t.Groups[b].Budget))
 	})
-	for _, z := range t.Zones {
-		m.zone(z)
-	}
+	m.layOut(1, t.Zones)
 	return m
 }
 
 // rules are gone through in this order after every input; each effect makes its condition false.
-var rules = []struct {
-	when func(*Manager) bool
-	then func(*Manager)
-}{
+var rules = []rule{
 	{(*Manager).unasked, (*Manager).listen},
 	{(*Manager).drainWaits, (*Manager).withdraw},
 	{(*Manager).unstarted, (*Manager).start},
@@ -110,8 +106,6 @@
 	return o
 }
 
-// Inputs: what happened is noted, and the rules decide.
-
 func (m *Manager) Listed(now time.Duration, whole bool, entries []Entry) Orders {
 	m.now = now
 	seen := map[ServerID]bool{}
@@ -124,11 +118,9 @@
 		if s == nil {
 			// guards against a list that names servers that do not exist: one that the first list did not
 			// name gets flows once it answers a probe
-			s = &server{id: e.Server, zone: m.zone(e.Zone), health: 1, quietFrom: now, startedAt: now, probedAt: -silentFor}
+			s = m.add(e)
 			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
-			s.weight, s.out, s.block = e.Weight, m.probes && m.listedOnce, m.blockOf(s.zone)
-			m.servers = append(m.servers, s)
-			slices.SortFunc(m.servers, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+			s.out = m.probes && m.listedOnce
 		} else if started > s.started {
 			// guards against pushing over a cold server that came back before its end was listed:
 			// what stands in the tables is lowered at once
@@ -176,11 +168,7 @@
 func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && m.open(s) {
-		wait := took.Seconds()
-		if a != Answered {
-			wait = math.Inf(1)
-		}
-		m.answers = lastOf(append(m.answers, figure{at: now, value: wait}), samplesKept)
+		m.timed(a, took)
 		switch {
 		case a == Silent && !s.out && (s.state == Gone || now-s.quietFrom >= silentFor):
 			s.out, s.health, m.cause = true, returnHealth, "silence"
@@ -200,14 +188,10 @@
 	return m.decide()
 }
 
-// The list must be asked for at some sites.
-
 func (m *Manager) unasked() bool { return m.asks && !m.asked && m.now >= m.askFrom }
 func (m *Manager) listen()       { m.asked, m.o.Listen = true, true }
 
-// Drains: a server that drains or is gone is withdrawn from all that joined proxies hold, at once,
-// whatever else waits.
-
+// leaving is a server that drains or is gone: it is withdrawn at once from all that joined proxies hold.
 func (m *Manager) leaving() *server {
 	for _, s := range m.servers {
 		leaves := !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
@@ -234,8 +218,6 @@
 	m.urgent = m.urgent || m.bareWaits
 }
 
-// Each second what was heard is judged, and a batch falls due.
-
 // The first second comes soon after the first proxy joined, when more have.
 func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
 func (m *Manager) start()          { m.due, m.wakeAt = m.now+partAfter, 0 }
@@ -259,9 +241,8 @@
 	m.compareVolumes()
 }
 
-// holdBackCold guards against pushing over a cold server when its peers turn flows away: proxies that
-// avoid them, or try again, would all come to it; it waits outside while it warms, until half of its
-// peers are heard of and they answer most flows. It may harm by holding back what is needed.
+// holdBackCold guards against pushing over a cold server when its peers turn flows away, which would all come
+// to it: it waits outside until half of its peers are heard of and answer most flows. It may hold back much.
 func (m *Manager) holdBackCold() {
 	_, drops, heard := m.peers()
 	steady := 0
@@ -316,14 +297,13 @@
 	m.lost = lost / max(all, 1)
 }
 
-// probeSilent guards against servers that no longer answer, before the list knows: silence alone may
-// be the proxies' or this manager's standing still, so only a probe can tell.
+// probeSilent guards against servers that no longer answer, before the list knows; silence may be another's.
 func (m *Manager) probeSilent() {
 	flows := m.expected()
 	for i, s := range m.servers {
 		quiet := m.now - s.quietFrom
 		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries
-		suspect := m.open(s) && (silent || s.out || s.health < returnHealth || s.state == Gone && quiet >= silentFor)
+		suspect := silent || s.out || s.health < returnHealth || s.state == Gone && quiet >= silentFor
 		if suspect && m.now-s.probedAt >= silentFor {
 			m.ask(s)
 		}
@@ -419,7 +399,7 @@
 		m.line *= 1 + lineRise*(1-pressure/pressureLow)
 	}
 	if m.line < was || m.line > was*2 {
-		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, latency %.2f of the budget, %.2f dropped",
+		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, latency %.2f of budget, %.2f dropped",
 			m.line, asked, delivered, pressure, drops)
 	}
 }
@@ -473,31 +453,15 @@
 // split, the blocks of a zone are each other's nearest.
 func (m *Manager) part() {
 	m.parted = true
-	zones, proxies, told := float64(len(m.zones)), float64(len(m.proxies)), 0.0
-	for _, p := range m.proxies {
-		told += p.rate
-	}
-	servers, uses := float64(len(m.servers))/zones, told/proxies*m.connIdle.Seconds()
+	zones := float64(len(m.zones))
+	servers, uses := float64(len(m.servers))/zones, m.toldRate()*m.connIdle.Seconds()
 	m.blocks = int(max(1, min(math.Ceil(keptOpen*servers/max(uses, 1e-6)), servers/blockServers,
 		m.allProxies/m.managers/zones/blockProxies)))
 	if m.blocks == 1 {
 		return
 	}
-	m.note("zones in %d blocks: %.0f servers a zone, %.1f flows of a proxy while a connection is kept", m.blocks, servers, uses)
-	m.tables = nil
-	m.addTables()
-	for _, s := range m.servers {
-		s.block = -1
-	}
-	for _, s := range m.servers {
-		s.block = m.blockOf(s.zone)
-	}
-	for _, p := range m.proxies {
-		p.block = -1
-	}
-	for _, p := range m.proxies {
-		p.block = m.blockFor(p.zone)
-	}
+	m.note("zones in %d blocks: %.0f servers each, %.0f flows of a proxy until it closes", m.blocks, servers, uses)
+	m.layOut(m.blocks, nil)
 }
 
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
@@ -561,7 +525,7 @@
 		// guards against a sound server that gets the flows of all its weak peers, as after its climb
 		parts[i].target = min(parts[i].target, shareMost*all*max(m.server(id).weight, 1e-6)/listed)
 	}
-	shares := split(m.solved, parts, m.nearest(), func(a, b int) bool { return m.pairs[a/m.blocks][b/m.blocks].closed })
+	shares := split(m.solved, parts, m.nearest(), m.closed)
 	for z, t := range m.tables {
 		clear(t.wanted)
 		for i, id := range ids {
@@ -572,12 +536,6 @@
 	}
 }
 
-// part is a server's in the split: its target and the band around it.
-type part struct {
-	block             int
-	target, low, high float64
-}
-
 // split shares the volume of each zone over the servers so that little of it leaves its zone and
 // every server stays within its band: floors first, from its own zone and then from the surplus of
 // others; then ceilings in-zone; then what is left spills to the spare band nearest by latency.
@@ -642,8 +600,6 @@
 	return shares
 }
 
-// Batches: each second the differences, if the queue has room; what waits is merged.
-
 func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now }
 
 // lay sends the levels and then, of all tables, the lines that move most flows, as far as the queue has
@@ -683,12 +639,7 @@
 			s.unlaid = s.unlaid || l.Weight < t.standing[s.id]
 			continue
 		}
-		if m.o.Lines = append(m.o.Lines, l.Line); t.standing[s.id] == 0 {
-			s.quietFrom = m.now
-		}
-		if t.standing[s.id] = l.Weight; l.Weight == 0 {
-			delete(t.standing, s.id)
-		}
+		m.stand(l.Line, s, t)
 	}
 	if rest && m.urgent {
 		m.batch, m.heldAt = true, m.now
@@ -698,12 +649,6 @@
 	m.urgent = m.urgent && m.batch
 }
 
-// move is a line in which a table must change, and how many flows a second it moves.
-type move struct {
-	Line
-	flows float64
-}
-
 // A server that returned is readmitted where it stands in tables, once no line of more than it should get
 // is left there: one that waits behind others for the queue would be picked at its old weight.
 func (m *Manager) returned() *server {
@@ -734,13 +679,8 @@
 // differences are the lines in which a table must change; the scale is that of most standing lines.
 // A table never becomes empty: without any server to name it stays as it is.
 func (m *Manager) differences(id TableID) (moves []move) {
-	t, scales := m.tables[id], []float64{}
-	for s, w := range t.wanted {
-		if t.standing[s] > 0 {
-			scales = append(scales, t.standing[s]/w)
-		}
-	}
-	scale, bare := cmp.Or(median(scales), 100), m.bare(t)
+	t := m.tables[id]
+	scale, bare := t.scale(), m.bare(t)
 	for _, s := range m.servers {
 		if s.withdrawn && !m.open(s) {
 			continue // its line does no harm
@@ -759,9 +699,7 @@
 	return moves
 }
 
-// A proxy that joins is put on its zone's table as soon as the channel has room: until then it goes
-// by what it holds, and drains reach it by withdrawal.
-
+// A proxy that joins is put on its block's table as soon as the channel has room.
 func (m *Manager) waitingProxy() *proxy {
 	for _, p := range m.proxies {
 		t := m.tables[p.block]
@@ -783,9 +721,6 @@
 	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block)})
 }
 
-// The manager wakes for its next second; the first one comes by chance, so that managers that
-// started together don't send together.
-
 func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
 
 func (m *Manager) setWake() {
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -350,3 +350,16 @@
 	}
 	return least
 }
+
+// scale is what most standing lines weigh for a part of their table.
+func (t *table) scale() float64 {
+	scales := []float64{}
+	for s, w := range t.wanted {
+		if t.standing[s] > 0 {
+			scales = append(scales, t.standing[s]/w)
+		}
+	}
+	return cmp.Or(median(scales), 100)
+}
+
+func (m *Manager) closed(a, b int) bool { return m.pairs[a/m.blocks][b/m.blocks].closed }
--- a/choice/state.go
+++ b/choice/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -188,7 +189,7 @@
 }
 
 func (m *Manager) server(id ServerID) *server {
-	i, ok := slices.BinarySearchFunc(m.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.id, id) })
+	i, ok := slices.BinarySearchFunc(m.servers, id, (*server).compare)
 	if !ok {
 		return nil
 	}
@@ -296,3 +297,80 @@
 func (m *Manager) users(z int) []*proxy {
 	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.block != z })
 }
+
+// layOut makes the tables anew and deals servers and proxies to the blocks.
+func (m *Manager) layOut(blocks int, zones []ZoneID) {
+	m.blocks, m.tables = blocks, nil
+	for _, z := range zones {
+		m.zone(z)
+	}
+	m.addTables()
+	for _, s := range m.servers {
+		s.block = -1
+	}
+	for _, s := range m.servers {
+		s.block = m.blockOf(s.zone)
+	}
+	for _, p := range m.proxies {
+		p.block = -1
+	}
+	for _, p := range m.proxies {
+		p.block = m.blockFor(p.zone)
+	}
+}
+
+// stand notes that a line was ordered.
+func (m *Manager) stand(l Line, s *server, t *table) {
+	if m.o.Lines = append(m.o.Lines, l); t.standing[s.id] == 0 {
+		s.quietFrom = m.now
+	}
+	if t.standing[s.id] = l.Weight; l.Weight == 0 {
+		delete(t.standing, s.id)
+	}
+}
+
+// timed keeps how long a probe took.
+func (m *Manager) timed(a Answer, took time.Duration) {
+	wait := took.Seconds()
+	if a != Answered {
+		wait = math.Inf(1)
+	}
+	m.answers = lastOf(append(m.answers, figure{at: m.now, value: wait}), samplesKept)
+}
+
+// move is a line in which a table must change, and how many flows a second it moves.
+type move struct {
+	Line
+	flows float64
+}
+
+// part is a server's in the split: its target and the band around it.
+type part struct {
+	block             int
+	target, low, high float64
+}
+
+// rule is an effect and its condition.
+type rule struct {
+	when func(*Manager) bool
+	then func(*Manager)
+}
+
+func (m *Manager) add(e Entry) *server {
+	s := &server{id: e.Server, zone: m.zone(e.Zone), weight: e.Weight, health: 1}
+	s.block, s.quietFrom, s.startedAt, s.probedAt = m.blockOf(s.zone), m.now, m.now, -silentFor
+	i, _ := slices.BinarySearchFunc(m.servers, s.id, (*server).compare)
+	m.servers = slices.Insert(m.servers, i, s)
+	return s
+}
+
+func (s *server) compare(id ServerID) int { return cmp.Compare(s.id, id) }
+
+// toldRate is how many flows a second come to a proxy, as those that joined told.
+func (m *Manager) toldRate() float64 {
+	told := 0.0
+	for _, p := range m.proxies {
+		told += p.rate
+	}
+	return told / max(1, float64(len(m.proxies)))
+}
