--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,9 +15,9 @@
 const (
 	batchEvery, afterReport = time.Second, 10 * time.Millisecond // a second opens once reports come
 	partAfter               = 50 * time.Millisecond              // the first proxy joined, the first opens
-	samplesKept, samplesOld = 24, 5 * time.Second                // reports of a server, and their greatest age
+	samplesKept, samplesOld = 24, 5 * time.Second                // reports of a server, their greatest age
 	silentTries, silentFor  = 4.0, 2 * time.Second               // tries due and time before silence counts
-	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: their latency counts
+	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: pressure is theirs
 	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
 
 	bandLow, bandHigh         = 0.8, 1.2   // of a server's target: its floor and ceiling
@@ -47,7 +47,7 @@
 	queueDrain                = 0.9        // and drains
 	pressureLow, pressureHigh = 0.26, 0.32 // of the budget: the line moves up, and down
 	dropsHigh                 = 0.25       // share of drops at which it moves down between them
-	lineFall, lineLeast       = 0.92, 0.6  // of what is delivered, and of the most lately
+	lineFall                  = 0.92       // of what is delivered
 	lineRise, kneePart        = 0.3, 0.85  // in a second, up to this part of the most lately,
 	lineCreep, lineOpen       = 0.05, 1.2  // beyond it, and of what is asked to let in all
 	nearlyAll, fewDrops       = 0.9, 0.03  // quick answers, and drops, for further tries
@@ -346,23 +346,16 @@
 			waits = append(waits, f.value)
 		}
 	}
-	if m.probes && median(waits) < probePart*latency {
-		return median(waits)
-	}
-	return latency
-}
-
-// askServers probes some servers by chance.
-func (m *Manager) askServers() {
-	if !m.probes || m.loadTold {
-		return
-	}
 	for range probesAtOnce {
 		s := m.servers[int(m.random()*float64(len(m.servers)))]
-		if m.open(s) && !s.out && s.health > weakHealth && !slices.Contains(m.o.Probe, s.id) {
+		if m.probes && m.open(s) && !s.out && s.health > weakHealth {
 			m.o.Probe = append(m.o.Probe, s.id)
 		}
 	}
+	if m.probes && median(waits) < probePart*latency {
+		return median(waits)
+	}
+	return latency
 }
 
 // moveLine moves the line of utility, in flows a second: down to what the servers deliver when as a
@@ -371,13 +364,11 @@
 	latency, drops := m.flowsMeet(mostFlows)
 	budget, was := m.meanBudget(), m.line
 	pressure := latency / budget
-	if pressure > pressureLow {
-		m.askServers()
+	if pressure > pressureLow && len(m.servers) > 0 {
 		pressure = m.atServers(latency) / budget
 	}
-	// guards against servers and links that lose or fail some flows while others come back as quick as the
-	// peers': what may run again gets another try. A proxy waits some time for the first then, so that
-	// slow flows would run twice: nearly all must be quicker than that.
+	// guards against servers and links that lose some flows while others come back as quick as the peers':
+	// what may run again gets another try, if nearly all are quicker than a proxy waits for the first
 	slowest, _ := m.flowsMeet(nearlyAll)
 	m.repeating = m.lost > fewDrops && slowest < m.tryWait*budget && pressure < pressureLow
 	asked, delivered := m.traffic()
@@ -387,8 +378,7 @@
 	case m.admit == AdmitNone:
 	case pressure > pressureHigh || pressure > pressureLow && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line = max(lineFall*min(m.line, delivered), m.usable()*lineLeast*knee)
-			m.lineMoved = m.now
+			m.line, m.lineMoved = lineFall*max(1, min(m.line, delivered)), m.now
 		}
 	case pressure < pressureLow && m.line > lineOpen*asked:
 		m.line = math.Inf(1)
@@ -399,7 +389,7 @@
 		m.line *= 1 + lineRise*(1-pressure/pressureLow)
 	}
 	if m.line < was || m.line > was*2 {
-		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, latency %.2f of budget, %.2f dropped",
+		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, %.2f of the budget, %.2f dropped",
 			m.line, asked, delivered, pressure, drops)
 	}
 }
@@ -460,7 +450,7 @@
 	if m.blocks == 1 {
 		return
 	}
-	m.note("zones in %d blocks: %.0f servers each, %.0f flows of a proxy until it closes", m.blocks, servers, uses)
+	m.note("zones in %d blocks: %.0f servers a zone, %.0f uses of a connection", m.blocks, servers, uses)
 	m.layOut(m.blocks, nil)
 }
 
@@ -477,9 +467,7 @@
 
 // The split: tables are solved anew when the list, health, a climb, usage or a pair calls for it.
 
-func (m *Manager) unsolved() bool {
-	return m.cause != "" && m.parted && (m.batch || m.urgent)
-}
+func (m *Manager) unsolved() bool { return m.cause != "" && m.parted && (m.batch || m.urgent) }
 
 // climbed is the part of its target that a server gets by now.
 func (m *Manager) climbed(s *server) float64 {
@@ -536,6 +524,18 @@
 	}
 }
 
+// counts is what a proxy's flows count for in the split. Guards against tables full of cold servers for a
+// zone of which little is heard, when the rest comes: while servers climb, a proxy counts for a part of
+// what it usually gets, for all of it when it has just joined.
+func (m *Manager) counts(p *proxy, heard float64, cold bool) float64 {
+	if heard == 0 || cold && m.now-p.joinedAt <= samplesOld {
+		return max(heard, p.rate)
+	} else if cold {
+		return max(heard, usualVolume*p.rate)
+	}
+	return heard
+}
+
 // split shares the volume of each zone over the servers so that little of it leaves its zone and
 // every server stays within its band: floors first, from its own zone and then from the surplus of
 // others; then ceilings in-zone; then what is left spills to the spare band nearest by latency.
@@ -564,22 +564,16 @@
 		}
 	}
 	floor, ceiling := func(p part) float64 { return p.low }, func(p part) float64 { return p.high }
-	for z := range volumes {
-		fill(z, z, floor)
-	}
-	for z := range volumes {
-		for _, b := range nearest[z] {
-			fill(z, b, floor)
-		}
-	}
-	for z := range volumes {
-		fill(z, z, ceiling)
-	}
-	for _, shut := range []bool{false, true} {
+	for _, bound := range []func(part) float64{floor, ceiling} {
 		for z := range volumes {
-			for _, b := range nearest[z] {
-				if closed(z, b) == shut {
-					fill(z, b, ceiling)
+			fill(z, z, bound)
+		}
+		for _, shut := range []bool{false, true} {
+			for z := range volumes {
+				for _, b := range nearest[z] {
+					if closed(z, b) == shut {
+						fill(z, b, bound)
+					}
 				}
 			}
 		}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -168,15 +168,7 @@
 		for g := range p.flows {
 			sum += p.demand(g, m.now)
 		}
-		// guards against tables for few flows of a zone that are full of cold servers when the rest comes:
-		// while servers climb, a proxy counts for a part of what it usually gets, and for all of it
-		// when it has just joined
-		if cold && m.now-p.joinedAt <= samplesOld || sum == 0 {
-			sum = max(sum, p.rate)
-		} else if cold {
-			sum = max(sum, usualVolume*p.rate)
-		}
-		v[p.block] += sum
+		v[p.block] += m.counts(p, sum, cold)
 	}
 	if !m.used {
 		clear(v)
@@ -306,17 +298,6 @@
 	return true
 }
 
-// usable is the part of the listed weight that the tables can use.
-func (m *Manager) usable() float64 {
-	all := 0.0
-	for _, s := range m.servers {
-		if m.open(s) && !s.out && !(s.climbing && m.flooded) {
-			all += max(s.weight, 1e-6) * m.climbed(s)
-		}
-	}
-	return all / max(m.listed(), 1e-6)
-}
-
 // cold tells whether a server may get flows and climbs.
 func (m *Manager) cold(s *server) bool { return s.climbing && m.open(s) }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -24,7 +24,6 @@
 	heard     []Report
 	heardAt   []time.Duration
 	quietFrom time.Duration
-	due       float64 // tries a second that the standing tables send it
 	health    float64
 	out       bool // does not answer at all
 	probedAt  time.Duration
@@ -264,9 +263,7 @@
 	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
 		f := &m.proxies[i].flows[u.Group]
 		*f = lastOf(append(*f, figure{now, float64(u.Flows), u.Span.Seconds()}), samplesKept)
-		if !m.used {
-			m.used, m.cause = true, "usage"
-		}
+		m.used = true
 	}
 	return m.decide()
 }
