--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,44 +20,46 @@
 	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: pressure is theirs
 	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
 
-	bandLow, bandHigh         = 0.8, 1.2   // of a server's target: its floor and ceiling
-	shareMost                 = 2.0        // of its listed share, the most that its target is
-	pairTrouble, pairDrops    = 2.0, 0.5   // a zone pair closes at this multiple of its norm, or drops
-	pairLast, daySamples      = 3, 64      // samples that must agree on it, and make its norm
-	keptOpen                  = 8.0        // uses of a connection before an idle one closes
-	blockServers              = 4.0        // servers of a block at least,
-	blockProxies              = 5.0        // and proxies of this manager
-	climbFrom, climbCold      = 0.1, 0.6   // of its target, and of the stated cold share: a climb's start
-	floodDrops                = 0.4        // median share of drops at which cold servers wait
-	usualVolume               = 0.5        // of what a proxy usually gets, while servers climb
-	volumeMoved               = 0.2        // part by which a volume moves before a new split
-	lineDiffers, linePriced   = 0.1, 1.5   // part by which a weight moves, more for what a line costs
-	leastLine                 = 0.005      // part of a table below which a server has no line
-	levelStep                 = 0.04       // part by which a level moves before it is sent
-	fullTries, enoughTries    = 6, 3       // that make figures full, and a server a peer
-	slowLatency               = 1.25       // of the peers' median latency, not yet slow
-	failExcess, failWorst     = 0.15, 0.35 // more drops than the peers': not yet failing, and the worst
-	leastHealth, returnHealth = 0.02, 0.15 // to be heard by, and once a server answers again
-	healthFall, healthPace    = 0.8, 0.3   // in a second: the most, and part of the way in logarithms
-	healthMoved               = 0.05       // change that is worth solving anew
-	soundHealth, weakHealth   = 0.97, 0.5  // below: no floor, and a line in the log
-	slowChannel               = 8.0        // times slower, until marks are answered
-	queueBatch, perBatch      = 0.5, 0.6   // of the queue and a proxy's messages: for batches,
-	queueUrgent, perUrgent    = 0.75, 0.8  // joining proxies and tables that must change at once,
-	queueDrain                = 0.9        // and drains
-	pressureLow, pressureHigh = 0.26, 0.32 // of the budget: the line moves up, and down
-	dropsHigh                 = 0.25       // share of drops at which it moves down between them
-	lineFall                  = 0.92       // of what is delivered
-	lineRise, kneePart        = 0.3, 0.85  // in a second, up to this part of the most lately,
-	lineCreep, lineOpen       = 0.05, 1.2  // beyond it, and of what is asked to let in all
-	nearlyAll, fewDrops       = 0.9, 0.03  // quick answers, and drops, for further tries
-	heldLeast                 = 0.3        // tries a second for told load to say something
-	probesAtOnce, probePart   = 4, 0.3     // probes that take less than flows find idle servers
-	rateOpen                  = 1e6
+	bandLow, bandHigh           = 0.8, 1.2      // of a server's target: its floor and ceiling
+	shareMost                   = 2.0           // of its listed share, the most that its target is
+	pairTrouble, pairDrops      = 2.0, 0.5      // a zone pair closes at this multiple of its norm, or drops
+	pairLast, daySamples        = 3, 64         // samples that must agree on it, and make its norm
+	keptOpen                    = 8.0           // uses of a connection before an idle one closes
+	blockServers                = 4.0           // servers of a block at least,
+	blockProxies                = 5.0           // and proxies of this manager
+	climbFrom, climbCold        = 0.1, 0.6      // of its target, of the stated cold share: a climb's start
+	floodDrops                  = 0.4           // median share of drops at which cold servers wait
+	usualVolume                 = 0.5           // of what a proxy usually gets, while servers climb
+	volumeMoved                 = 0.2           // part by which a volume moves before a new split
+	lineDiffers, linePriced     = 0.1, 1.5      // part by which a weight moves, more for what a line costs
+	leastLine                   = 0.005         // part of a table below which a server has no line
+	levelStep                   = 0.04          // part by which a level moves before it is sent
+	fullTries, enoughTries      = 6, 3          // that make figures full, and a server a peer
+	slowLatency                 = 1.25          // of the peers' median latency, not yet slow
+	failExcess, failWorst       = 0.15, 0.35    // more drops than the peers': not yet failing, and the worst
+	leastHealth, returnHealth   = 0.02, 0.15    // to be heard by, and once a server answers again
+	healthFall, healthPace      = 0.8, 0.3      // in a second: the most, and part of the way in logarithms
+	healthMoved                 = 0.05          // change that is worth solving anew
+	soundHealth, weakHealth     = 0.97, 0.5     // below: no floor, and a line in the log
+	slowChannel                 = 8.0           // times slower, until marks are answered
+	queueBatch, perBatch        = 0.5, 0.6      // of the queue and a proxy's messages: for batches,
+	queueUrgent, perUrgent      = 0.75, 0.8     // joining proxies and tables that must change at once,
+	queueDrain                  = 0.9           // and drains
+	pressureLow, pressureHigh   = 0.24, 0.30    // of the budget: the line moves up, and down
+	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
+	dropsHigh                   = 0.25          // share of drops at which it moves down between them
+	lineFall                    = 0.92          // of what is delivered
+	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
+	lineCreep, lineOpen         = 0.05, 1.2     // beyond it, and of what is asked to let in all
+	nearlyAll, fewDrops         = 0.9, 0.03     // quick answers, and drops, for further tries
+	heldLeast                   = 0.3           // tries a second for told load to say something
+	probesAtOnce, probePart     = 4, 0.3        // probes that take less than flows find idle servers
+	rateOpen                    = 1e6
 )
 
 func New(seed uint64, t Terms) *Manager {
 	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
+	m.calmest = math.Inf(1)
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
@@ -211,8 +213,7 @@
 	m.lookForBare()
 }
 
-// lookForBare guards against proxies without any server: a table whose last ones are withdrawn is laid at
-// once, and those that return to it are readmitted with what room there is.
+// lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
 func (m *Manager) lookForBare() {
 	m.bareWaits = slices.ContainsFunc(m.tables, m.bare)
 	m.urgent = m.urgent || m.bareWaits
@@ -263,9 +264,8 @@
 	}
 }
 
-// judgeServers lowers the health factor of a server that fails more than its peers or is slower,
-// whatever the reason, and raises it gradually. It harms where few proxies are to blame for what
-// all servers seem to do; the peers' median stands against that.
+// judgeServers lowers the health factor of a server that fails more than its peers or is slower, whatever
+// the reason, and raises it gradually. It harms where few proxies are to blame for what all servers do.
 func (m *Manager) judgeServers() {
 	latency, drops, _ := m.peers()
 	lost, all := 0.0, 0.0
@@ -371,22 +371,28 @@
 	// what may run again gets another try, if nearly all are quicker than a proxy waits for the first
 	slowest, _ := m.flowsMeet(nearlyAll)
 	m.repeating = m.lost > fewDrops && slowest < m.tryWait*budget && pressure < pressureLow
+	if latency > 0 {
+		m.calmest = min(m.calmest, latency/budget)
+	}
+	// guards against blocking flows that take long by themselves, also to a manager that starts under load
+	calm := min(m.calmest, calmMost)
+	high, low := max(pressureHigh, calmHigh*calm), max(pressureLow, calmLow*calm)
 	asked, delivered := m.traffic()
 	m.peaks = lastOf(append(m.peaks, delivered), samplesKept)
 	knee := slices.Max(m.peaks)
 	switch {
 	case m.admit == AdmitNone:
-	case pressure > pressureHigh || pressure > pressureLow && drops > dropsHigh:
+	case pressure > high || pressure > low && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
 			m.line, m.lineMoved = lineFall*max(1, min(m.line, delivered)), m.now
 		}
-	case pressure < pressureLow && m.line > lineOpen*asked:
+	case pressure < low && m.line > lineOpen*asked:
 		m.line = math.Inf(1)
-	case pressure < pressureLow && m.line > kneePart*knee:
+	case pressure < low && m.line > kneePart*knee:
 		// the longer the line has not fallen, the faster: guards against a knee that the line itself made
-		m.line *= 1 + lineCreep*(1-pressure/pressureLow)*(1+(m.now-m.lineMoved).Seconds()/lineSure.Seconds())
-	case pressure < pressureLow:
-		m.line *= 1 + lineRise*(1-pressure/pressureLow)
+		m.line *= 1 + lineCreep*(1-pressure/low)*(1+(m.now-m.lineMoved).Seconds()/lineSure.Seconds())
+	case pressure < low:
+		m.line *= 1 + lineRise*(1-pressure/low)
 	}
 	if m.line < was || m.line > was*2 {
 		m.note("line of utility at %.0f of %.0f flows/s: %.0f delivered, %.2f of the budget, %.2f dropped",
@@ -430,10 +436,8 @@
 
 // amount is a level in the unit that proxies take.
 func (m *Manager) amount(part float64, rates []float64) float64 {
-	if m.admit == AdmitRate && part < 1 {
+	if m.admit == AdmitRate {
 		return evenRate(rates, part)
-	} else if m.admit == AdmitRate {
-		return rateOpen
 	}
 	return part
 }
@@ -482,7 +486,7 @@
 	m.solved = m.volumes()
 	var parts []part
 	var ids []ServerID
-	// health never takes the last server of all: without any sound one, those listed share the flows
+	// health never takes the last server of all
 	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return m.open(s) && !s.out })
 	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
 	for _, s := range m.servers {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -452,6 +452,7 @@
 		m.hear(s.id, 50, 10, 1500*time.Millisecond)
 	}
 	m.answers = []figure{{at: m.now, value: 0.005}, {at: m.now, value: 0.004}, {at: m.now, value: 0.006}}
+	m.calmest = 0.1
 	if m.moveLine(); !math.IsInf(m.line, 1) {
 		t.Errorf("line at %.0f over idle servers", m.line)
 	}
@@ -461,6 +462,17 @@
 	}
 }
 
+func TestLineStaysOpenWhereFlowsTakeLongByThemselves(t *testing.T) {
+	m := manager(2)
+	m.probes, m.now, m.calmest = false, 10*time.Second, 0.3
+	for _, s := range m.servers {
+		m.hear(s.id, 20, 0, 800*time.Millisecond)
+	}
+	if m.moveLine(); !math.IsInf(m.line, 1) {
+		t.Errorf("line %.0f at less than twice the calmest pressure", m.line)
+	}
+}
+
 func TestLineStaysOpenOverQuickServersThatDropFlows(t *testing.T) {
 	m := manager(2)
 	m.now = 10 * time.Second
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -198,6 +198,9 @@
 
 // evenRate is the rate at each proxy that lets in the part of what comes to all of them.
 func evenRate(rates []float64, part float64) float64 {
+	if part >= 1 {
+		return rateOpen
+	}
 	slices.Sort(rates)
 	left := 0.0
 	for _, r := range rates {
--- a/choice/state.go
+++ b/choice/state.go
@@ -134,6 +134,7 @@
 	askFrom    time.Duration
 	line       float64 // flows a second that are let in, the most useful first
 	lineMoved  time.Duration
+	calmest    float64   // the least latency over budget so far
 	peaks      []float64 // flows delivered a second, lately
 	lost       float64   // share of tries dropped by servers that answer others quickly
 	repeating  bool
