--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	blockProxies                = 5.0           // and proxies of this manager
 	climbFrom, climbCold        = 0.1, 0.6      // of its target, of the stated cold share: a climb's start
 	floodDrops                  = 0.4           // median share of drops at which cold servers wait
+	askedFor, volumeFor         = 0.9, 6.0      // seconds of usage that make what is asked, and a volume
 	usualVolume                 = 0.5           // of what a proxy usually gets, while servers climb
 	volumeMoved                 = 0.2           // part by which a volume moves before a new split
 	lineDiffers, linePriced     = 0.1, 1.5      // part by which a weight moves, more for what a line costs
@@ -50,6 +51,7 @@
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
 	lineFall                    = 0.92          // of what is delivered
 	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
+	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, the most that is let in after some seconds
 	lineCreep, lineOpen         = 0.05, 1.2     // beyond it, and of what is asked to let in all
 	nearlyAll, fewDrops         = 0.9, 0.03     // quick answers, and drops, for further tries
 	heldLeast                   = 0.3           // tries a second for told load to say something
@@ -378,8 +380,13 @@
 	calm := min(m.calmest, calmMost)
 	high, low := max(pressureHigh, calmHigh*calm), max(pressureLow, calmLow*calm)
 	asked, delivered := m.traffic()
-	m.peaks = lastOf(append(m.peaks, delivered), samplesKept)
-	knee := slices.Max(m.peaks)
+	told := m.toldRate() * float64(len(m.proxies))
+	m.peaks = lastOf(append(m.peaks, delivered/max(told, 1)), samplesKept)
+	knee := slices.Max(m.peaks) * told
+	// guards against a surge that fills all queues before a late answer is heard of
+	if m.admit != AdmitNone && len(m.peaks) > surgeAfter && min(asked, m.line) > surgeMost*knee {
+		m.line = surgeMost * knee
+	}
 	switch {
 	case m.admit == AdmitNone:
 	case pressure > high || pressure > low && drops > dropsHigh:
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -92,11 +92,11 @@
 	return all
 }
 
-// demand is how many flows of a traffic group come to a proxy a second.
-func (p *proxy) demand(g int, now time.Duration) float64 {
+// demand is how many flows of a traffic group come to a proxy a second, by the samples of so many seconds.
+func (p *proxy) demand(g int, now time.Duration, seconds float64) float64 {
 	flows, span := 0.0, 0.0
-	for _, u := range p.flows[g] {
-		if now-u.at <= samplesOld {
+	for i := len(p.flows[g]) - 1; i >= 0 && span < seconds; i-- {
+		if u := p.flows[g][i]; now-u.at <= samplesOld {
 			flows, span = flows+u.value, span+u.span
 		}
 	}
@@ -166,7 +166,7 @@
 	for _, p := range m.proxies {
 		sum := 0.0
 		for g := range p.flows {
-			sum += p.demand(g, m.now)
+			sum += p.demand(g, m.now, volumeFor)
 		}
 		v[p.block] += m.counts(p, sum, cold)
 	}
@@ -189,7 +189,7 @@
 	for g, b := range m.budget {
 		d := 1e-6
 		for _, p := range m.proxies {
-			d += p.demand(g, m.now)
+			d += p.demand(g, m.now, askedFor)
 		}
 		sum, all = sum+b*d, all+d
 	}
@@ -239,7 +239,8 @@
 	for _, s := range m.servers {
 		delivered += m.delivered(s)
 	}
-	return sum(m.volumes()), delivered
+	sums, _ := m.demands(-1)
+	return sum(sums), delivered
 }
 
 // demands are the flows a second by traffic group, of all proxies and of each one of a zone.
@@ -247,10 +248,9 @@
 	sums, rates = make([]float64, len(m.budget)), make([][]float64, len(m.budget))
 	for _, p := range m.proxies {
 		for g := range m.budget {
-			d := p.demand(g, m.now)
-			sums[g] += d
+			sums[g] += p.demand(g, m.now, askedFor)
 			if p.block == z {
-				rates[g] = append(rates[g], d)
+				rates[g] = append(rates[g], p.demand(g, m.now, volumeFor))
 			}
 		}
 	}
