--- a/choice/choice.go
+++ b/choice/choice.go
@@ -129,7 +129,7 @@
 			// guards against pushing over a cold server that came back before its end was listed:
 			// what stands in the tables is lowered at once
 			s.climbing, s.startedAt, s.started = true, now, started
-			s.health, s.heard, s.heardAt, s.quietFrom = 1, nil, nil, now
+			s.health, s.load, s.heard, s.heardAt, s.quietFrom = 1, -1, nil, nil, now
 			s.out, m.urgent = s.out && m.probes, m.urgent || !s.withdrawn
 		}
 		if m.liveWeights {
@@ -169,10 +169,11 @@
 	return s.state == Ready || s.state == Gone && m.goneStays && m.probes
 }
 
-func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration) Orders {
+func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, load float64) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && m.open(s) {
 		m.timed(a, took)
+		s.tell(now, load)
 		switch {
 		case a == Silent && !s.out && (s.state == Gone || now-s.quietFrom >= silentFor):
 			s.out, s.health, m.cause = true, returnHealth, "silence"
@@ -335,12 +336,18 @@
 // then flows are late and servers idle. It may harm where probes are answered beside the queue.
 func (m *Manager) atServers(latency float64) float64 {
 	var waits []float64
-	if m.loadTold {
-		for _, s := range m.servers {
-			if held := m.held(s); held >= 0 && m.open(s) {
-				waits = append(waits, held)
-			}
+	for _, s := range m.servers {
+		if held := m.held(s); held >= 0 && m.rate(s) > heldLeast {
+			waits = append(waits, held)
+		}
+	}
+	for range probesAtOnce {
+		s := m.servers[int(m.random()*float64(len(m.servers)))]
+		if m.probes && !m.loadTold && m.open(s) && !s.out && s.health > weakHealth {
+			m.o.Probe = append(m.o.Probe, s.id)
 		}
+	}
+	if len(waits) > 0 {
 		return min(latency, median(waits))
 	}
 	for _, f := range m.answers {
@@ -348,13 +355,7 @@
 			waits = append(waits, f.value)
 		}
 	}
-	for range probesAtOnce {
-		s := m.servers[int(m.random()*float64(len(m.servers)))]
-		if m.probes && m.open(s) && !s.out && s.health > weakHealth {
-			m.o.Probe = append(m.o.Probe, s.id)
-		}
-	}
-	if m.probes && median(waits) < probePart*latency {
+	if m.probes && len(waits) > 0 && median(waits) < probePart*latency {
 		return median(waits)
 	}
 	return latency
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -191,13 +191,13 @@
 	if len(o.Withdraw) != 0 || !slices.Equal(o.Probe, []ServerID{"a0"}) || !m.open(m.servers[0]) {
 		t.Errorf("withdrawn %v, probed %v", o.Withdraw, o.Probe)
 	}
-	if m.Probed(time.Second, "a0", Answered, time.Millisecond); m.servers[0].out {
+	if m.Probed(time.Second, "a0", Answered, time.Millisecond, -1); m.servers[0].out {
 		t.Error("out though it answers")
 	}
-	if m.Probed(time.Second, "a0", Silent, time.Millisecond); !m.servers[0].out {
+	if m.Probed(time.Second, "a0", Silent, time.Millisecond, -1); !m.servers[0].out {
 		t.Error("not out though the list and a probe agree")
 	}
-	if m.Probed(3*time.Second, "a0", Answered, time.Millisecond); m.servers[0].out || !m.servers[0].climbing {
+	if m.Probed(3*time.Second, "a0", Answered, time.Millisecond, -1); m.servers[0].out || !m.servers[0].climbing {
 		t.Error("one that may be a fresh process does not climb")
 	}
 }
@@ -218,10 +218,10 @@
 	if !slices.Equal(o.Probe, []ServerID{"ghost"}) || !m.server("ghost").out {
 		t.Errorf("probed %v", o.Probe)
 	}
-	if m.Probed(time.Second, "ghost", Full, time.Millisecond); !m.server("ghost").out {
+	if m.Probed(time.Second, "ghost", Full, time.Millisecond, -1); !m.server("ghost").out {
 		t.Error("in without an answer")
 	}
-	if m.Probed(time.Second, "ghost", Answered, time.Millisecond); m.server("ghost").out {
+	if m.Probed(time.Second, "ghost", Answered, time.Millisecond, -1); m.server("ghost").out {
 		t.Error("out though it answers")
 	}
 }
@@ -434,13 +434,13 @@
 	if !slices.Equal(m.o.Probe, []ServerID{"a0"}) || m.servers[0].out {
 		t.Errorf("probed %v, out %v", m.o.Probe, m.servers[0].out)
 	}
-	if m.Probed(m.now, "a0", Answered, time.Millisecond); m.servers[0].out {
+	if m.Probed(m.now, "a0", Answered, time.Millisecond, -1); m.servers[0].out {
 		t.Error("out though it answered")
 	}
-	if m.Probed(m.now, "a0", Silent, time.Second); !m.servers[0].out {
+	if m.Probed(m.now, "a0", Silent, time.Second, -1); !m.servers[0].out {
 		t.Error("not out though silent to a probe")
 	}
-	if m.Probed(m.now, "a0", Answered, time.Millisecond); m.servers[0].out || m.servers[0].health > 0.2 {
+	if m.Probed(m.now, "a0", Answered, time.Millisecond, -1); m.servers[0].out || m.servers[0].health > 0.2 {
 		t.Errorf("back with health %.2f", m.servers[0].health)
 	}
 }
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -31,7 +31,7 @@
 		}
 	}
 	latency /= max(1, good)
-	if held := m.held(s); tries > 0 && held >= 0 {
+	if held := m.held(s); tries > 0 && held >= 0 && m.loadTold {
 		latency = (latency + held) / 2
 	}
 	return tries, failed, latency
@@ -40,11 +40,10 @@
 // held is the time that the flows at a server take by the load that it tells, which all managers' proxies
 // bring, and by this manager's part of it; below 0 where none is told.
 func (m *Manager) held(s *server) float64 {
-	n := len(s.heard)
-	if n == 0 || s.heard[n-1].Load < 0 || m.now-s.heardAt[n-1] > samplesOld {
+	if s.load < 0 || m.now-s.loadAt > samplesOld {
 		return -1
 	}
-	return s.heard[n-1].Load * m.ownPart() / max(m.rate(s), heldLeast)
+	return s.load * m.ownPart() / max(m.rate(s), heldLeast)
 }
 
 // ownPart is the part of all proxies that is joined to this manager.
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -24,7 +24,7 @@
 	for z, name := range m.zones {
 		for i := range n {
 			id := ServerID(fmt.Sprint(name, i))
-			m.servers = append(m.servers, &server{id: id, zone: z, block: z, weight: 1, health: 1, probedAt: -time.Hour})
+			m.servers = append(m.servers, &server{id: id, zone: z, block: z, weight: 1, health: 1, load: -1, probedAt: -time.Hour})
 			m.tables[z].standing[id] = 100
 			m.tables[z].wanted[id] = 1 / float64(n)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -27,6 +27,8 @@
 	health    float64
 	out       bool // does not answer at all
 	probedAt  time.Duration
+	load      float64 // flows it said it holds; below 0 before it did
+	loadAt    time.Duration
 }
 
 type proxy struct {
@@ -245,6 +247,7 @@
 	if s == nil || r.Tries <= 0 {
 		return m.decide()
 	}
+	s.tell(now, r.Load)
 	m.loadTold, m.reportAt = m.loadTold || r.Load >= 0, now
 	s.heard, s.heardAt = lastOf(append(s.heard, r), samplesKept), lastOf(append(s.heardAt, now), samplesKept)
 	if r.Failed < r.Tries {
@@ -355,7 +358,7 @@
 }
 
 func (m *Manager) add(e Entry) *server {
-	s := &server{id: e.Server, zone: m.zone(e.Zone), weight: e.Weight, health: 1}
+	s := &server{id: e.Server, zone: m.zone(e.Zone), weight: e.Weight, health: 1, load: -1}
 	s.block, s.quietFrom, s.startedAt, s.probedAt = m.blockOf(s.zone), m.now, m.now, -silentFor
 	i, _ := slices.BinarySearchFunc(m.servers, s.id, (*server).compare)
 	m.servers = slices.Insert(m.servers, i, s)
@@ -372,3 +375,10 @@
 	}
 	return told / max(1, float64(len(m.proxies)))
 }
+
+// tell notes how many flows a server says it holds, if it does.
+func (s *server) tell(now time.Duration, load float64) {
+	if load >= 0 {
+		s.load, s.loadAt = load, now
+	}
+}
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -167,7 +167,7 @@
 		server := choice.ServerID(c.id("worker"))
 		code := c.oneOf("code", "delivered", "app_error", "shed", "expired", "dial_failed", "dropped", "revoked", "unused")
 		took := c.span("elapsedUs")
-		c.load("pressure")
+		load := c.load("pressure")
 		answer := choice.Silent
 		switch code {
 		case "delivered":
@@ -177,7 +177,7 @@
 		case "shed":
 			answer = choice.Full
 		}
-		call = func() choice.Orders { return m.Probed(now, server, answer, took) }
+		call = func() choice.Orders { return m.Probed(now, server, answer, took, load) }
 	case "DIALLED_IN":
 		rate := c.number("part")
 		c.truth("flag")
