--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,6 +49,7 @@
 	pressureLow, pressureHigh   = 0.24, 0.30    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
+	lineLeast                   = 0.6           // of the most lately: guards against a line set by a collapse
 	lineFall                    = 0.92          // of what is delivered
 	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
 	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, the most that is let in after some seconds
@@ -392,7 +393,7 @@
 	case m.admit == AdmitNone:
 	case pressure > high || pressure > low && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
-			m.line, m.lineMoved = lineFall*max(1, min(m.line, delivered)), m.now
+			m.line, m.lineMoved = max(lineFall*min(m.line, delivered), lineLeast*knee), m.now
 		}
 	case pressure < low && m.line > lineOpen*asked:
 		m.line = math.Inf(1)
