--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,7 +17,7 @@
 	partAfter               = 50 * time.Millisecond              // the first proxy joined, the first opens
 	samplesKept, samplesOld = 24, 5 * time.Second                // reports of a server, their greatest age
 	silentTries, silentFor  = 4.0, 2 * time.Second               // tries due and time before silence counts
-	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: pressure is theirs
+	mostFlows, freshFor     = 0.75, 1500 * time.Millisecond      // of fresh good answers: pressure is theirs
 	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
 
 	bandLow, bandHigh           = 0.8, 1.2      // of a server's target: its floor and ceiling
@@ -52,7 +52,7 @@
 	lineLeast                   = 0.6           // of the most lately: guards against a line set by a collapse
 	lineFall                    = 0.92          // of what is delivered
 	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
-	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, the most that is let in after some seconds
+	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, all that is let in at once
 	lineCreep, lineOpen         = 0.05, 1.2     // beyond it, and of what is asked to let in all
 	nearlyAll, fewDrops         = 0.9, 0.03     // quick answers, and drops, for further tries
 	heldLeast                   = 0.3           // tries a second for told load to say something
@@ -219,11 +219,10 @@
 
 // lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
 func (m *Manager) lookForBare() {
-	m.bareWaits = slices.ContainsFunc(m.tables, m.bare)
+	m.bareWaits, m.drains = slices.ContainsFunc(m.tables, m.bare), m.leaving() != nil
 	m.urgent = m.urgent || m.bareWaits
 }
 
-// The first second comes soon after the first proxy joined, when more have.
 func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
 func (m *Manager) start()          { m.due, m.wakeAt = m.now+partAfter, 0 }
 
@@ -236,14 +235,17 @@
 	if !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && !m.sliced {
 		m.part()
 	}
-	m.drains = true // those that found no room
 	m.lookForBare()
 	m.holdBackCold()
 	m.judgeServers()
 	m.probeSilent()
 	m.judgePairs()
 	m.moveLine()
-	m.compareVolumes()
+	for z, v := range m.volumes() {
+		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
+			m.cause = "volume"
+		}
+	}
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away, which would all come
@@ -332,9 +334,8 @@
 	}
 }
 
-// atServers is the latency that the servers themselves show: by the flows that they say they hold, or
-// by probes. Guards against blocking flows while proxies or managers stand still, or links are slow:
-// then flows are late and servers idle. It may harm where probes are answered beside the queue.
+// atServers is the latency that the servers themselves show: by the flows that they say they hold, or else by
+// probes, which may be answered beside the queue. Guards against blocking flows that are late elsewhere.
 func (m *Manager) atServers(latency float64) float64 {
 	var waits []float64
 	for _, s := range m.servers {
@@ -409,14 +410,6 @@
 	}
 }
 
-func (m *Manager) compareVolumes() {
-	for z, v := range m.volumes() {
-		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
-			m.cause = "volume"
-		}
-	}
-}
-
 // levels are what must change in what a table lets in: the groups by utility, each what those above it left.
 func (m *Manager) levels(z int) (levels []Level) {
 	left, tries := m.line, m.usual
@@ -451,9 +444,8 @@
 	return part
 }
 
-// part cuts zones into blocks, each with a table of its own for a part of the zone's proxies. Guards against
-// proxies with so few flows for so many servers that connections close before they are used again; in the
-// split, the blocks of a zone are each other's nearest.
+// part cuts zones into blocks, each with a table for a part of the zone's proxies. Guards against proxies
+// with so few flows for so many servers that connections close between uses.
 func (m *Manager) part() {
 	m.parted = true
 	zones := float64(len(m.zones))
@@ -537,9 +529,8 @@
 	}
 }
 
-// counts is what a proxy's flows count for in the split. Guards against tables full of cold servers for a
-// zone of which little is heard, when the rest comes: while servers climb, a proxy counts for a part of
-// what it usually gets, for all of it when it has just joined.
+// counts is what a proxy's flows count for in the split. Guards, while servers climb, against tables full of
+// cold servers for a zone of which little is heard, when the rest comes.
 func (m *Manager) counts(p *proxy, heard float64, cold bool) float64 {
 	if heard == 0 || cold && m.now-p.joinedAt <= samplesOld {
 		return max(heard, p.rate)
@@ -609,9 +600,8 @@
 
 func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now }
 
-// lay sends the levels and then, of all tables, the lines that move most flows, as far as the queue has
-// room: guards against tables so large that all their differences never fit at once. What is left over
-// waits for the next second and is solved anew with it.
+// lay sends levels, and the lines that move most flows, as far as the queue has room; the rest is solved anew
+// with the next second. Guards against tables so large that all their differences never fit at once.
 func (m *Manager) lay() {
 	m.batch = false
 	need, rest := calm, false
