--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,7 +17,7 @@
 	partAfter               = 50 * time.Millisecond              // the first proxy joined, the first opens
 	samplesKept, samplesOld = 24, 5 * time.Second                // reports of a server, their greatest age
 	silentTries, silentFor  = 4.0, 2 * time.Second               // tries due and time before silence counts
-	mostFlows, freshFor     = 0.75, 1500 * time.Millisecond      // of fresh good answers: pressure is theirs
+	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: pressure is theirs
 	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
 
 	bandLow, bandHigh           = 0.8, 1.2      // of a server's target: its floor and ceiling
@@ -46,7 +46,7 @@
 	queueBatch, perBatch        = 0.5, 0.6      // of the queue and a proxy's messages: for batches,
 	queueUrgent, perUrgent      = 0.75, 0.8     // joining proxies and tables that must change at once,
 	queueDrain                  = 0.9           // and drains
-	pressureLow, pressureHigh   = 0.24, 0.30    // of the budget: the line moves up, and down
+	pressureLow, pressureHigh   = 0.26, 0.32    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
 	lineLeast                   = 0.6           // of the most lately: guards against a line set by a collapse
