--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,7 @@
 	queueDrain                  = 0.9           // and drains
 	pressureLow, pressureHigh   = 0.26, 0.32    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
+	dropsHigh                   = 0.25          // share of drops at which it moves down between them
 	lineLeast                   = 0.6           // of the most lately: guards against a line set by a collapse
 	lineFall                    = 0.92          // of what is delivered
 	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
@@ -391,7 +392,7 @@
 	}
 	switch {
 	case m.admit == AdmitNone:
-	case pressure > high:
+	case pressure > high || pressure > low && drops > dropsHigh:
 		if m.now-m.lineMoved >= lineHold {
 			m.line, m.lineMoved = max(lineFall*min(m.line, delivered), lineLeast*knee), m.now
 		}
