--- a/choice/choice.go
+++ b/choice/choice.go
@@ -392,7 +392,7 @@
 	}
 	switch {
 	case m.admit == AdmitNone:
-	case pressure > high || pressure > low && drops > dropsHigh:
+	case pressure > high || pressure > low && drops > dropsHigh && len(m.peaks) > surgeAfter:
 		if m.now-m.lineMoved >= lineHold {
 			m.line, m.lineMoved = max(lineFall*min(m.line, delivered), lineLeast*knee), m.now
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -462,6 +462,21 @@
 	}
 }
 
+func TestLineIsNotMovedByDropsOfTheFirstSeconds(t *testing.T) {
+	m := manager(2)
+	m.probes, m.now, m.calmest = false, 10*time.Second, 0.1
+	for _, s := range m.servers {
+		m.hear(s.id, 20, 8, 450*time.Millisecond)
+	}
+	if m.moveLine(); !math.IsInf(m.line, 1) {
+		t.Errorf("line at %.0f by the drops of a first second", m.line)
+	}
+	m.peaks = make([]float64, surgeAfter)
+	if m.moveLine(); math.IsInf(m.line, 1) {
+		t.Error("all let in though late answers and drops go on")
+	}
+}
+
 func TestLineStaysOpenWhereFlowsTakeLongByThemselves(t *testing.T) {
 	m := manager(2)
 	m.probes, m.now, m.calmest = false, 10*time.Second, 0.3
