The module's figure before the real manager; settings read in one package

The settings object becomes choice.Terms in internal/terms, which drill uses and the manager will; ranges are checked and errors begin with the key.

--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tamarindshore/choice"
+	"tamarindshore/internal/terms"
 )
 
 // hosted is one manager, with what its lines must be checked against.
@@ -109,11 +110,11 @@
 		if err != nil && c.err == nil {
 			return errors.New("salt: not a whole number")
 		}
-		t, names, err := terms(c.text("setup"))
+		t, names, err := terms.Read([]byte(c.text("setup")))
 		if c.err != nil {
 			return c.err
 		} else if err != nil {
-			return err
+			return fmt.Errorf("setup: %v", err)
 		}
 		h.managers[who] = &hosted{born: clock, groups: names}
 		h.call(who, func() choice.Orders {
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -1,7 +1,6 @@
 package simwire
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -140,70 +139,3 @@
 	return e, c.end()
 }
 
-// terms reads the settings; names that it does not know are ignored.
-func terms(text string) (choice.Terms, []string, error) {
-	var in struct {
-		Zones   []string
-		Classes []struct {
-			Name, Repeat, Group          string
-			AimUs, HardLimitUs, WindowUs int64
-			Worth                        float64
-		}
-		MembershipMode, WeightSource string
-		PeersTotal                   int
-		Domain                       struct {
-			Admit                          string
-			Ranges, MessagesMost, UsualHow int
-			Proxies                        int
-			EgressPerS, Envelope, QueueCap float64
-			LineFee, TryAims               float64
-			ReloadSpanUs                   int64
-		}
-		Limits struct {
-			Probing    bool
-			ConnIdleUs int64
-		}
-		Rules struct {
-			ColdFrom        float64
-			WarmAfterUs     int64
-			DroppedStayOpen bool
-		}
-	}
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		return choice.Terms{}, nil, fmt.Errorf("setup: %v", err)
-	}
-	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-	t := choice.Terms{
-		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
-		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, Managers: in.PeersTotal, TryWait: in.Domain.TryAims, ConnIdle: span(in.Limits.ConnIdleUs),
-		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
-		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
-		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee, HeadLines: in.Domain.Envelope,
-		MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
-	}
-	switch in.Domain.Admit {
-	case "share":
-		t.Admit = choice.AdmitShare
-	case "rate":
-		t.Admit = choice.AdmitRate
-	}
-	for _, z := range in.Zones {
-		t.Zones = append(t.Zones, choice.ZoneID(z))
-	}
-	var names []string
-	for _, g := range in.Classes {
-		group := choice.Group{Budget: span(g.AimUs), Expiry: span(g.HardLimitUs),
-			Utility: g.Worth, Window: span(g.WindowUs)}
-		switch {
-		case g.Repeat == "idempotent":
-			group.Repeat = choice.Retriable
-		case g.Repeat == "deduplicated" && g.Group == "all":
-			group.Repeat = choice.Deduped
-		}
-		t.Groups, names = append(t.Groups, group), append(names, g.Name)
-	}
-	if len(t.Groups) == 0 || t.LinesPerS <= 0 || t.QueueLines <= 0 {
-		return t, nil, errors.New("setup: classes, domain.egressPerS and domain.queueCap are needed")
-	}
-	return t, names, nil
-}
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,113 @@
+// Package terms turns the settings object of a site into the module's terms. The simulator's
+// adapter and the real manager both use it. It checks and names faulty keys; it decides nothing.
+package terms
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"tamarindshore/choice"
+)
+
+// Read checks the settings and gives the terms and the names of the traffic groups in their order.
+// Keys that it does not know are ignored; an error begins with the key that is at fault.
+func Read(text []byte) (choice.Terms, []string, error) {
+	var in struct {
+		Zones   []string
+		Classes []struct {
+			Name, Repeat, Group          string
+			AimUs, HardLimitUs, WindowUs int64
+			Worth                        float64
+		}
+		MembershipMode, WeightSource string
+		PeersTotal                   int
+		Domain                       struct {
+			Admit                          string
+			Ranges, MessagesMost, UsualHow int
+			Proxies                        int
+			EgressPerS, Envelope, QueueCap float64
+			LineFee, TryAims               float64
+			ReloadSpanUs                   int64
+		}
+		Limits struct {
+			Probing    bool
+			ConnIdleUs int64
+		}
+		Rules struct {
+			ColdFrom        float64
+			WarmAfterUs     int64
+			DroppedStayOpen bool
+		}
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return choice.Terms{}, nil, fmt.Errorf("%s: a %s stands where %s is due", wrong.Field, wrong.Value, wrong.Type)
+		}
+		return choice.Terms{}, nil, err
+	}
+	checks := []struct {
+		key         string
+		value       float64
+		least, most float64
+	}{
+		{"domain.egressPerS", in.Domain.EgressPerS, 1e-6, 1e12},
+		{"domain.queueCap", in.Domain.QueueCap, 1e-6, 1e12},
+		{"domain.envelope", in.Domain.Envelope, 0, 1e9},
+		{"domain.proxies", float64(in.Domain.Proxies), 0, 65536},
+		{"domain.ranges", float64(in.Domain.Ranges), 0, 65536},
+		{"domain.messagesMost", float64(in.Domain.MessagesMost), 0, 1e9},
+		{"domain.reloadSpanUs", float64(in.Domain.ReloadSpanUs), 0, 1e15},
+		{"domain.lineFee", in.Domain.LineFee, 0, 1e6},
+		{"domain.tryAims", in.Domain.TryAims, 0, 1e6},
+		{"domain.usualHow", float64(in.Domain.UsualHow), 0, 3},
+		{"limits.connIdleUs", float64(in.Limits.ConnIdleUs), 0, 1e15},
+		{"rules.coldFrom", in.Rules.ColdFrom, 0, 1e6},
+		{"rules.warmAfterUs", float64(in.Rules.WarmAfterUs), 0, 1e15},
+		{"peersTotal", float64(in.PeersTotal), 0, 65536},
+		{"classes", float64(len(in.Classes)), 1, 63},
+	}
+	for _, c := range checks {
+		if c.value < c.least || c.value > c.most || math.IsNaN(c.value) {
+			return choice.Terms{}, nil, fmt.Errorf("%s: %v is not from %v to %v", c.key, c.value, c.least, c.most)
+		}
+	}
+	span := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+	t := choice.Terms{
+		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
+		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, Managers: in.PeersTotal,
+		TryWait: in.Domain.TryAims, ConnIdle: span(in.Limits.ConnIdleUs),
+		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
+		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
+		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee,
+		HeadLines: in.Domain.Envelope, MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
+	}
+	switch in.Domain.Admit {
+	case "share":
+		t.Admit = choice.AdmitShare
+	case "rate":
+		t.Admit = choice.AdmitRate
+	}
+	for _, z := range in.Zones {
+		t.Zones = append(t.Zones, choice.ZoneID(z))
+	}
+	var names []string
+	for i, g := range in.Classes {
+		if g.Name == "" || g.AimUs <= 0 || g.HardLimitUs <= 0 || g.Worth < 0 {
+			return t, nil, fmt.Errorf("classes[%d]: name, aimUs and hardLimitUs above 0 and worth from 0 are due", i)
+		}
+		group := choice.Group{Budget: span(g.AimUs), Expiry: span(g.HardLimitUs),
+			Utility: g.Worth, Window: span(g.WindowUs)}
+		switch {
+		case g.Repeat == "idempotent":
+			group.Repeat = choice.Retriable
+		case g.Repeat == "deduplicated" && g.Group == "all":
+			group.Repeat = choice.Deduped
+		}
+		t.Groups, names = append(t.Groups, group), append(names, g.Name)
+	}
+	return t, names, nil
+}
