--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -70,3 +70,40 @@
 		}
 	}
 }
+
+// Again books orders that go out once more, or later than they were booked, and gives them a mark of now.
+// They are what was ordered from a mark on; the first of it may have been carried out, the rest never was,
+// and is taken off the books. Proxies that left meanwhile are not bound.
+func (m *Manager) Again(now time.Duration, from MarkID, carried bool, o Orders) Orders {
+	m.now = now
+	i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == from })
+	if carried && i >= 0 {
+		i++
+	}
+	if i >= 0 {
+		for _, q := range m.queue[i:] {
+			for _, p := range m.proxies {
+				p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return at == q.at })
+			}
+		}
+		m.queue = m.queue[:i]
+	}
+	o.Bind = slices.DeleteFunc(o.Bind, func(b Place) bool { _, joined := m.proxy(b.Proxy); return !joined })
+	for _, id := range slices.Concat(o.Withdraw, o.Readmit) {
+		if s := m.server(id); s != nil {
+			m.post(m.holders(s), 1)
+		}
+	}
+	for _, l := range o.Lines {
+		m.post(m.users(int(l.Table)), 1)
+	}
+	for _, l := range o.Levels {
+		m.post(m.users(int(l.Table)), 1)
+	}
+	for _, b := range o.Bind {
+		j, _ := m.proxy(b.Proxy)
+		m.post(m.proxies[j:j+1], m.whole(m.tables[b.Table]))
+	}
+	o.Mark, m.o = m.o.Mark, Orders{}
+	return o
+}
--- /dev/null
+++ b/internal/node/admit.go
@@ -0,0 +1,261 @@
+package node
+
+// Admit decodes each message once into a small typed value and checks it. It owns the wire's words
+// and what the site names (zones, traffic groups); past it no wire name is left. It must never keep
+// a message, call the module or guess a value that was not told.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"tamarindshore/choice"
+)
+
+// The inputs of the module's owner, in the form that it takes them.
+type (
+	heard      struct{ choice.Report }
+	used       struct{ choice.Usage }
+	newsOpened struct{} // all proxies that are joined follow
+	newsStands struct{} // they have been told
+	joined     struct {
+		proxy choice.ProxyID
+		zone  choice.ZoneID
+		rate  float64
+	}
+	left    struct{ proxy choice.ProxyID }
+	applied struct {
+		proxy choice.ProxyID
+		mark  choice.MarkID
+	}
+	listed struct {
+		version   int64
+		whole     bool
+		entries   []choice.Entry
+		addresses map[choice.ServerID]string
+	}
+	listFailed struct{}
+	probed     struct {
+		server choice.ServerID
+		answer choice.Answer
+		took   time.Duration
+		load   float64
+	}
+	again struct {
+		orders  choice.Orders
+		carried bool // some of it may have been carried out
+		reply   chan choice.Orders
+	}
+)
+
+// errUnknown is what a message that names an unknown zone or traffic group gives: it is dropped,
+// and the connection goes on.
+var errUnknown = errors.New("names what the site does not")
+
+type words struct {
+	zones  map[string]choice.ZoneID
+	groups map[string]choice.GroupID
+	names  []string // of the traffic groups
+	born   time.Time
+}
+
+func newWords(zones []choice.ZoneID, groups []string, born time.Time) *words {
+	w := &words{map[string]choice.ZoneID{}, map[string]choice.GroupID{}, groups, born}
+	for _, z := range zones {
+		w.zones[string(z)] = z
+	}
+	for g, name := range groups {
+		w.groups[name] = choice.GroupID(g)
+	}
+	return w
+}
+
+// fields takes the values of one message; the first thing wrong with them stays in err.
+type fields struct {
+	value func(name string) (string, bool)
+	err   error
+}
+
+func (f *fields) fail(name, what string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s: %s", name, what)
+	}
+}
+
+func (f *fields) text(name string) string {
+	v, ok := f.value(name)
+	if !ok || v == "" {
+		f.fail(name, "is missing")
+	}
+	return v
+}
+
+func (f *fields) number(name string) float64 {
+	x, err := strconv.ParseFloat(f.text(name), 64)
+	if err != nil || math.IsNaN(x) || x < 0 || x > 1e12 {
+		f.fail(name, "is not a number from 0 up")
+		return 0
+	}
+	return x
+}
+
+func (f *fields) whole(name string, most int) int {
+	n, err := strconv.Atoi(f.text(name))
+	if err != nil || n < 0 || n > most {
+		f.fail(name, fmt.Sprintf("is not a whole number from 0 to %d", most))
+		return 0
+	}
+	return n
+}
+
+func (f *fields) millis(name string) time.Duration {
+	return time.Duration(f.number(name) * float64(time.Millisecond))
+}
+
+func (f *fields) zone(w *words, name string) choice.ZoneID {
+	z, ok := w.zones[f.text(name)]
+	if !ok && f.err == nil {
+		f.err = errUnknown
+	}
+	return z
+}
+
+// load gives the flows held that a load report tells, -1 without one. Its pairs are split by
+// `between`, a pair by `within`; other words of it are not used.
+func load(text, between, within string) float64 {
+	for _, pair := range strings.Split(text, between) {
+		key, figure, _ := strings.Cut(strings.TrimSpace(pair), within)
+		if key != "inflight" {
+			continue
+		}
+		if x, err := strconv.ParseFloat(figure, 64); err == nil && x >= 0 && x <= 1e12 {
+			return x
+		}
+	}
+	return -1
+}
+
+const mostProxies = 65535
+
+// line decodes a line that came to the manager's address: a kind and words of the form name=value.
+func (w *words) line(text string) (kind string, in any, err error) {
+	parts := strings.Fields(text)
+	if len(parts) == 0 {
+		return "", nil, errors.New("a kind is due")
+	}
+	values := make(map[string]string, len(parts))
+	for _, p := range parts[1:] {
+		name, v, ok := strings.Cut(p, "=")
+		if !ok {
+			return "", nil, fmt.Errorf("%.40q is not name=value", p)
+		}
+		values[name] = v
+	}
+	f := &fields{value: func(name string) (string, bool) { v, ok := values[name]; return v, ok }}
+	switch kind = parts[0]; kind {
+	case "ping":
+	case "collector":
+		f.zone(w, "site")
+	case "heard":
+		r := choice.Report{Server: choice.ServerID(f.text("target")), Zone: f.zone(w, "site"),
+			Tries: f.whole("count", 1<<40), Failed: f.whole("fail", 1<<40), Latency: f.millis("mean"),
+			Span: f.millis("over"), Load: load(values["util"], ",", ":")}
+		if r.Failed > r.Tries {
+			f.fail("fail", "is more than count")
+		}
+		in = heard{r}
+	case "usage":
+		u := choice.Usage{Proxy: choice.ProxyID(f.whole("id", mostProxies)), Flows: f.whole("count", 1<<40),
+			Dropped: f.whole("fail", 1<<40), Span: f.millis("over")}
+		g, ok := w.groups[f.text("lane")]
+		if u.Group = g; !ok && f.err == nil {
+			f.err = errUnknown
+		}
+		in = used{u}
+	default:
+		return "", nil, fmt.Errorf("%.40q is no kind of message", kind)
+	}
+	return kind, in, f.err
+}
+
+// event decodes an event of the relay's news; it gives nil for an event of another kind.
+func (w *words) event(kind, data string) (in any, err error) {
+	if kind != "joined" && kind != "left" && kind != "applied" {
+		return nil, errUnknown
+	}
+	values, err := url.ParseQuery(data)
+	if err != nil {
+		return nil, err
+	}
+	f := &fields{value: func(name string) (string, bool) { return values.Get(name), values.Has(name) }}
+	proxy := choice.ProxyID(f.whole("id", mostProxies))
+	switch kind {
+	case "joined":
+		in = joined{proxy, f.zone(w, "site"), f.number("rps")}
+	case "left":
+		in = left{proxy}
+	case "applied":
+		in = applied{proxy, choice.MarkID(f.whole("seq", mostProxies))}
+	}
+	return in, f.err
+}
+
+// list decodes the whole list or changes of it. Entries of unknown zones are left out and counted.
+func (w *words) list(text []byte) (in listed, unknown int, err error) {
+	var told struct {
+		Generation *int64
+		Reset      bool
+		Instances  []struct {
+			InstanceID  string   `json:"instanceId"`
+			HostPort    string   `json:"hostPort"`
+			Zone        string   `json:"zone"`
+			Lifecycle   string   `json:"lifecycle"`
+			Weight      *float64 `json:"weight"`
+			StartedAtMs int64    `json:"startedAtMs"`
+		}
+	}
+	if err := json.Unmarshal(text, &told); err != nil {
+		return in, 0, err
+	}
+	if told.Generation == nil {
+		return in, 0, errors.New("generation: is missing")
+	}
+	in = listed{version: *told.Generation, whole: told.Reset, addresses: map[choice.ServerID]string{}}
+	for i, t := range told.Instances {
+		e := choice.Entry{Server: choice.ServerID(t.InstanceID), Weight: 1}
+		switch t.Lifecycle {
+		case "up":
+		case "draining":
+			e.State = choice.Draining
+		case "removed":
+			e.State = choice.Gone
+		default:
+			return in, 0, fmt.Errorf("instances[%d].lifecycle: %q is not up, draining or removed", i, t.Lifecycle)
+		}
+		if t.InstanceID == "" || strings.ContainsAny(t.InstanceID, ",; \t\r\n") {
+			return in, 0, fmt.Errorf("instances[%d].instanceId: %q is no name", i, t.InstanceID)
+		}
+		if t.Weight != nil {
+			e.Weight = *t.Weight
+		}
+		if e.Weight < 0 || e.Weight > 1e9 {
+			return in, 0, fmt.Errorf("instances[%d].weight: %v is not from 0 to 1e9", i, e.Weight)
+		}
+		zone, ok := w.zones[t.Zone]
+		if !ok {
+			unknown++
+			continue
+		}
+		if e.Zone = zone; t.StartedAtMs > 0 {
+			e.Started, e.Fresh = time.UnixMilli(t.StartedAtMs).Sub(w.born.Round(0)), true
+		}
+		in.entries = append(in.entries, e)
+		in.addresses[e.Server] = t.HostPort
+	}
+	return in, unknown, nil
+}
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,176 @@
+package node
+
+// Relay carries the calls to the relay, one at a time and in order. It owns what became of each:
+// taken, refused, not sent, or unknown; then what may be missing is sent again before anything
+// else. It must never drop an order that was not refused, nor send a later one before it.
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+)
+
+type relay struct {
+	limits  config.Limits
+	address string
+	groups  []string
+	backlog *backlog
+	intake  *intake
+	book    *book
+	client  *fasthttp.HostClient
+}
+
+func newRelay(l config.Limits, address string, groups []string, b *backlog, t *intake) *relay {
+	r := &relay{limits: l, address: address, groups: groups, backlog: b, intake: t, book: t.book}
+	r.client = client(l, address, func() (net.Conn, error) { return dial(l, address, l.RelayAnswer) }, false, l.RelayIdle)
+	return r
+}
+
+func (r *relay) run() {
+	for {
+		o, ok := r.backlog.next()
+		if !ok {
+			select {
+			case <-r.intake.stop:
+				return
+			case <-r.backlog.filled:
+			}
+			continue
+		}
+		for {
+			rest, outcome := r.carry(o)
+			if outcome == done {
+				break
+			}
+			r.book.say("relay", "outcome=%s orders=%d", outcome, size(rest))
+			if !r.intake.rest(1) {
+				return
+			}
+			// what waits goes along: nothing stale goes out in a burst once the relay is back
+			ask := again{rest, outcome == unknown, make(chan choice.Orders, 1)}
+			if !r.intake.give(ask) {
+				return
+			}
+			select {
+			case o = <-ask.reply:
+				r.book.add(callsAgain, 1)
+			case <-r.intake.stop:
+				return
+			}
+		}
+	}
+}
+
+type outcome string
+
+const (
+	done    outcome = "done"
+	busy    outcome = "busy"   // nothing was carried out
+	unsent  outcome = "unsent" // no connection came up
+	unknown outcome = "unknown"
+)
+
+// carry sends orders in calls, cut only where a call would be too long, and gives what is left.
+func (r *relay) carry(o choice.Orders) (rest choice.Orders, end outcome) {
+	for !empty(o) {
+		text := encode(o, r.groups, r.limits.CallBytes)
+		r.book.add(callsSent, 1)
+		taken, err := r.call(strings.Join(text, ";"))
+		switch {
+		case errors.Is(err, errUnreached):
+			r.book.add(callsUnsent, 1)
+			return o, unsent
+		case errors.Is(err, errBusy):
+			r.book.add(callsBusy, 1)
+			return o, busy
+		case errors.Is(err, errSyntax):
+			// guards against asking for ever for what is never taken
+			taken = 0
+		case err != nil:
+			r.book.add(callsUnknown, 1)
+			r.book.say("call", "error=%q", err)
+			return o, unknown
+		}
+		r.book.add(callsAnswered, 1)
+		r.book.add(ordersSent, int64(min(taken, len(text))))
+		if o.Mark > 0 && taken >= size(o) {
+			r.book.add(marksSent, 1)
+		}
+		if taken < len(text) {
+			log.Printf("event=refused order=%q", text[taken])
+			r.book.add(ordersRefused, 1)
+			taken++
+		}
+		o = skip(o, taken)
+	}
+	return o, done
+}
+
+var errBusy, errSyntax = errors.New("the relay is busy"), errors.New("the relay can't read the call")
+
+// call makes one call and gives how many of its orders were taken.
+func (r *relay) call(orders string) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + r.address + "/v3/kv/")
+	req.Header.SetContentType("application/x-www-form-urlencoded")
+	form := fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseArgs(form)
+	form.Set("Action", "CommitChanges")
+	form.Set("orders", orders)
+	req.SetBody(form.QueryString())
+	if err := r.client.Do(req, resp); err != nil {
+		r.client.CloseIdleConnections()
+		return 0, err
+	}
+	return answer(resp.Body())
+}
+
+// answer reads what the relay says of a call: how many orders it took, or an error word.
+func answer(body []byte) (taken int, err error) {
+	taken = -1
+	in := xml.NewDecoder(bytes.NewReader(body))
+	element := ""
+	for {
+		token, err := in.Token()
+		if err == io.EOF {
+			break
+		} else if err != nil {
+			return 0, fmt.Errorf("unreadable answer: %w", err)
+		}
+		switch one := token.(type) {
+		case xml.StartElement:
+			element = one.Name.Local
+		case xml.EndElement:
+			element = ""
+		case xml.CharData:
+			switch text := strings.TrimSpace(string(one)); {
+			case text == "BUSY":
+				return 0, errBusy
+			case text == "SYNTAX":
+				return 0, errSyntax
+			case element == "taken":
+				if taken, err = strconv.Atoi(text); err != nil || taken < 0 {
+					return 0, fmt.Errorf("unreadable answer: taken %q", text)
+				}
+			}
+		}
+	}
+	if taken < 0 {
+		return 0, fmt.Errorf("unreadable answer: %.80q", body)
+	}
+	return taken, nil
+}
--- /dev/null
+++ b/internal/node/route.go
@@ -0,0 +1,160 @@
+package node
+
+// Route is the one goroutine that owns the module and its clock, and what is known of it: which
+// proxies are joined and where servers listen. It hands the module each input in the order that
+// its connection delivered it and passes the orders on. It must never wait for the network, and
+// never choose a server, a weight, a level or the time of an order.
+
+import (
+	"log"
+	"maps"
+	"slices"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+)
+
+type router struct {
+	limits  config.Limits
+	born    time.Time
+	manager *choice.Manager
+	inputs  chan any
+	backlog *backlog
+	probes  chan probe
+	listen  chan struct{} // the list is asked for
+	opened  func()        // news has been opened
+	book    *book
+
+	now       time.Duration
+	wake      time.Duration // 0: none
+	proxies   map[choice.ProxyID]bool
+	unseen    map[choice.ProxyID]bool // known before the gap in the news, and not told since
+	servers   map[choice.ServerID]string
+	decisions []choice.Orders // of now
+}
+
+// run takes inputs until stop is closed. What waits together is decided at one time, and its
+// orders are one call, as they are one reply on the simulator's wire.
+func (r *router) run(stop <-chan struct{}) {
+	timer := time.NewTimer(time.Hour)
+	for {
+		wait := time.Hour
+		if r.wake > 0 {
+			wait = max(0, r.wake-time.Since(r.born))
+		}
+		timer.Reset(wait)
+		select {
+		case <-stop:
+			return
+		case in := <-r.inputs:
+			r.tick()
+			r.take(in)
+		case <-timer.C:
+			r.tick()
+		}
+		for more := 1; more < r.limits.Together; more++ {
+			select {
+			case in := <-r.inputs:
+				r.take(in)
+				continue
+			default:
+			}
+			break
+		}
+		if r.wake > 0 && r.now >= r.wake {
+			r.wake = 0
+			r.decided(r.manager.Woke(r.now))
+		}
+		r.carry()
+	}
+}
+
+// tick moves the clock; no two times are the same.
+func (r *router) tick() { r.now = max(r.now+1, time.Since(r.born)) }
+
+func (r *router) take(in any) {
+	m := r.manager
+	switch in := in.(type) {
+	case heard:
+		if _, known := r.servers[in.Server]; !known {
+			r.book.add(unknownNames, 1)
+			return
+		}
+		r.decided(m.Heard(r.now, in.Report))
+	case used:
+		if !r.proxies[in.Proxy] {
+			r.book.add(unknownNames, 1)
+			return
+		}
+		r.decided(m.Used(r.now, in.Usage))
+	case newsOpened:
+		r.unseen = maps.Clone(r.proxies)
+		r.opened()
+	case newsStands:
+		// who was known and is not told any more left in the gap
+		for _, p := range slices.Sorted(maps.Keys(r.unseen)) {
+			r.take(left{p})
+		}
+		clear(r.unseen)
+	case joined:
+		// one that is told again after a gap may have left and come back: the module binds it again
+		delete(r.unseen, in.proxy)
+		r.proxies[in.proxy] = true
+		r.decided(m.Joined(r.now, in.proxy, in.zone, in.rate))
+	case left:
+		delete(r.unseen, in.proxy)
+		if r.proxies[in.proxy] {
+			delete(r.proxies, in.proxy)
+			r.decided(m.Left(r.now, in.proxy))
+		}
+	case applied:
+		r.decided(m.Applied(r.now, in.proxy, in.mark))
+	case listed:
+		maps.Copy(r.servers, in.addresses)
+		r.decided(m.Listed(r.now, in.whole, in.entries))
+	case listFailed:
+		r.decided(m.ListFailed(r.now))
+	case probed:
+		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
+	case again:
+		r.carry() // what is decided so far waits behind
+		r.tick()
+		from := in.orders.Mark
+		in.reply <- m.Again(r.now, from, in.carried, fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...))
+		r.tick()
+	}
+}
+
+func (r *router) decided(o choice.Orders) {
+	for _, n := range o.Notes {
+		log.Printf("stage=route at=%.3f note=%q", r.now.Seconds(), n)
+	}
+	for _, s := range o.Probe {
+		select {
+		case r.probes <- probe{s, r.servers[s]}:
+		default:
+			r.book.add(probesDropped, 1)
+		}
+	}
+	if o.Listen {
+		select {
+		case r.listen <- struct{}{}:
+		default:
+		}
+	}
+	if o.Wake > 0 && (r.wake == 0 || o.Wake < r.wake) {
+		r.wake = o.Wake
+	}
+	if !empty(o) {
+		r.decisions = append(r.decisions, o)
+	}
+}
+
+// carry hands what was decided at one time to the relay stage.
+func (r *router) carry() {
+	if len(r.decisions) > 0 {
+		r.backlog.push(fold(r.decisions...))
+		r.decisions = nil
+	}
+}
--- /dev/null
+++ b/internal/node/takein.go
@@ -0,0 +1,384 @@
+package node
+
+// Take in owns the connections that tell the manager something: the listener and its collectors,
+// the relay's news, discovery's watch, and the probes that the module ordered. It hands on decoded
+// inputs in the order that each connection delivered them, and replaces what is broken or silent.
+// It must never write to a collector, call the module or fill a gap by a guess.
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+)
+
+type intake struct {
+	limits config.Limits
+	words  *words
+	inputs chan<- any
+	stop   <-chan struct{}
+	book   *book
+	fit    func() bool // to serve
+	chance *rand.Rand  // of waits; used under mu
+	mu     sync.Mutex
+	guests []*guest // connections to the manager's address
+}
+
+// give hands an input to the module's owner; false once the manager ends.
+func (t *intake) give(in any) bool {
+	select {
+	case t.inputs <- in:
+		return true
+	case <-t.stop:
+		return false
+	}
+}
+
+var errStop = errors.New("the manager ends")
+
+// guest is a connection to the manager's address; it is named once it says whose collector it is.
+type guest struct {
+	net.Conn
+	named   bool
+	spokeAt time.Time
+}
+
+// accept takes connections at the manager's address. Strangers have a number and a silence of
+// their own: where either is full, the one that has been silent for longest goes.
+func (t *intake) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			select {
+			case <-t.stop:
+				return
+			case <-time.After(t.limits.Look):
+				t.book.say("accept", "error=%q", err)
+				continue
+			}
+		}
+		g := &guest{Conn: c, spokeAt: time.Now()}
+		t.book.add(connections, 1)
+		t.mu.Lock()
+		t.guests = append(t.guests, g)
+		t.makeRoom(false, t.limits.Unnamed)
+		t.mu.Unlock()
+		go t.attend(g)
+	}
+}
+
+// makeRoom closes the longest silent guest of a kind while there are too many; mu is held.
+func (t *intake) makeRoom(named bool, most int) {
+	var silent *guest
+	n := 0
+	for _, g := range t.guests {
+		if g.named == named {
+			if n++; silent == nil || g.spokeAt.Before(silent.spokeAt) {
+				silent = g
+			}
+		}
+	}
+	if n > most {
+		t.forget(silent)
+		silent.Close()
+	}
+}
+
+func (t *intake) forget(g *guest) {
+	for i, other := range t.guests {
+		if other == g {
+			t.guests = append(t.guests[:i], t.guests[i+1:]...)
+			t.book.add(connectionsClosed, 1)
+			return
+		}
+	}
+}
+
+// attend reads one guest's lines until it ends, says what can't be read, or is silent for too long.
+func (t *intake) attend(g *guest) {
+	defer func() {
+		g.Close()
+		t.mu.Lock()
+		t.forget(g)
+		t.mu.Unlock()
+	}()
+	named := false
+	wait := &patient{Conn: g.Conn, within: t.limits.SilentUnnamed, look: t.limits.Look, write: t.limits.Write}
+	wait.expect()
+	longest := func() int {
+		if named {
+			return t.limits.LineNamed
+		}
+		return t.limits.LineUnnamed
+	}
+	err := lines(wait, 0, longest, func(line []byte) error {
+		kind, in, err := t.words.line(string(line))
+		if err == errUnknown {
+			t.book.add(unknownNames, 1)
+			return nil
+		} else if err != nil {
+			t.book.add(linesUnread, 1)
+			t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
+			return err
+		}
+		wait.expect()
+		t.mu.Lock()
+		g.spokeAt = time.Now()
+		if kind == "collector" && !named {
+			named, g.named = true, true
+			wait.within = t.limits.SilentNamed
+			t.makeRoom(true, t.limits.Named)
+		}
+		t.mu.Unlock()
+		switch in.(type) {
+		case heard:
+			t.book.add(reportsIn, 1)
+		case used:
+			t.book.add(usagesIn, 1)
+		}
+		switch {
+		case kind == "ping":
+			t.book.add(pings, 1)
+			if t.fit() {
+				if _, err := wait.Write([]byte("pong\r\n")); err != nil {
+					return err
+				}
+			}
+		case in != nil && !named:
+			return errors.New("a collector names its zone first")
+		case in != nil && !t.give(in):
+			return errStop
+		}
+		return nil
+	})
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		t.book.add(halfLines, 1)
+	} else if errors.Is(err, errLong) {
+		t.book.add(linesUnread, 1)
+		t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
+	}
+}
+
+// keep opens a stream again and again: at once when one that had opened ends, then with short
+// waits by chance.
+func (t *intake) keep(what string, breaks counter, open func() (opened bool, err error)) {
+	for tries := 0; ; tries++ {
+		began := time.Now()
+		opened, err := open()
+		select {
+		case <-t.stop:
+			return
+		default:
+		}
+		t.book.add(breaks, 1)
+		t.book.say(what, "lasted=%.3f opened=%v error=%q", time.Since(began).Seconds(), opened, err)
+		if opened && time.Since(began) > t.limits.AgainMost {
+			tries = 0
+		}
+		if tries > 0 && !t.rest(1) {
+			return
+		}
+	}
+}
+
+// rest waits for a short time by chance; false once the manager ends.
+func (t *intake) rest(times int) bool {
+	t.mu.Lock()
+	spread := t.chance.Float64()
+	t.mu.Unlock()
+	wait := t.limits.Again + time.Duration(spread*float64(t.limits.AgainMost-t.limits.Again))
+	select {
+	case <-time.After(wait * time.Duration(times)):
+		return true
+	case <-t.stop:
+		return false
+	}
+}
+
+// news reads the relay's news once, to its end. What it opens with is over at the first sign of
+// life that comes a while after it.
+func (t *intake) news(address string) (opened bool, err error) {
+	var kind, data string
+	var at time.Time
+	standing := false
+	err = stream(t.limits, address, "/v3/kv/stream", t.limits.SilentNews, t.limits.LineNews, func() error {
+		opened, at = true, time.Now()
+		t.book.add(newsOpens, 1)
+		t.give(newsOpened{})
+		return nil
+	}, func(line []byte) error {
+		text := string(line)
+		name, value, _ := strings.Cut(text, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch {
+		case text == "":
+			if kind == "" && data == "" {
+				return nil
+			}
+			in, err := t.words.event(kind, data)
+			kind, data = "", ""
+			if err == errUnknown {
+				t.book.add(unknownNames, 1)
+				return nil
+			} else if err != nil {
+				return err
+			}
+			switch in.(type) {
+			case joined:
+				t.book.add(joinsIn, 1)
+			case left:
+				t.book.add(leavesIn, 1)
+			case applied:
+				t.book.add(appliedIn, 1)
+			}
+			if !t.give(in) {
+				return errStop
+			}
+		case name == "": // a sign of life
+			if !standing && time.Since(at) >= t.limits.NewsOpening {
+				standing = true
+				t.give(newsStands{})
+			}
+		case name == "event":
+			kind = value
+		case name == "data":
+			data += value
+		case name != "id" && name != "retry":
+			return fmt.Errorf("%.40q is no line of an event stream", text)
+		}
+		return nil
+	}, t.stop)
+	return opened, err
+}
+
+// lists is discovery's watch from the version held.
+type lists struct {
+	held   int64
+	lowest int64 // a whole list that is older than held, told at the opening of the last watch
+}
+
+func (t *intake) watch(address string, held *lists) (opened bool, err error) {
+	first := true
+	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.held, 10)
+	err = stream(t.limits, address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
+		opened = true
+		t.book.add(watchOpens, 1)
+		return nil
+	}, func(line []byte) error {
+		if len(bytes.TrimSpace(line)) == 0 {
+			return nil
+		}
+		in, unknown, err := t.words.list(line)
+		if err != nil {
+			return err
+		}
+		t.book.add(unknownNames, int64(unknown))
+		opening := first
+		first = false
+		if !held.admits(in, opening) {
+			t.book.add(listsOld, 1)
+			t.book.say("old_list", "version=%d held=%d", in.version, held.held)
+			if opening && in.whole {
+				return errors.New("an older list than the one held")
+			}
+			return nil
+		}
+		t.book.add(listsIn, 1)
+		if !t.give(in) {
+			return errStop
+		}
+		return nil
+	}, t.stop)
+	return opened, err
+}
+
+// admits tells whether a list is news. An older one never replaces a newer by accident: a whole
+// list with a lower version is taken only where two watches in a row open with it, as after
+// discovery began anew.
+func (h *lists) admits(in listed, opening bool) bool {
+	older := in.version < h.held || in.version == h.held && !in.whole
+	if older && !(opening && in.whole && h.lowest == in.version) {
+		if opening && in.whole {
+			h.lowest = in.version
+		}
+		return false
+	}
+	h.held, h.lowest = in.version, -1
+	return true
+}
+
+type probe struct {
+	server  choice.ServerID
+	address string
+}
+
+// probe asks one server whether it is alive, and for its load where servers tell it.
+func (t *intake) probe(p probe, path string) probed {
+	out := probed{server: p.server, answer: choice.Silent, load: -1}
+	began := time.Now()
+	defer func() { out.took = time.Since(began) }()
+	conn, err := dial(t.limits, p.address, t.limits.ProbeAnswer)
+	if err != nil {
+		return out
+	}
+	defer conn.Close()
+	c := client(t.limits, p.address, func() (net.Conn, error) { return conn, nil }, false, time.Second)
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + p.address + path)
+	req.SetConnectionClose()
+	err = c.Do(req, resp)
+	switch status := resp.StatusCode(); {
+	case err != nil && unreadable(err):
+		out.answer = choice.Erred // something answers there, but not as a server does
+	case err != nil:
+	case status == fasthttp.StatusOK:
+		out.answer = choice.Answered
+		out.load = load(strings.TrimPrefix(string(resp.Body()), "TEXT "), ",", "=")
+	case status == fasthttp.StatusServiceUnavailable:
+		out.answer = choice.Full
+	default:
+		out.answer = choice.Erred
+	}
+	return out
+}
+
+// unreadable tells an answer that can't be read from one that never came.
+func unreadable(err error) bool {
+	var broken net.Error
+	return !errors.As(err, &broken) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) &&
+		!errors.Is(err, fasthttp.ErrConnectionClosed)
+}
+
+// prober carries out ordered probes, a limited number at once; none waits for another's answer.
+func (t *intake) prober(orders <-chan probe, path string) {
+	for {
+		select {
+		case <-t.stop:
+			return
+		case p := <-orders:
+			t.book.add(probesSent, 1)
+			in := t.probe(p, path)
+			if in.answer == choice.Answered {
+				t.book.add(probesAnswered, 1)
+			} else {
+				t.book.add(probesFailed, 1)
+			}
+			if !t.give(in) {
+				return
+			}
+		}
+	}
+}
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -138,4 +138,3 @@
 	c.text("shape")
 	return e, c.end()
 }
-
