Orders that go out once more, or late, need the module's room like all others

Now the module says how many of them may go (Again in choice.go, the drains' room), the relay stage sends those and asks again for the rest. Books of what surely was not carried out are taken back first.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -252,12 +252,7 @@
 // to it: it waits outside until half of its peers are heard of and answer most flows. It may hold back much.
 func (m *Manager) holdBackCold() {
 	_, drops, heard := m.peers()
-	steady := 0
-	for _, s := range m.servers {
-		if m.open(s) && !s.out && !s.climbing {
-			steady++
-		}
-	}
+	steady := count(m.servers, func(s *server) bool { return m.open(s) && !s.out && !s.climbing })
 	flooded := steady > 0 && (drops > floodDrops || 2*heard < steady)
 	if flooded != m.flooded {
 		m.flooded, m.cause, m.urgent = flooded, "flood", true
@@ -436,14 +431,6 @@
 	return levels
 }
 
-// amount is a level in the unit that proxies take.
-func (m *Manager) amount(part float64, rates []float64) float64 {
-	if m.admit == AdmitRate {
-		return evenRate(rates, part)
-	}
-	return part
-}
-
 // part cuts zones into blocks, each with a table for a part of the zone's proxies. Guards against proxies
 // with so few flows for so many servers that connections close between uses.
 func (m *Manager) part() {
@@ -604,10 +591,7 @@
 // with the next second. Guards against tables so large that all their differences never fit at once.
 func (m *Manager) lay() {
 	m.batch = false
-	need, rest := calm, false
-	if m.urgent {
-		need = pressing
-	}
+	need, rest := either(m.urgent, pressing, calm), false
 	users, moves := make([][]*proxy, len(m.tables)), []move{}
 	book := func(t TableID) bool {
 		fits := m.room(users[t], 1, need)
@@ -652,10 +636,7 @@
 	if m.batch || m.relisted {
 		return nil
 	}
-	need := pressing
-	if m.bareWaits {
-		need = draining
-	}
+	need := either(m.bareWaits, draining, pressing)
 	for _, s := range m.servers {
 		waits := s.withdrawn && m.open(s) && !s.unlaid && !(s.climbing && m.flooded)
 		if waits && m.room(m.holders(s), 1, need) {
@@ -718,6 +699,23 @@
 	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block)})
 }
 
+// Again tells how many of the orders that go out once more, or late, may go now, and their mark: they need
+// room like all others. Guards against a burst once the relay is back. The first may have been carried out.
+func (m *Manager) Again(now time.Duration, from MarkID, carried bool, o Orders) (n int, mark MarkID) {
+	m.now = now
+	m.unbook(from, carried)
+	for n < o.Count() {
+		to, lines := m.concerned(o, n)
+		if !m.room(to, lines, draining) {
+			break
+		}
+		m.post(to, lines)
+		n++
+	}
+	mark, m.o = m.o.Mark, Orders{}
+	return n, mark
+}
+
 func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
 
 func (m *Manager) setWake() {
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -346,3 +346,27 @@
 }
 
 func (m *Manager) closed(a, b int) bool { return m.pairs[a/m.blocks][b/m.blocks].closed }
+
+// amount is a level in the unit that proxies take.
+func (m *Manager) amount(part float64, rates []float64) float64 {
+	if m.admit == AdmitRate {
+		return evenRate(rates, part)
+	}
+	return part
+}
+
+func count[T any](x []T, is func(T) bool) (n int) {
+	for _, one := range x {
+		if is(one) {
+			n++
+		}
+	}
+	return n
+}
+
+func either[T any](first bool, a, b T) T {
+	if first {
+		return a
+	}
+	return b
+}
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -71,39 +71,44 @@
 	}
 }
 
-// Again books orders that go out once more, or later than they were booked, and gives them a mark of now.
-// They are what was ordered from a mark on; the first of it may have been carried out, the rest never was,
-// and is taken off the books. Proxies that left meanwhile are not bound.
-func (m *Manager) Again(now time.Duration, from MarkID, carried bool, o Orders) Orders {
-	m.now = now
+// unbook takes off the books what was ordered from a mark on, but for the first of it if that may have been
+// carried out.
+func (m *Manager) unbook(from MarkID, carried bool) {
 	i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == from })
-	if carried && i >= 0 {
+	if i < 0 {
+		return
+	}
+	if carried {
 		i++
 	}
-	if i >= 0 {
-		for _, q := range m.queue[i:] {
-			for _, p := range m.proxies {
-				p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return at == q.at })
-			}
+	for _, q := range m.queue[i:] {
+		for _, p := range m.proxies {
+			p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return at == q.at })
 		}
-		m.queue = m.queue[:i]
 	}
-	o.Bind = slices.DeleteFunc(o.Bind, func(b Place) bool { _, joined := m.proxy(b.Proxy); return !joined })
-	for _, id := range slices.Concat(o.Withdraw, o.Readmit) {
-		if s := m.server(id); s != nil {
-			m.post(m.holders(s), 1)
+	m.queue = m.queue[:i]
+}
+
+// concerned are the proxies that get the n-th order, counted in the order of the fields, and its lines at each.
+func (m *Manager) concerned(o Orders, n int) (to []*proxy, lines float64) {
+	servers := slices.Concat(o.Withdraw, o.Readmit)
+	if n >= len(o.Withdraw) {
+		switch n -= len(o.Withdraw); {
+		case n < len(o.Lines):
+			return m.users(int(o.Lines[n].Table)), 1
+		case n < len(o.Lines)+len(o.Levels):
+			return m.users(int(o.Levels[n-len(o.Lines)].Table)), 1
+		case n >= len(o.Lines)+len(o.Levels)+len(o.Readmit):
+			b := o.Bind[n-len(o.Lines)-len(o.Levels)-len(o.Readmit)]
+			if i, joined := m.proxy(b.Proxy); joined {
+				to = m.proxies[i : i+1]
+			}
+			return to, m.whole(m.tables[b.Table])
 		}
+		n += len(o.Withdraw) - len(o.Lines) - len(o.Levels)
 	}
-	for _, l := range o.Lines {
-		m.post(m.users(int(l.Table)), 1)
-	}
-	for _, l := range o.Levels {
-		m.post(m.users(int(l.Table)), 1)
-	}
-	for _, b := range o.Bind {
-		j, _ := m.proxy(b.Proxy)
-		m.post(m.proxies[j:j+1], m.whole(m.tables[b.Table]))
+	if s := m.server(servers[n]); s != nil {
+		to = m.holders(s)
 	}
-	o.Mark, m.o = m.o.Mark, Orders{}
-	return o
+	return to, 1
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -158,3 +158,8 @@
 	Full   // turned away by a server that runs
 	Silent // no answer, no connection, or a broken one
 )
+
+// Count is how many orders for proxies there are, the mark not among them.
+func (o Orders) Count() int {
+	return len(o.Withdraw) + len(o.Lines) + len(o.Levels) + len(o.Readmit) + len(o.Bind)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,7 @@
 	ProbesOpen  int
 	Unnamed     int // connections that have not said whose they are
 	Named       int // collectors
+	Words       int // of a line
 	LineUnnamed int
 	LineNamed   int
 	LineNews    int
@@ -63,7 +64,7 @@
 		Cores: max(1, int(cores+0.5)), Memory: int64(memoryMB * (1 << 20)), Sockets: sockets,
 		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 256,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
-		LineUnnamed: 4 << 10, LineNamed: 1 << 20, LineNews: 64 << 10, LineList: 8 << 20, Answer: 64 << 10,
+		Words: 64, LineUnnamed: 4 << 10, LineNamed: 1 << 20, LineNews: 64 << 10, LineList: 2 << 20, Answer: 64 << 10,
 		SilentUnnamed: 5 * time.Second, SilentNamed: time.Minute,
 		SilentNews: 1500 * time.Millisecond, SilentWatch: 2600 * time.Millisecond, NewsOpening: 300 * time.Millisecond,
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -48,9 +48,11 @@
 	}
 	again struct {
 		orders  choice.Orders
-		carried bool // some of it may have been carried out
-		reply   chan choice.Orders
+		from    choice.MarkID
+		carried bool // the first of it may have been carried out
+		reply   chan<- later
 	}
+	later struct{ now, rest choice.Orders }
 )
 
 // errUnknown is what a message that names an unknown zone or traffic group gives: it is dropped,
@@ -60,12 +62,12 @@
 type words struct {
 	zones  map[string]choice.ZoneID
 	groups map[string]choice.GroupID
-	names  []string // of the traffic groups
 	born   time.Time
+	most   int // of a line
 }
 
-func newWords(zones []choice.ZoneID, groups []string, born time.Time) *words {
-	w := &words{map[string]choice.ZoneID{}, map[string]choice.GroupID{}, groups, born}
+func newWords(zones []choice.ZoneID, groups []string, born time.Time, most int) *words {
+	w := &words{map[string]choice.ZoneID{}, map[string]choice.GroupID{}, born, most}
 	for _, z := range zones {
 		w.zones[string(z)] = z
 	}
@@ -140,31 +142,44 @@
 	return -1
 }
 
-const mostProxies = 65535
+const mostProxies = 65535 // and marks, by the protocol
 
 // line decodes a line that came to the manager's address: a kind and words of the form name=value.
 func (w *words) line(text string) (kind string, in any, err error) {
-	parts := strings.Fields(text)
-	if len(parts) == 0 {
-		return "", nil, errors.New("a kind is due")
+	var named [][2]string
+	for word := range strings.FieldsSeq(text) {
+		if kind == "" {
+			kind = word
+			continue
+		}
+		name, v, ok := strings.Cut(word, "=")
+		if !ok || len(named) == w.most {
+			return "", nil, fmt.Errorf("%.40q: up to %d words name=value are due", word, w.most)
+		}
+		named = append(named, [2]string{name, v})
 	}
-	values := make(map[string]string, len(parts))
-	for _, p := range parts[1:] {
-		name, v, ok := strings.Cut(p, "=")
-		if !ok {
-			return "", nil, fmt.Errorf("%.40q is not name=value", p)
+	value := func(name string) (string, bool) {
+		for _, one := range named {
+			if one[0] == name {
+				return one[1], true
+			}
 		}
-		values[name] = v
+		return "", false
 	}
-	f := &fields{value: func(name string) (string, bool) { v, ok := values[name]; return v, ok }}
-	switch kind = parts[0]; kind {
+	f := &fields{value: value}
+	switch kind {
 	case "ping":
 	case "collector":
 		f.zone(w, "site")
 	case "heard":
+		util, _ := value("util")
+		mean := time.Duration(0) // where none was good it may be left out
+		if _, told := value("mean"); told {
+			mean = f.millis("mean")
+		}
 		r := choice.Report{Server: choice.ServerID(f.text("target")), Zone: f.zone(w, "site"),
-			Tries: f.whole("count", 1<<40), Failed: f.whole("fail", 1<<40), Latency: f.millis("mean"),
-			Span: f.millis("over"), Load: load(values["util"], ",", ":")}
+			Tries: f.whole("count", 1<<40), Failed: f.whole("fail", 1<<40), Latency: mean,
+			Span: f.millis("over"), Load: load(util, ",", ":")}
 		if r.Failed > r.Tries {
 			f.fail("fail", "is more than count")
 		}
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -99,14 +100,17 @@
 	if err := c.Do(req, resp); err != nil {
 		return err
 	}
-	defer resp.CloseBodyStream()
+	defer func() {
+		conn.Close() // first, so that nothing of an endless answer is read on
+		resp.CloseBodyStream()
+	}()
 	if resp.StatusCode() != fasthttp.StatusOK || resp.BodyStream() == nil {
-		return errors.New("the answer is no stream: status " + fasthttp.StatusMessage(resp.StatusCode()))
+		return errors.New("the answer is no stream: status " + strconv.Itoa(resp.StatusCode()))
 	}
 	if err := opened(); err != nil {
 		return err
 	}
-	return lines(resp.BodyStream(), longest, func() int { return longest }, func(line []byte) error {
+	return lines(resp.BodyStream(), func() int { return longest }, func(line []byte) error {
 		conn.expect()
 		return take(line)
 	})
@@ -116,7 +120,7 @@
 
 // lines cuts what is read into lines, however the network cut it; longest is asked anew for each.
 // A half line at the end is dropped with io.ErrUnexpectedEOF.
-func lines(r io.Reader, _ int, longest func() int, take func(line []byte) error) error {
+func lines(r io.Reader, longest func() int, take func(line []byte) error) error {
 	var held []byte
 	piece := make([]byte, 4096)
 	for {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,7 @@
 func New(s config.Start) (*Node, error) {
 	n := &Node{start: s, book: newBook(s.Limits.LogEvery), stop: make(chan struct{})}
 	born := time.Now()
-	n.words = newWords(s.Terms.Zones, s.Groups, born)
+	n.words = newWords(s.Terms.Zones, s.Groups, born, s.Limits.Words)
 	known, _, err := n.words.list(s.Known)
 	if err != nil {
 		return nil, fmt.Errorf("known: %v", err)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"strconv"
 	"strings"
@@ -48,26 +47,38 @@
 			}
 			continue
 		}
-		for {
-			rest, outcome := r.carry(o)
-			if outcome == done {
-				break
-			}
-			r.book.say("relay", "outcome=%s orders=%d", outcome, size(rest))
-			if !r.intake.rest(1) {
-				return
-			}
-			// what waits goes along: nothing stale goes out in a burst once the relay is back
-			ask := again{rest, outcome == unknown, make(chan choice.Orders, 1)}
-			if !r.intake.give(ask) {
-				return
-			}
-			select {
-			case o = <-ask.reply:
-				r.book.add(callsAgain, 1)
-			case <-r.intake.stop:
-				return
-			}
+		if !r.settle(o) {
+			return
+		}
+	}
+}
+
+// settle carries orders until nothing of them is missing; false once the manager ends. What is to go out once
+// more, or late, is asked of the module together with all that waits by then: nothing stale goes out in a burst
+// once the relay is back, and repeats count against its limits.
+func (r *relay) settle(o choice.Orders) bool {
+	var wait choice.Orders
+	for tries := 0; ; tries++ {
+		rest, end := r.carry(o)
+		if rest.Count() == 0 && wait.Count() == 0 {
+			return true
+		}
+		if end != done {
+			r.book.say("relay", "outcome=%s orders=%d", end, rest.Count())
+		}
+		if (end != unknown || tries > 0) && !r.intake.rest() {
+			return false
+		}
+		reply := make(chan later, 1)
+		if !r.intake.give(again{fold(rest, wait), rest.Mark, end == unknown, reply}) {
+			return false
+		}
+		select {
+		case next := <-reply:
+			o, wait = next.now, next.rest
+			r.book.add(callsAgain, 1)
+		case <-r.intake.stop:
+			return false
 		}
 	}
 }
@@ -104,11 +115,11 @@
 		}
 		r.book.add(callsAnswered, 1)
 		r.book.add(ordersSent, int64(min(taken, len(text))))
-		if o.Mark > 0 && taken >= size(o) {
+		if o.Mark > 0 && taken > o.Count() {
 			r.book.add(marksSent, 1)
 		}
 		if taken < len(text) {
-			log.Printf("event=refused order=%q", text[taken])
+			r.book.say("refused", "order=%q", text[taken])
 			r.book.add(ordersRefused, 1)
 			taken++
 		}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -6,8 +6,10 @@
 // never choose a server, a weight, a level or the time of an order.
 
 import (
+	"fmt"
 	"log"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -37,6 +39,11 @@
 // run takes inputs until stop is closed. What waits together is decided at one time, and its
 // orders are one call, as they are one reply on the simulator's wire.
 func (r *router) run(stop <-chan struct{}) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			log.Fatalf("event=panic at=%.3f cause=%q stack=%q", r.now.Seconds(), fmt.Sprint(cause), debug.Stack())
+		}
+	}()
 	timer := time.NewTimer(time.Hour)
 	for {
 		wait := time.Hour
@@ -120,8 +127,10 @@
 	case again:
 		r.carry() // what is decided so far waits behind
 		r.tick()
-		from := in.orders.Mark
-		in.reply <- m.Again(r.now, from, in.carried, fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...))
+		all := fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...)
+		all.Bind = slices.DeleteFunc(all.Bind, func(b choice.Place) bool { return !r.proxies[b.Proxy] })
+		n, mark := m.Again(r.now, in.from, in.carried, all)
+		in.reply <- later{first(all, n, mark), skip(all, n)}
 		r.tick()
 	}
 }
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,15 +60,7 @@
 	return all
 }
 
-func empty(o choice.Orders) bool { return size(o) == 0 }
-
-func size(o choice.Orders) int {
-	n := len(o.Withdraw) + len(o.Lines) + len(o.Levels) + len(o.Readmit) + len(o.Bind)
-	if o.Mark > 0 {
-		n++
-	}
-	return n
-}
+func empty(o choice.Orders) bool { return o.Count() == 0 && o.Mark == 0 }
 
 // fold gives the latest state that orders, one after another, come to: by table and server, table
 // and groups, proxy and server. Drains stay first and the last mark last. It keeps what the order
@@ -117,20 +110,14 @@
 			}
 		}
 	}
-	reverse(f.Bind)
-	reverse(f.Readmit)
-	reverse(f.Levels)
-	reverse(f.Lines)
-	reverse(f.Withdraw)
+	slices.Reverse(f.Bind)
+	slices.Reverse(f.Readmit)
+	slices.Reverse(f.Levels)
+	slices.Reverse(f.Lines)
+	slices.Reverse(f.Withdraw)
 	return f
 }
 
-func reverse[T any](x []T) {
-	for i, j := 0, len(x)-1; i < j; i, j = i+1, j-1 {
-		x[i], x[j] = x[j], x[i]
-	}
-}
-
 // skip drops the first n orders, in the order in which they are encoded.
 func skip(o choice.Orders, n int) choice.Orders {
 	o.Withdraw, n = cut(o.Withdraw, n)
@@ -144,6 +131,19 @@
 	return o
 }
 
+// first keeps the first n orders, under a mark of their own.
+func first(o choice.Orders, n int, mark choice.MarkID) choice.Orders {
+	rest := skip(o, n)
+	return choice.Orders{
+		Withdraw: o.Withdraw[:len(o.Withdraw)-len(rest.Withdraw)],
+		Lines:    o.Lines[:len(o.Lines)-len(rest.Lines)],
+		Levels:   o.Levels[:len(o.Levels)-len(rest.Levels)],
+		Readmit:  o.Readmit[:len(o.Readmit)-len(rest.Readmit)],
+		Bind:     o.Bind[:len(o.Bind)-len(rest.Bind)],
+		Mark:     mark,
+	}
+}
+
 func cut[T any](x []T, n int) ([]T, int) {
 	by := min(n, len(x))
 	return x[by:], n - by
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -122,7 +122,7 @@
 		}
 		return t.limits.LineUnnamed
 	}
-	err := lines(wait, 0, longest, func(line []byte) error {
+	err := lines(wait, longest, func(line []byte) error {
 		kind, in, err := t.words.line(string(line))
 		if err == errUnknown {
 			t.book.add(unknownNames, 1)
@@ -186,20 +186,20 @@
 		if opened && time.Since(began) > t.limits.AgainMost {
 			tries = 0
 		}
-		if tries > 0 && !t.rest(1) {
+		if tries > 0 && !t.rest() {
 			return
 		}
 	}
 }
 
 // rest waits for a short time by chance; false once the manager ends.
-func (t *intake) rest(times int) bool {
+func (t *intake) rest() bool {
 	t.mu.Lock()
 	spread := t.chance.Float64()
 	t.mu.Unlock()
 	wait := t.limits.Again + time.Duration(spread*float64(t.limits.AgainMost-t.limits.Again))
 	select {
-	case <-time.After(wait * time.Duration(times)):
+	case <-time.After(wait):
 		return true
 	case <-t.stop:
 		return false
@@ -294,6 +294,9 @@
 			}
 			return nil
 		}
+		if !in.whole && len(in.entries) == 0 {
+			return nil // nothing has changed
+		}
 		t.book.add(listsIn, 1)
 		if !t.give(in) {
 			return errStop
@@ -307,7 +310,7 @@
 // list with a lower version is taken only where two watches in a row open with it, as after
 // discovery began anew.
 func (h *lists) admits(in listed, opening bool) bool {
-	older := in.version < h.held || in.version == h.held && !in.whole
+	older := in.version < h.held || in.version == h.held && !in.whole && len(in.entries) > 0
 	if older && !(opening && in.whole && h.lowest == in.version) {
 		if opening && in.whole {
 			h.lowest = in.version
