--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const told = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"store":{"address":"127.0.0.3:6400"},
+"known":{"generation":41,"reset":true,"instances":[]},"unknown":{"key":1},
+"settings":{"zones":["a"],"classes":[{"name":"lookup","aimUs":2000000,"hardLimitUs":6000000,"worth":1}],
+"domain":{"egressPerS":8600,"queueCap":8600,"usualHow":1},"report":{"how":"piggyback"},"rules":{"warmAfterUs":16000000}}}`
+
+func none(string) string { return "" }
+
+func TestParseFillsTermsAndLimits(t *testing.T) {
+	s, err := parse(none, []byte(told))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "n3" || s.Relay != "127.0.0.3:6400" || s.Seed != 0x8c1f30d27a5be964 || !s.Loads {
+		t.Errorf("start %+v", s)
+	}
+	if s.Terms.QueueLines != 8600 || len(s.Groups) != 1 || s.Groups[0] != "lookup" {
+		t.Errorf("terms %+v", s.Terms)
+	}
+	l := s.Limits
+	if l.Memory != 192<<20 || l.Cores != 1 || l.Unnamed+l.Named+l.ProbesOpen >= l.Sockets/2 {
+		t.Errorf("limits %+v", l)
+	}
+}
+
+func TestParseLetsTheEnvironmentWin(t *testing.T) {
+	s, err := parse(func(key string) string {
+		return map[string]string{"PROXY_LISTEN": "127.0.0.9:1", "PROXY_NAME": "n4"}[key]
+	}, []byte(told))
+	if err != nil || s.Listen != "127.0.0.9:1" || s.Name != "n4" || s.Discovery != "127.0.0.2:8500" {
+		t.Errorf("%+v %v", s, err)
+	}
+}
+
+func TestParseNamesTheFaultyKey(t *testing.T) {
+	for _, c := range []struct{ was, is, want string }{
+		{`"name":"n3",`, ``, "name: is missing"},
+		{`"listen":"127.0.0.1:8443"`, `"listen":"127.0.0.1"`, `listen: "127.0.0.1" is no address`},
+		{`"listen":"127.0.0.1:8443"`, `"listen":":8443"`, "listen: "},
+		{`"discovery":"127.0.0.2:8500"`, `"discovery":"127.0.0.2:99999"`, "discovery: "},
+		{`"discovery":"127.0.0.2:8500"`, `"discovery":7`, "discovery: a number stands"},
+		{`"address":"127.0.0.3:6400"`, `"port":1`, "store.address: is missing"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"xyz"`, "seed: "},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"18c1f30d27a5be9640"`, "seed: "},
+		{`"cores":1.0`, `"cores":0`, "limits.cores: 0 is not"},
+		{`"cores":1.0`, `"cores":"one"`, "limits.cores: a string stands"},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: 1 is not"},
+		{`"sockets":1024`, `"sockets":-1`, "limits.sockets: -1 is not"},
+		{`"known":`, `"knew":`, "known: is missing"},
+		{`"settings":`, `"terms":`, "settings: is missing"},
+		{`"queueCap":8600`, `"queueCap":-8600`, "settings.domain.queueCap: -8600 is not"},
+		{`"queueCap":8600`, `"queueCap":"many"`, "settings.domain.queueCap: a string stands"},
+		{`"egressPerS":8600,`, ``, "settings.domain.egressPerS: 0 is not"},
+		{`"usualHow":1`, `"usualHow":4`, "settings.domain.usualHow: 4 is not"},
+		{`"aimUs":2000000`, `"aimUs":0`, "settings.classes[0]: "},
+		{`"zones":["a"],`, ``, "settings.zones: is missing"},
+		{`"how":"piggyback"`, `"how":1`, "settings.report: "},
+		{`{"name"`, `"name"`, "PROXY_CONFIG: "},
+	} {
+		text := strings.Replace(told, c.was, c.is, 1)
+		if text == told {
+			t.Fatalf("%s is not in the text", c.was)
+		}
+		if _, err := parse(none, []byte(text)); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%s: %v, not %q", c.is, err, c.want)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: more than one line: %v", c.is, err)
+		}
+	}
+}
+
+func TestReadNeedsAFile(t *testing.T) {
+	if _, err := Read(none); err == nil || err.Error() != "PROXY_CONFIG: is missing" {
+		t.Error(err)
+	}
+	if _, err := Read(func(string) string { return "/nowhere/config.json" }); err == nil {
+		t.Error("a file that is not there was read")
+	}
+}
--- /dev/null
+++ b/internal/node/relay_test.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+)
+
+// server answers each connection on loopback with serve, one after another.
+func server(t *testing.T, serve func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// testRelay calls a stand-in that answers each call with the next of bodies; "" breaks the
+// connection after the call's last byte, "-" before it. The calls' orders come out of the channel.
+func testRelay(t *testing.T, l config.Limits, bodies ...string) (*relay, <-chan string) {
+	calls, next := make(chan string, 64), make(chan string, 64)
+	for _, b := range bodies {
+		next <- b
+	}
+	address := server(t, func(c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			if len(next) > 0 && len(bodies) > 0 && bodies[0] == "-" {
+				<-next
+				bodies[0] = ""
+				return
+			}
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			req.ParseForm()
+			if req.Method != "POST" || req.URL.Path != "/v3/kv/" || req.PostForm.Get("Action") != "CommitChanges" {
+				calls <- "no call: " + req.URL.Path
+			}
+			calls <- req.PostForm.Get("orders")
+			body := taken(strings.Count(req.PostForm.Get("orders"), ";") + 1)
+			select {
+			case body = <-next:
+			default:
+			}
+			if body == "" {
+				return
+			} else if body == "silent" {
+				io.ReadAll(c)
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	r := testRouter(t)
+	r.ordered()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	in := testIntake(stop, l)
+	in.inputs, in.book = r.inputs, r.book
+	go r.run(stop)
+	return newRelay(l, address, groups, r.backlog, in), calls
+}
+
+func taken(n int) string {
+	return fmt.Sprintf(`<?xml version="1.0"?><Response><items><item><taken>%d</taken></item></items></Response>`, n)
+}
+
+func lines2(weights ...float64) (o choice.Orders) {
+	for i, w := range weights {
+		o.Lines = append(o.Lines, choice.Line{Table: 0, Server: choice.ServerID(fmt.Sprint("s-", i+1)), Weight: w})
+	}
+	return o
+}
+
+func expect(t *testing.T, calls <-chan string, want ...string) {
+	t.Helper()
+	for _, w := range want {
+		if got := <-calls; got != w {
+			t.Errorf("call %q, not %q", got, w)
+		}
+	}
+	select {
+	case got := <-calls:
+		t.Errorf("one call too many: %q", got)
+	default:
+	}
+}
+
+func TestSettleSendsOneCall(t *testing.T) {
+	r, calls := testRelay(t, limits)
+	r.settle(lines2(1, 2))
+	expect(t, calls, "share,0,s-1,1;share,0,s-2,2")
+}
+
+func TestSettleCutsAtTheLimit(t *testing.T) {
+	l := limits
+	l.CallBytes = 30
+	r, calls := testRelay(t, l)
+	r.settle(lines2(1, 2))
+	expect(t, calls, "share,0,s-1,1", "share,0,s-2,2")
+}
+
+// Guards against an unknown outcome that is taken for a known one: the call goes out again, before others.
+func TestSettleRepeatsWhatIsUnknown(t *testing.T) {
+	for _, answer := range []string{"", "<Response><items>", "<Response/>", "nonsense", taken(-1)} {
+		r, calls := testRelay(t, limits, answer)
+		r.settle(lines2(1, 2))
+		expect(t, calls, "share,0,s-1,1;share,0,s-2,2", "share,0,s-1,1;share,0,s-2,2")
+		if n := r.book.counts[callsUnknown].Load(); n != 1 {
+			t.Errorf("%q: %d unknown", answer, n)
+		}
+	}
+}
+
+func TestSettleRepeatsACallBrokenBeforeItsEnd(t *testing.T) {
+	r, calls := testRelay(t, limits, "-")
+	r.settle(lines2(1))
+	expect(t, calls, "share,0,s-1,1")
+}
+
+func TestSettleRepeatsWhatIsNotAnswered(t *testing.T) {
+	l := limits
+	l.RelayAnswer = 20 * time.Millisecond
+	r, calls := testRelay(t, l, "silent")
+	r.settle(lines2(1))
+	expect(t, calls, "share,0,s-1,1", "share,0,s-1,1")
+}
+
+// Guards against one bad order that holds up all behind it.
+func TestSettleLeavesOutTheRefusedOrder(t *testing.T) {
+	r, calls := testRelay(t, limits, taken(1))
+	r.settle(lines2(1, 2, 3))
+	expect(t, calls, "share,0,s-1,1;share,0,s-2,2;share,0,s-3,3", "share,0,s-3,3")
+	if n := r.book.counts[ordersRefused].Load(); n != 1 {
+		t.Errorf("%d refused", n)
+	}
+}
+
+func TestSettleAsksABusyRelayAgain(t *testing.T) {
+	busy := `<?xml version="1.0"?><Response><Errors><Error><Code>BUSY</Code></Error></Errors></Response>`
+	r, calls := testRelay(t, limits, busy, busy)
+	r.settle(lines2(1))
+	expect(t, calls, "share,0,s-1,1", "share,0,s-1,1", "share,0,s-1,1")
+	if n := r.book.counts[callsBusy].Load(); n != 2 {
+		t.Errorf("%d busy", n)
+	}
+}
+
+// Guards against stale states that go out in a burst: what waits by then is folded into the call.
+func TestSettleFoldsWhatWaits(t *testing.T) {
+	r, calls := testRelay(t, limits, "")
+	r.backlog.push(lines2(5))
+	r.backlog.push(lines2(6, 7))
+	r.settle(lines2(1))
+	expect(t, calls, "share,0,s-1,1", "share,0,s-1,6;share,0,s-2,7")
+}
+
+func TestCallTellsThatNothingWasSent(t *testing.T) {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	l.Close()
+	r := &relay{limits: limits, address: l.Addr().String()}
+	r.client = client(limits, r.address, func() (net.Conn, error) { return dial(limits, r.address, time.Second) }, false, time.Second)
+	if _, err := r.call("mark,1,0"); !errors.Is(err, errUnreached) {
+		t.Error(err)
+	}
+}
+
+func TestAnswerReadsErrorWords(t *testing.T) {
+	for body, want := range map[string]error{
+		"<Response><Error><Code>BUSY</Code></Error></Response>":   errBusy,
+		"<Response><Error><Code>SYNTAX</Code></Error></Response>": errSyntax,
+		taken(7): nil,
+	} {
+		if n, err := answer([]byte(body)); err != want || want == nil && n != 7 {
+			t.Errorf("%s: %d %v", body, n, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/route_test.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+)
+
+var limits = config.Limits{
+	Inputs: 64, Together: 64, CallsWait: 8, CallBytes: 60000, ProbesWait: 4, ProbesOpen: 2, Unnamed: 3, Named: 2,
+	Words: 64, LineUnnamed: 64, LineNamed: 1 << 10, LineNews: 1 << 10, LineList: 1 << 12, Answer: 1 << 10,
+	SilentUnnamed: time.Minute, SilentNamed: time.Minute, SilentNews: time.Minute, SilentWatch: time.Minute,
+	Connect: time.Second, Write: time.Second, RelayAnswer: time.Minute, ProbeAnswer: time.Minute,
+	Look: time.Millisecond, RelayIdle: time.Second, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour,
+}
+
+var terms = choice.Terms{
+	Zones:    []choice.ZoneID{"a", "b"},
+	Groups:   []choice.Group{{Budget: time.Second, Expiry: 4 * time.Second, Utility: 1, Repeat: choice.Retriable}},
+	MayProbe: true, Admit: choice.AdmitShare, UsualTries: choice.TryUnrun, ColdShare: 0.15, WarmAfter: 16 * time.Second,
+	QueueLines: 1000, LinesPerS: 1000, HeadLines: 4, Proxies: 2, ConnIdle: 15 * time.Second,
+}
+
+// testRouter knows proxies 1 and 2 and the servers s-1 and s-2; its clock stands at 10 s.
+func testRouter(t *testing.T) *router {
+	r := &router{limits: limits, born: time.Now(), manager: choice.New(1, terms), inputs: make(chan any, limits.Inputs),
+		probes: make(chan probe, limits.ProbesWait), listen: make(chan struct{}, 1), opened: func() {}, book: newBook(time.Hour),
+		proxies: map[choice.ProxyID]bool{}, unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{}}
+	r.backlog = newBacklog(limits.CallsWait, r.book)
+	r.take(listed{version: 1, whole: true, entries: []choice.Entry{{Server: "s-1", Zone: "a", Weight: 1}, {Server: "s-2", Zone: "b", Weight: 1}},
+		addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:1", "s-2": "127.0.0.1:2"}})
+	for p := range choice.ProxyID(2) {
+		r.take(joined{p + 1, "a", 5})
+	}
+	for range 10 {
+		r.now += time.Second
+		r.decided(r.manager.Woke(r.now))
+	}
+	r.carry()
+	return r
+}
+
+// ordered is all that waits for the relay.
+func (r *router) ordered() choice.Orders {
+	r.carry()
+	return fold(append([]choice.Orders{{}}, r.backlog.all()...)...)
+}
+
+func bound(o choice.Orders) (ids []choice.ProxyID) {
+	for _, b := range o.Bind {
+		ids = append(ids, b.Proxy)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func TestRouterBindsWhoJoins(t *testing.T) {
+	o := testRouter(t).ordered()
+	if got := bound(o); !slices.Equal(got, []choice.ProxyID{1, 2}) || len(o.Lines) == 0 || o.Mark == 0 {
+		t.Errorf("%+v", o)
+	}
+}
+
+// Guards against proxies that left while the news was broken and are kept for ever.
+func TestNewsAfterAGapTellsWhoLeft(t *testing.T) {
+	r := testRouter(t)
+	r.take(newsOpened{})
+	r.take(joined{2, "a", 5})
+	if !r.proxies[1] {
+		t.Fatal("left before all that stands was told")
+	}
+	r.take(newsStands{})
+	if r.proxies[1] || !r.proxies[2] || len(r.unseen) > 0 {
+		t.Errorf("%v, unseen %v", r.proxies, r.unseen)
+	}
+}
+
+// Guards against proxies that left and came back in a gap and follow no table.
+func TestNewsAfterAGapBindsAgain(t *testing.T) {
+	r := testRouter(t)
+	r.ordered()
+	r.take(newsOpened{})
+	r.take(joined{1, "a", 5})
+	r.take(joined{2, "a", 5})
+	r.take(newsStands{})
+	r.now += time.Second
+	r.decided(r.manager.Woke(r.now))
+	if got := bound(r.ordered()); !slices.Equal(got, []choice.ProxyID{1, 2}) {
+		t.Errorf("bound %v", got)
+	}
+}
+
+func TestUnknownNamesAreDropped(t *testing.T) {
+	r := testRouter(t)
+	before := r.book.counts[unknownNames].Load()
+	r.take(heard{choice.Report{Server: "none", Zone: "a", Tries: 1}})
+	r.take(used{choice.Usage{Proxy: 9, Span: time.Second}})
+	r.take(left{9})
+	if n := r.book.counts[unknownNames].Load() - before; n != 2 {
+		t.Errorf("%d counted", n)
+	}
+}
+
+// Guards against a whole list without a server that still stands in tables.
+func TestWholeListDrainsWhoIsAbsent(t *testing.T) {
+	r := testRouter(t)
+	r.ordered()
+	r.now += time.Second
+	r.take(listed{version: 2, whole: true, entries: []choice.Entry{{Server: "s-2", Zone: "b", Weight: 1}}})
+	if o := r.ordered(); !slices.Equal(o.Withdraw, []choice.ServerID{"s-1"}) {
+		t.Errorf("%+v", o)
+	}
+}
+
+func TestAgainLeavesOutProxiesThatLeft(t *testing.T) {
+	r := testRouter(t)
+	o := r.ordered()
+	r.take(left{1})
+	reply := make(chan later, 1)
+	r.take(again{o, o.Mark, true, reply})
+	got := <-reply
+	if ids := bound(got.now); !slices.Equal(ids, []choice.ProxyID{2}) || got.rest.Count() > 0 {
+		t.Errorf("%v, rest %+v", ids, got.rest)
+	}
+	if got.now.Mark == 0 || got.now.Mark == o.Mark || len(got.now.Lines) != len(o.Lines) {
+		t.Errorf("mark %d after %d", got.now.Mark, o.Mark)
+	}
+}
+
+func TestProbesGoToTheNewestAddress(t *testing.T) {
+	r := testRouter(t)
+	for len(r.probes) > 0 {
+		<-r.probes
+	}
+	r.take(listed{version: 2, addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:9"}})
+	r.decided(choice.Orders{Probe: []choice.ServerID{"s-1"}})
+	if p := <-r.probes; p.address != "127.0.0.1:9" {
+		t.Errorf("%+v", p)
+	}
+	r.decided(choice.Orders{Probe: make([]choice.ServerID, limits.ProbesWait+3)})
+	if n := r.book.counts[probesDropped].Load(); n < 3 {
+		t.Errorf("%d dropped: probes must not hold up the module", n)
+	}
+}
+
+func TestTheEarliestWakeIsKept(t *testing.T) {
+	r := testRouter(t)
+	r.wake = 0
+	r.decided(choice.Orders{Wake: 5 * time.Second})
+	r.decided(choice.Orders{Wake: 7 * time.Second})
+	r.decided(choice.Orders{Wake: 4 * time.Second})
+	if r.wake != 4*time.Second {
+		t.Error(r.wake)
+	}
+}
--- /dev/null
+++ b/internal/node/send_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"tamarindshore/choice"
+)
+
+var groups = []string{"lookup", "book"}
+
+// some are orders of every kind, in the order in which they are carried out.
+func some() choice.Orders {
+	return choice.Orders{
+		Withdraw: []choice.ServerID{"s-1"},
+		Lines:    []choice.Line{{Table: 4, Server: "s-2", Weight: 1.5}, {Table: 4, Server: "s-1"}},
+		Levels:   []choice.Level{{Table: 4, Groups: 1, Amount: 0.9, Tries: choice.TryUnrun}},
+		Readmit:  []choice.ServerID{"s-2"},
+		Bind:     []choice.Place{{Proxy: 17, Table: 4}},
+		Mark:     905,
+	}
+}
+
+func TestEncodeWritesTheRelaysWords(t *testing.T) {
+	got := strings.Join(encode(some(), groups, 60000), ";")
+	want := "withdraw,s-1;share,4,s-2,1.5;share,4,s-1,0;admit,4,lookup,0.9,1;restore,s-2;bind,17,4,*;mark,905,0"
+	if got != want {
+		t.Errorf("%s", got)
+	}
+}
+
+func TestEncodeStopsAtTheLimit(t *testing.T) {
+	if got := encode(some(), groups, 60); len(got) != 2 {
+		t.Errorf("%q", got)
+	}
+}
+
+func TestMaskedNamesGroups(t *testing.T) {
+	for mask, want := range map[uint]string{0: "*", 1: "lookup", 2: "book", 3: "*"} {
+		if got := masked(mask, groups); got != want {
+			t.Errorf("%b: %s", mask, got)
+		}
+	}
+	if got := masked(5, []string{"x", "y", "z"}); got != "x+z" {
+		t.Error(got)
+	}
+}
+
+func TestSkipAndFirstCutAtTheSamePlace(t *testing.T) {
+	o := some()
+	all := encode(o, groups, 60000)
+	for n := range o.Count() + 1 {
+		head, tail := encode(first(o, n, 0), groups, 60000), encode(skip(o, n), groups, 60000)
+		if got := append(head, tail...); !reflect.DeepEqual(got, all) {
+			t.Errorf("at %d: %q", n, got)
+		}
+	}
+	if !empty(skip(o, 7)) {
+		t.Error("something is left")
+	}
+}
+
+func TestFoldKeepsTheLatestStateInOrder(t *testing.T) {
+	got := fold(some(), choice.Orders{
+		Lines: []choice.Line{{Table: 4, Server: "s-2", Weight: 3}, {Table: 5, Server: "s-2", Weight: 1}},
+		Levels: []choice.Level{{Table: 4, Groups: 1, Amount: 1, Tries: choice.TryUnrun},
+			{Table: 4, Groups: 2, Amount: 0.5}},
+		Readmit: []choice.ServerID{"s-1"}, Bind: []choice.Place{{Proxy: 17, Table: 5}}, Mark: 906,
+	}, choice.Orders{Withdraw: []choice.ServerID{"s-2"}})
+	want := "withdraw,s-2;share,4,s-1,0;share,4,s-2,3;share,5,s-2,1;admit,4,lookup,1,1;admit,4,book,0.5,0;" +
+		"restore,s-1;bind,17,5,*;mark,906,0"
+	if text := strings.Join(encode(got, groups, 60000), ";"); text != want {
+		t.Errorf("%s", text)
+	}
+}
+
+func TestBacklogIsBounded(t *testing.T) {
+	b := newBacklog(2, newBook(0))
+	for range 100 {
+		b.push(some())
+	}
+	if len(b.waits) > 2 || b.book.counts[callsFolded].Load() == 0 {
+		t.Errorf("%d wait", len(b.waits))
+	}
+	if o, ok := b.next(); !ok || o.Count() != some().Count() {
+		t.Errorf("%+v", o)
+	}
+}
