--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -535,3 +535,20 @@
 	m.used, m.servers[0].weight = false, 3
 	near(t, "zone", m.volumes()[0], 4)
 }
+
+// Guards against repeats that are not counted and overrun the queue once the relay is back.
+func TestAgainCountsRepeatsAgainstTheQueue(t *testing.T) {
+	m := manager(2)
+	m.rooms[draining] = 15
+	o := Orders{Lines: []Line{{0, "a0", 1}, {0, "a1", 2}, {1, "b0", 1}, {1, "b1", 1}}, Bind: []Place{{0, 0}, {9, 0}}}
+	n, mark := m.Again(time.Second, 0, false, o)
+	if n != 4 || mark != 1 || m.waiting() != 4+2*5 {
+		t.Errorf("%d orders under mark %d, %v lines wait", n, mark, m.waiting())
+	}
+	if n, mark = m.Again(time.Second+1, mark, true, o); n != 0 || mark != 0 {
+		t.Errorf("%d orders under mark %d beside those that may have been carried out", n, mark)
+	}
+	if n, mark = m.Again(time.Second+2, 1, false, o); n != 4 || mark != 2 || len(m.queue) != 1 {
+		t.Errorf("%d orders under mark %d in place of those that were not carried out: %v", n, mark, m.queue)
+	}
+}
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -28,6 +28,7 @@
 	within, look, write time.Duration
 	until               time.Time
 	looked              bool
+	failed              error // of a read
 }
 
 // expect sets the time for what is due next.
@@ -41,6 +42,7 @@
 		p.Conn.SetReadDeadline(time.Now().Add(p.look))
 		n, err = p.Conn.Read(b)
 	}
+	p.failed = err
 	return n, err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,9 +8,11 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"tamarindshore/choice"
@@ -46,8 +48,8 @@
 	return n, nil
 }
 
-// Run listens and serves until ended is closed.
-func (n *Node) Run(ended <-chan struct{}) error {
+// Run listens and serves until a signal comes that is not SIGUSR1, which asks for the counters.
+func (n *Node) Run(signals <-chan os.Signal) error {
 	l := n.start.Limits
 	runtime.GOMAXPROCS(l.Cores)
 	debug.SetMemoryLimit(l.Memory * 3 / 4)
@@ -75,9 +77,15 @@
 	go t.accept(at)
 	log.Printf("event=start name=%s listen=%s version=%d servers=%d", n.start.Name, n.start.Listen,
 		n.known.version, len(n.known.entries))
-	<-ended
+	for s := range signals {
+		if s != syscall.SIGUSR1 {
+			break
+		}
+		log.Print("event=counters ", n.book.line())
+	}
 	close(n.stop)
 	at.Close()
+	log.Print("event=end ", n.book.line())
 	return nil
 }
 
@@ -102,6 +110,3 @@
 		t.give(listFailed{})
 	}
 }
-
-// Counters is all counters in one line of key=value.
-func (n *Node) Counters() string { return n.book.line() }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"tamarindshore/internal/config"
+)
+
+func testStart(t *testing.T) config.Start {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	discovery, _ := streaming(t, entry(42, false, "s-1")+"...")
+	relay, _ := streaming(t, "event: joined\ndata: id=17&site=a&rps=21.5&new=1\n\n...")
+	return config.Start{Name: "n1", Listen: l.Addr().String(), Discovery: discovery, Relay: relay, Seed: 1, Limits: limits,
+		Terms: terms, Groups: []string{"lookup"}, Known: json.RawMessage(`{"generation":41,"instances":[]}`)}
+}
+
+func TestRunEndsOnSIGTERMWithItsCounters(t *testing.T) {
+	var text bytes.Buffer
+	log.SetOutput(&text)
+	defer log.SetOutput(io.Discard)
+	s := testStart(t)
+	s.Limits.Memory, s.Limits.Cores = 192<<20, 1
+	n, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGUSR1
+	signals <- syscall.SIGTERM
+	if err := n.Run(signals); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"event=counters reports_in=0 ", "event=end reports_in=0 "} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in %s", want, text.String())
+		}
+	}
+}
+
+func TestRunNamesAnAddressThatIsTaken(t *testing.T) {
+	s := testStart(t)
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Run(nil); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
+		t.Error(err)
+	}
+}
+
+func TestNewNamesAFaultyKnownList(t *testing.T) {
+	s := testStart(t)
+	s.Known = json.RawMessage(`{"instances":[]}`)
+	if _, err := New(s); err == nil || err.Error() != "known: generation: is missing" {
+		t.Error(err)
+	}
+}
+
+func TestLineHasEveryCounter(t *testing.T) {
+	b := newBook(0)
+	b.add(probesDropped, 3)
+	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "probes_dropped=3") {
+		t.Error(line)
+	}
+}
