--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -128,11 +128,12 @@
 }
 
 // load gives the flows held that a load report tells, -1 without one. Its pairs are split by
-// `between`, a pair by `within`; other words of it are not used.
+// `between`, a pair by `within`. Guards against a report that is taken for none: the flows held
+// come under the protocol's word or under that of the settings.
 func load(text, between, within string) float64 {
 	for _, pair := range strings.Split(text, between) {
 		key, figure, _ := strings.Cut(strings.TrimSpace(pair), within)
-		if key != "inflight" {
+		if key != "inflight" && key != "outstanding" {
 			continue
 		}
 		if x, err := strconv.ParseFloat(figure, 64); err == nil && x >= 0 && x <= 1e12 {
--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -56,7 +56,7 @@
 }
 
 func TestLoadIsTheFlowsHeld(t *testing.T) {
-	for text, want := range map[string]float64{"inflight=7, queue=2": 7, "queue=2": -1, "inflight=x": -1, "": -1, "inflight=-1": -1} {
+	for text, want := range map[string]float64{"inflight=7, queue=2": 7, "queue=2, outstanding=2.5": 2.5, "": -1, "queue=2": -1, "inflight=x": -1, "inflight=-1": -1} {
 		if got := load(text, ",", "="); got != want {
 			t.Errorf("%q: %v", text, got)
 		}
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -16,6 +16,7 @@
 
 const (
 	reportsIn counter = iota
+	loadsIn
 	usagesIn
 	joinsIn
 	leavesIn
@@ -50,7 +51,7 @@
 )
 
 var counterNames = [counters]string{
-	"reports_in", "usages_in", "joins_in", "leaves_in", "applied_in", "lists_in", "lists_old", "pings",
+	"reports_in", "loads_in", "usages_in", "joins_in", "leaves_in", "applied_in", "lists_in", "lists_old", "pings",
 	"unknown_names", "lines_unread", "half_lines", "connections", "connections_closed",
 	"news_opens", "news_breaks", "watch_opens", "watch_breaks",
 	"calls_sent", "calls_answered", "calls_unknown", "calls_unsent", "calls_busy", "calls_folded", "calls_again",
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -146,9 +146,12 @@
 			t.makeRoom(true, t.limits.Named)
 			t.mu.Unlock()
 		}
-		switch in.(type) {
+		switch in := in.(type) {
 		case heard:
 			t.book.add(reportsIn, 1)
+			if in.Load >= 0 {
+				t.book.add(loadsIn, 1)
+			}
 		case used:
 			t.book.add(usagesIn, 1)
 		}
