Collectors that report keep their place; streams must begin within 0.7 s

A new watch or news connection that is as silent as the last one was given up after 2.6 s or 1.5 s; now after 0.7 s, so there is time for others before what discovery has to tell counts as told (6 s). It may harm where a stream takes longer than that to begin.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,7 @@
 
 	SilentUnnamed, SilentNamed time.Duration
 	SilentNews, SilentWatch    time.Duration // past their signs of life
+	Opening                    time.Duration // until a stream begins
 	NewsOpening                time.Duration // a sign of life later than that ends what stands at the opening
 	Connect, Write             time.Duration
 	RelayAnswer, ProbeAnswer   time.Duration
@@ -64,9 +65,10 @@
 		Cores: max(1, int(cores+0.5)), Memory: int64(memoryMB * (1 << 20)), Sockets: sockets,
 		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 256,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
-		Words: 64, LineUnnamed: 4 << 10, LineNamed: 1 << 20, LineNews: 64 << 10, LineList: 2 << 20, Answer: 64 << 10,
+		Words: 64, LineUnnamed: 4 << 10, LineNamed: 1 << 20, LineNews: 64 << 10, LineList: 1 << 20, Answer: 64 << 10,
 		SilentUnnamed: 5 * time.Second, SilentNamed: time.Minute,
 		SilentNews: 1500 * time.Millisecond, SilentWatch: 2600 * time.Millisecond, NewsOpening: 300 * time.Millisecond,
+		Opening: 700 * time.Millisecond,
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
 		RelayAnswer: 60 * time.Millisecond, ProbeAnswer: 600 * time.Millisecond, Look: 20 * time.Millisecond,
 		RelayIdle: 250 * time.Millisecond, Again: 50 * time.Millisecond, AgainMost: 200 * time.Millisecond, LogEvery: time.Second,
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -76,11 +76,12 @@
 	}
 }
 
-// stream gets a path and hands each line of the endless answer to take, without its line end; the
-// answer must bring a line within `silent` each time. It returns why it ended.
+// stream gets a path and hands each line of the endless answer to take, without its line end. The
+// answer must begin soon and then bring a line within `silent` each time: guards against a new
+// connection that is as silent as the last, while there is time for another. It returns why it ended.
 func stream(l config.Limits, address, path string, silent time.Duration, longest int, opened func() error,
 	take func(line []byte) error, stop <-chan struct{}) error {
-	conn, err := dial(l, address, silent)
+	conn, err := dial(l, address, l.Opening)
 	if err != nil {
 		return err
 	}
@@ -112,6 +113,8 @@
 	if err := opened(); err != nil {
 		return err
 	}
+	conn.within = silent
+	conn.expect()
 	return lines(resp.BodyStream(), func() int { return longest }, func(line []byte) error {
 		conn.expect()
 		return take(line)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 func (n *Node) Run(signals <-chan os.Signal) error {
 	l := n.start.Limits
 	runtime.GOMAXPROCS(l.Cores)
-	debug.SetMemoryLimit(l.Memory * 3 / 4)
+	debug.SetMemoryLimit(l.Memory / 2) // the runtime goes over it by what it collects late
 	at, err := net.Listen("tcp", n.start.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %v", err)
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -51,6 +51,7 @@
 type guest struct {
 	net.Conn
 	named   bool
+	useful  bool // it has reported something
 	spokeAt time.Time
 }
 
@@ -78,13 +79,15 @@
 	}
 }
 
-// makeRoom closes the longest silent guest of a kind while there are too many; mu is held.
+// makeRoom closes a guest of a kind where there are too many: the longest silent of those that never reported
+// anything, if there are any. Guards against strangers that name themselves collectors. mu is held.
 func (t *intake) makeRoom(named bool, most int) {
 	var silent *guest
 	n := 0
 	for _, g := range t.guests {
 		if g.named == named {
-			if n++; silent == nil || g.spokeAt.Before(silent.spokeAt) {
+			n++
+			if silent == nil || silent.useful && !g.useful || silent.useful == g.useful && g.spokeAt.Before(silent.spokeAt) {
 				silent = g
 			}
 		}
@@ -128,6 +131,7 @@
 			wait.expect()
 			t.mu.Lock()
 			g.spokeAt = time.Now()
+			g.useful = g.useful || named && in != nil && err == nil
 			t.mu.Unlock()
 		}
 		if err == errUnknown {
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -115,7 +115,10 @@
 	}
 	io.WriteString(c, report)
 	<-inputs
-	dialled(t, address, "collector site=b\r\n"+report)
+	for range 40 {
+		dialled(t, address, "collector site=a\r\n")
+	}
+	io.WriteString(c, report)
 	<-inputs
 }
 
@@ -299,3 +302,12 @@
 		}
 	}
 }
+
+func TestStreamThatDoesNotBeginEndsSoon(t *testing.T) {
+	l := limits
+	l.Opening = 30 * time.Millisecond
+	address := server(t, func(c net.Conn) { io.ReadAll(c) })
+	if opened, err := testIntake(make(chan struct{}), l).news(address); opened || err == nil {
+		t.Errorf("%v %v", opened, err)
+	}
+}
