A removed entry without an address keeps the server's; hearing a line apart from attending

Seen by reading: where gone does not bind, a server listed as removed is still probed, and a removed entry that comes without hostPort would have taken its address away (list in admit.go).

--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -271,7 +271,9 @@
 			e.Started, e.Fresh = time.UnixMilli(t.StartedAtMs).Sub(w.born.Round(0)), true
 		}
 		in.entries = append(in.entries, e)
-		in.addresses[e.Server] = t.HostPort
+		if t.HostPort != "" { // a removed one may come without; it may still be probed
+			in.addresses[e.Server] = t.HostPort
+		}
 	}
 	return in, unknown, nil
 }
--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -98,8 +98,9 @@
 	if e := in.entries[1]; e.Fresh || e.State != choice.Draining || e.Weight != 1 {
 		t.Errorf("%+v", e)
 	}
-	if in.entries[2].State != choice.Gone {
-		t.Errorf("%+v", in.entries[2])
+	_, told := in.addresses["s-4"]
+	if in.entries[2].State != choice.Gone || told {
+		t.Errorf("%+v %v", in.entries[2], told)
 	}
 }
 
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -49,7 +49,7 @@
 
 // guest is a connection to the manager's address; it is named once it says whose collector it is.
 type guest struct {
-	net.Conn
+	patient
 	named   bool
 	useful  bool // it has reported something
 	spokeAt time.Time
@@ -69,7 +69,7 @@
 				continue
 			}
 		}
-		g := &guest{Conn: c, spokeAt: time.Now()}
+		g := &guest{patient: patient{Conn: c}, spokeAt: time.Now()}
 		t.book.add(connections, 1)
 		t.mu.Lock()
 		t.guests = append(t.guests, g)
@@ -116,72 +116,69 @@
 		t.forget(g)
 		t.mu.Unlock()
 	}()
-	named := false
-	wait := &patient{Conn: g.Conn, within: t.limits.SilentUnnamed, look: t.limits.Look, write: t.limits.Write}
-	wait.expect()
+	g.within, g.look, g.write = t.limits.SilentUnnamed, t.limits.Look, t.limits.Write
+	g.expect()
 	longest := func() int {
-		if named {
+		if g.named {
 			return t.limits.LineNamed
 		}
 		return t.limits.LineUnnamed
 	}
-	err := lines(wait, longest, func(line []byte) error {
-		kind, in, err := t.words.line(string(line))
-		if err == errUnknown || err == nil {
-			wait.expect()
-			t.mu.Lock()
-			g.spokeAt = time.Now()
-			g.useful = g.useful || named && in != nil && err == nil
-			t.mu.Unlock()
-		}
-		if err == errUnknown {
-			t.book.add(unknownNames, 1)
-			return nil
-		} else if err != nil {
-			t.book.add(linesUnread, 1)
-			t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
-			return err
-		}
-		if kind == "collector" && !named {
-			named, wait.within = true, t.limits.SilentNamed
-			wait.expect()
-			t.mu.Lock()
-			g.named = true
-			t.makeRoom(true, t.limits.Named)
-			t.mu.Unlock()
-		}
-		switch in := in.(type) {
-		case heard:
-			t.book.add(reportsIn, 1)
-			if in.Load >= 0 {
-				t.book.add(loadsIn, 1)
-			}
-		case used:
-			t.book.add(usagesIn, 1)
-		}
-		switch {
-		case kind == "ping":
-			t.book.add(pings, 1)
-			if t.fit() {
-				if _, err := wait.Write([]byte("pong\r\n")); err != nil {
-					return err
-				}
-			}
-		case in != nil && !named:
-			return errors.New("a collector names its zone first")
-		case in != nil && !t.give(in):
-			return errStop
-		}
-		return nil
-	})
-	if errors.Is(err, io.ErrUnexpectedEOF) {
+	err := lines(g, longest, func(line []byte) error { return t.hear(g, string(line)) })
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF):
 		t.book.add(halfLines, 1)
-	} else if errors.Is(err, errLong) {
+	case errors.Is(err, errUnread), errors.Is(err, errLong):
 		t.book.add(linesUnread, 1)
 		t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
 	}
 }
 
+var errUnread = errors.New("unreadable")
+
+// hear takes one line of a guest; an error ends the connection.
+func (t *intake) hear(g *guest, line string) error {
+	kind, in, err := t.words.line(line)
+	if err != nil && err != errUnknown {
+		return errors.Join(errUnread, err)
+	}
+	t.mu.Lock()
+	g.spokeAt = time.Now()
+	g.useful = g.useful || g.named && in != nil && err == nil
+	if kind == "collector" && err == nil && !g.named {
+		g.named, g.within = true, t.limits.SilentNamed
+		t.makeRoom(true, t.limits.Named)
+	}
+	t.mu.Unlock()
+	g.expect()
+	if err == errUnknown {
+		t.book.add(unknownNames, 1)
+		return nil
+	}
+	switch in := in.(type) {
+	case heard:
+		t.book.add(reportsIn, 1)
+		if in.Load >= 0 {
+			t.book.add(loadsIn, 1)
+		}
+	case used:
+		t.book.add(usagesIn, 1)
+	}
+	switch {
+	case kind == "ping":
+		t.book.add(pings, 1)
+		if t.fit() {
+			_, err = g.Write([]byte("pong\r\n"))
+		}
+		return err
+	case in != nil && !g.named:
+		return errors.Join(errUnread, errors.New("a collector names its zone first"))
+	case in != nil && !t.give(in):
+		return errStop
+	}
+	return nil
+}
+
 // keep opens a stream again and again: at once when one that had opened ends, then with short
 // waits by chance.
 func (t *intake) keep(what string, breaks counter, open func() (opened bool, err error)) {
