A proxy that is told anew after a gap in the news keeps what was heard of it

Seen by a test of the module: when the news breaks and opens again, all proxies are joined anew, and what they ask fell from 80 to 0 flows a second until the next usage (Joined in state.go made each of them afresh). With nothing asked the line of utility opens, so a break of the news under overload would let all in. Now a proxy that was not told to have left keeps its usage samples.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -552,3 +552,16 @@
 		t.Errorf("%d orders under mark %d in place of those that were not carried out: %v", n, mark, m.queue)
 	}
 }
+
+// Guards against news that is told anew while flows are blocked: with nothing asked, the line would open.
+func TestJoinedAgainKeepsWhatWasHeard(t *testing.T) {
+	m := manager(2)
+	m.now = 500 * time.Millisecond
+	before, _ := m.traffic()
+	for p := range ProxyID(2) {
+		m.Joined(m.now, p, m.zones[p], 1)
+	}
+	if asked, _ := m.traffic(); before == 0 || asked != before {
+		t.Errorf("%v flows a second asked, %v before", asked, before)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -208,13 +208,14 @@
 	return m.decide()
 }
 
+// Joined notes a proxy; one that was not told to have left keeps what was heard of it, as after a gap in the news.
 func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64) Orders {
 	m.now = now
 	p := &proxy{id: id, zone: m.zone(zone), rate: rate, joinedAt: now, flows: make([][]figure, len(m.budget))}
 	i, again := m.proxy(id)
 	p.block = m.blockFor(p.zone)
 	if again {
-		m.proxies[i] = p
+		p.flows, m.proxies[i] = m.proxies[i].flows, p
 	} else {
 		m.proxies = slices.Insert(m.proxies, i, p)
 	}
