A proxy that is told anew keeps its block and the count of its messages

Seen by reading and a test: after a gap in the news each proxy went to the block with the least flows, which is the other one, since its own still counted it: all proxies of a zone change blocks and close all connections. The count of messages within the limit's span began anew, too, though the proxy had not left. Now both are kept, with its zone (Joined in state.go). The test shows block 0 for 1 and an empty count before.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -553,15 +553,20 @@
 	}
 }
 
-// Guards against news that is told anew while flows are blocked: with nothing asked, the line would open.
+// Guards against news that is told anew: with nothing asked the line would open, proxies would change their block and
+// close all connections, and the messages to one proxy would be counted from nothing.
 func TestJoinedAgainKeepsWhatWasHeard(t *testing.T) {
 	m := manager(2)
 	m.now = 500 * time.Millisecond
 	before, _ := m.traffic()
+	m.blocks, m.tables[1].standing = 2, m.tables[0].standing
+	m.tables = append(m.tables, m.tables...)
+	m.proxies[0].block, m.proxies[1].block = 1, 2
+	m.proxies[1].sent = []time.Duration{1, 2}
 	for p := range ProxyID(2) {
 		m.Joined(m.now, p, m.zones[p], 1)
 	}
-	if asked, _ := m.traffic(); before == 0 || asked != before {
-		t.Errorf("%v flows a second asked, %v before", asked, before)
+	if asked, _ := m.traffic(); before == 0 || asked != before || m.proxies[0].block != 1 || len(m.proxies[1].sent) < 2 {
+		t.Errorf("%v flows a second asked, %v before, block %d, sent %v", asked, before, m.proxies[0].block, m.proxies[1].sent)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -208,14 +208,18 @@
 	return m.decide()
 }
 
-// Joined notes a proxy; one that was not told to have left keeps what was heard of it, as after a gap in the news.
+// Joined notes a proxy. One that was not told to have left, as after a gap in the news, keeps its block, what was
+// heard of it and the messages that it was sent.
 func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64) Orders {
 	m.now = now
 	p := &proxy{id: id, zone: m.zone(zone), rate: rate, joinedAt: now, flows: make([][]figure, len(m.budget))}
 	i, again := m.proxy(id)
-	p.block = m.blockFor(p.zone)
-	if again {
-		p.flows, m.proxies[i] = m.proxies[i].flows, p
+	if p.block = m.blockFor(p.zone); again {
+		was := m.proxies[i]
+		if p.flows, p.sent = was.flows, was.sent; p.zone == was.zone {
+			p.block = was.block
+		}
+		m.proxies[i] = p
 	} else {
 		m.proxies = slices.Insert(m.proxies, i, p)
 	}
