A reader of the log that stands still no longer holds up the decisions

Seen by reading: the router logs the module's notes itself, and a write to a full pipe blocks, so staff who stop reading a log would have stopped the manager. Lines now wait in a bounded queue with a writer of its own; what finds no room is dropped and counted (log_dropped). The last lines get 0.2 s at the end and after a panic. It should also catch slow disks behind the log; a crash of the runtime itself may lose up to 1,024 lines.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	LineNews    int
 	LineList    int // a whole list in one line
 	Answer      int // bytes of an answer of relay or server
+	LogWaits    int // lines of the log
 
 	SilentUnnamed, SilentNamed time.Duration
 	SilentNews, SilentWatch    time.Duration // past their signs of life
@@ -58,6 +59,7 @@
 	RelayIdle                  time.Duration
 	Again, AgainMost           time.Duration // waits before a new try, by chance between them
 	LogEvery                   time.Duration // of lines of one kind
+	LogEnd                     time.Duration // for the last lines
 }
 
 func limits(cores, memoryMB float64, sockets int) Limits {
@@ -72,6 +74,7 @@
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
 		RelayAnswer: 60 * time.Millisecond, ProbeAnswer: 600 * time.Millisecond, Look: 20 * time.Millisecond,
 		RelayIdle: 250 * time.Millisecond, Again: 50 * time.Millisecond, AgainMost: 200 * time.Millisecond, LogEvery: time.Second,
+		LogWaits: 1024, LogEnd: 200 * time.Millisecond,
 	}
 }
 
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io"
 	"log"
 	"strings"
 	"sync"
@@ -47,6 +48,7 @@
 	probesAnswered
 	probesFailed
 	probesDropped
+	logDropped
 	counters
 )
 
@@ -55,7 +57,7 @@
 	"unknown_names", "lines_unread", "half_lines", "connections", "connections_closed",
 	"news_opens", "news_breaks", "watch_opens", "watch_breaks",
 	"calls_sent", "calls_answered", "calls_unknown", "calls_unsent", "calls_busy", "calls_folded", "calls_again",
-	"orders_sent", "orders_refused", "marks_sent", "probes_sent", "probes_answered", "probes_failed", "probes_dropped",
+	"orders_sent", "orders_refused", "marks_sent", "probes_sent", "probes_answered", "probes_failed", "probes_dropped", "log_dropped",
 }
 
 type book struct {
@@ -91,3 +93,48 @@
 	}
 	return out.String()[1:]
 }
+
+// outlet writes the log without holding up who logs: guards against a reader of the log that stands
+// still, which would otherwise stop the module. What finds no room is dropped and counted.
+type outlet struct {
+	waits chan []byte
+	ended chan struct{}
+	book  *book
+}
+
+func newOutlet(to io.Writer, most int, b *book) *outlet {
+	o := &outlet{waits: make(chan []byte, most), ended: make(chan struct{}), book: b}
+	go func() {
+		defer close(o.ended)
+		for line := range o.waits {
+			if line == nil {
+				return
+			}
+			to.Write(line)
+		}
+	}()
+	return o
+}
+
+func (o *outlet) Write(line []byte) (int, error) {
+	select {
+	case o.waits <- append([]byte{}, line...):
+	default:
+		o.book.add(logDropped, 1)
+	}
+	return len(line), nil
+}
+
+// end writes what waits, for a limited time.
+func (o *outlet) end(within time.Duration) {
+	late := time.After(within)
+	select {
+	case o.waits <- nil:
+	case <-late:
+		return
+	}
+	select {
+	case <-o.ended:
+	case <-late:
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,14 @@
 func (n *Node) Run(signals <-chan os.Signal) error {
 	l := n.start.Limits
 	runtime.GOMAXPROCS(l.Cores)
+	to := log.Writer()
+	out := newOutlet(to, l.LogWaits, n.book)
+	log.SetOutput(out)
+	n.router.last = func() {
+		out.end(l.LogEnd)
+		log.SetOutput(to)
+	}
+	defer n.router.last()
 	debug.SetMemoryLimit(l.Memory / 2) // the runtime goes over it by what it collects late
 	at, err := net.Listen("tcp", n.start.Listen)
 	if err != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"tamarindshore/internal/config"
 )
@@ -75,8 +76,25 @@
 
 func TestLineHasEveryCounter(t *testing.T) {
 	b := newBook(0)
-	b.add(probesDropped, 3)
-	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "probes_dropped=3") {
+	b.add(logDropped, 3)
+	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "log_dropped=3") {
 		t.Error(line)
 	}
 }
+
+type stuck struct{ free chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.free; return len(p), nil }
+
+func TestOutletNeverWaitsForItsReader(t *testing.T) {
+	s, b := stuck{make(chan struct{})}, newBook(0)
+	o := newOutlet(s, 4, b)
+	for range 100 {
+		o.Write([]byte("line\n"))
+	}
+	o.end(time.Millisecond)
+	if n := b.counts[logDropped].Load(); n < 95 || n > 96 {
+		t.Errorf("%d dropped", n)
+	}
+	close(s.free)
+}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log"
 	"maps"
+	"os"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -26,6 +27,7 @@
 	probes  chan probe
 	listen  chan struct{} // the list is asked for
 	opened  func()        // news has been opened
+	last    func()        // writes what is left of the log
 	book    *book
 
 	now       time.Duration
@@ -41,7 +43,9 @@
 func (r *router) run(stop <-chan struct{}) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			log.Fatalf("event=panic at=%.3f cause=%q stack=%q", r.now.Seconds(), fmt.Sprint(cause), debug.Stack())
+			log.Printf("event=panic at=%.3f cause=%q stack=%q", r.now.Seconds(), fmt.Sprint(cause), debug.Stack())
+			r.last()
+			os.Exit(1)
 		}
 	}()
 	timer := time.NewTimer(time.Hour)
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -14,7 +14,7 @@
 	Words: 64, LineUnnamed: 64, LineNamed: 1 << 10, LineNews: 1 << 10, LineList: 1 << 12, Answer: 1 << 10,
 	SilentUnnamed: time.Minute, SilentNamed: time.Minute, SilentNews: time.Minute, SilentWatch: time.Minute,
 	Opening: time.Minute, Connect: time.Second, Write: time.Second, RelayAnswer: time.Minute, ProbeAnswer: time.Minute,
-	Look: time.Millisecond, RelayIdle: time.Second, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour,
+	Look: time.Millisecond, RelayIdle: time.Second, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour, LogWaits: 64, LogEnd: time.Minute,
 }
 
 var terms = choice.Terms{
