SIGHUP takes the file anew: new ways open before the old ones are let go

The module and what it learnt stay; news and watch get a new way that lets the old go once it has opened, calls turn after the one under way; a faulty file changes nothing.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -79,7 +79,13 @@
 }
 
 // Read takes the environment (through get) and the file that PROXY_CONFIG names.
-func Read(get func(string) string) (Start, error) {
+func Read(get func(string) string) (Start, error) { return read(get, false) }
+
+// Reread takes the file again: where it names discovery's address, that wins over the environment, which was
+// told at the start.
+func Reread(get func(string) string) (Start, error) { return read(get, true) }
+
+func read(get func(string) string, again bool) (Start, error) {
 	path := get("PROXY_CONFIG")
 	if path == "" {
 		return Start{}, errors.New("PROXY_CONFIG: is missing")
@@ -88,11 +94,12 @@
 	if err != nil {
 		return Start{}, fmt.Errorf("PROXY_CONFIG: %v", err)
 	}
-	return parse(get, text)
+	return parse(get, text, again)
 }
 
-// parse checks what is told; the environment wins over the file.
-func parse(get func(string) string, text []byte) (s Start, err error) {
+// parse checks what is told; the environment wins over the file, but for discovery's address in a file that is
+// taken again.
+func parse(get func(string) string, text []byte, again bool) (s Start, err error) {
 	var in struct {
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
@@ -121,7 +128,8 @@
 	} {
 		key := one.key
 		*one.to = one.told
-		if v := get(one.variable); one.variable != "" && v != "" {
+		keep := again && one.to == &s.Discovery && one.told != ""
+		if v := get(one.variable); !keep && one.variable != "" && v != "" {
 			key, *one.to = one.variable, v
 		}
 		if *one.to == "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -14,7 +14,7 @@
 func none(string) string { return "" }
 
 func TestParseFillsTermsAndLimits(t *testing.T) {
-	s, err := parse(none, []byte(told))
+	s, err := parse(none, []byte(told), false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,12 +33,27 @@
 func TestParseLetsTheEnvironmentWin(t *testing.T) {
 	s, err := parse(func(key string) string {
 		return map[string]string{"PROXY_LISTEN": "127.0.0.9:1", "PROXY_NAME": "n4"}[key]
-	}, []byte(told))
+	}, []byte(told), false)
 	if err != nil || s.Listen != "127.0.0.9:1" || s.Name != "n4" || s.Discovery != "127.0.0.2:8500" {
 		t.Errorf("%+v %v", s, err)
 	}
 }
 
+// Guards against a reload that stays with the addresses of the start.
+func TestRereadLetsTheFileName(t *testing.T) {
+	env := func(key string) string {
+		return map[string]string{"PROXY_LISTEN": "127.0.0.9:1", "PROXY_DISCOVERY": "127.0.0.9:2"}[key]
+	}
+	s, err := parse(env, []byte(told), true)
+	if err != nil || s.Discovery != "127.0.0.2:8500" || s.Listen != "127.0.0.9:1" {
+		t.Errorf("%+v %v", s, err)
+	}
+	silent := strings.Replace(told, `"discovery":"127.0.0.2:8500",`, "", 1)
+	if s, err = parse(env, []byte(silent), true); err != nil || s.Discovery != "127.0.0.9:2" {
+		t.Errorf("%+v %v", s, err)
+	}
+}
+
 func TestParseNamesTheFaultyKey(t *testing.T) {
 	for _, c := range []struct{ was, is, want string }{
 		{`"name":"n3",`, ``, "name: is missing"},
@@ -68,7 +83,7 @@
 		if text == told {
 			t.Fatalf("%s is not in the text", c.was)
 		}
-		if _, err := parse(none, []byte(text)); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+		if _, err := parse(none, []byte(text), false); err == nil || !strings.HasPrefix(err.Error(), c.want) {
 			t.Errorf("%s: %v, not %q", c.is, err, c.want)
 		} else if strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: more than one line: %v", c.is, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"log"
 	"math/rand/v2"
@@ -26,19 +27,25 @@
 	words  *words
 	book   *book
 	router *router
-	stop   chan struct{}
+	relay  *relay
+	life   context.Context
+	end    context.CancelFunc
+	held   *lists
+	news   *way
+	watch  *way
 }
 
 // New checks what is left to check and makes the manager; nothing listens yet.
 func New(s config.Start) (*Node, error) {
-	n := &Node{start: s, book: newBook(s.Limits.LogEvery), stop: make(chan struct{})}
+	n := &Node{start: s, book: newBook(s.Limits.LogEvery)}
+	n.life, n.end = context.WithCancel(context.Background())
 	born := time.Now()
 	n.words = newWords(s.Terms.Zones, s.Groups, born, s.Limits.Words)
 	known, _, err := n.words.list(s.Known)
 	if err != nil {
 		return nil, fmt.Errorf("known: %v", err)
 	}
-	n.known = known
+	n.known, n.held = known, &lists{held: known.version, lowest: -1}
 	n.router = &router{
 		limits: s.Limits, born: born, manager: choice.New(s.Seed, s.Terms), inputs: make(chan any, s.Limits.Inputs),
 		backlog: newBacklog(s.Limits.CallsWait, n.book), probes: make(chan probe, s.Limits.ProbesWait),
@@ -48,8 +55,9 @@
 	return n, nil
 }
 
-// Run listens and serves until a signal comes that is not SIGUSR1, which asks for the counters.
-func (n *Node) Run(signals <-chan os.Signal) error {
+// Run listens and serves until a signal comes that asks for the end: SIGUSR1 asks for the counters, SIGHUP to
+// take the file anew.
+func (n *Node) Run(signals <-chan os.Signal, reread func() (config.Start, error)) error {
 	l := n.start.Limits
 	runtime.GOMAXPROCS(l.Cores)
 	to := log.Writer()
@@ -67,14 +75,16 @@
 	}
 	var fit atomic.Bool
 	n.router.opened = func() { fit.Store(true) }
-	t := &intake{limits: l, words: n.words, inputs: n.router.inputs, stop: n.stop, book: n.book, fit: fit.Load,
+	t := &intake{limits: l, words: n.words, inputs: n.router.inputs, stop: n.life.Done(), book: n.book, fit: fit.Load,
 		chance: rand.New(rand.NewPCG(n.start.Seed, uint64(len(n.start.Name))))}
 	n.known.whole = true
 	n.router.inputs <- n.known
-	go n.router.run(n.stop)
-	go newRelay(l, n.start.Relay, n.start.Groups, n.router.backlog, t).run()
-	go t.keep("news", newsBreaks, func() (bool, error) { return t.news(n.start.Relay) })
-	go n.follow(t)
+	go n.router.run(n.life.Done())
+	n.relay = newRelay(l, n.start.Relay, n.start.Groups, n.router.backlog, t)
+	go n.relay.run()
+	n.news, n.watch = newWay(n.life, n.start.Relay), newWay(n.life, n.start.Discovery)
+	go t.news(n.news)
+	go n.follow(t, n.watch, false)
 	path := "/alive"
 	if n.start.Loads {
 		path = "/metrics/load"
@@ -86,35 +96,44 @@
 	log.Printf("event=start name=%s listen=%s version=%d servers=%d", n.start.Name, n.start.Listen,
 		n.known.version, len(n.known.entries))
 	for s := range signals {
-		if s != syscall.SIGUSR1 {
+		if s == syscall.SIGHUP {
+			n.reload(t, reread)
+			continue
+		} else if s != syscall.SIGUSR1 {
 			break
 		}
 		log.Print("event=counters ", n.book.line())
 	}
-	close(n.stop)
+	n.end()
 	at.Close()
 	log.Print("event=end ", n.book.line())
 	return nil
 }
 
 // follow keeps discovery's watch: unasked where the site pushes changes, else as the module orders,
-// with one failure told for each watch that ends.
-func (n *Node) follow(t *intake) {
-	held := &lists{held: n.known.version, lowest: -1}
-	watch := func() (bool, error) { return t.watch(n.start.Discovery, held) }
+// with one failure told for each watch that ends. A way that replaces another is asked for already.
+func (n *Node) follow(t *intake, w *way, asked bool) {
+	watch := func() (bool, error) { return t.watch(w, n.held) }
 	if !n.start.Terms.AsksList {
-		t.keep("watch", watchBreaks, watch)
+		t.keep(w, "watch", watchBreaks, watch)
 		return
 	}
-	for {
-		select {
-		case <-n.stop:
-			return
-		case <-n.router.listen:
+	defer close(w.over)
+	for w.renew.Err() == nil {
+		if !asked {
+			select {
+			case <-w.renew.Done():
+				return
+			case <-n.router.listen:
+			}
 		}
+		asked = false
 		_, err := watch()
+		if w.open.Err() != nil {
+			return
+		}
 		t.book.add(watchBreaks, 1)
 		t.book.say("watch", "error=%q", err)
-		t.give(listFailed{})
+		give(listFailed{}, t.inputs, w.open.Done())
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -40,7 +40,7 @@
 	signals := make(chan os.Signal, 2)
 	signals <- syscall.SIGUSR1
 	signals <- syscall.SIGTERM
-	if err := n.Run(signals); err != nil {
+	if err := n.Run(signals, nil); err != nil {
 		t.Fatal(err)
 	}
 	for _, want := range []string{"event=counters reports_in=0 ", "event=end reports_in=0 "} {
@@ -61,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := n.Run(nil); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
+	if err := n.Run(nil, nil); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
 		t.Error(err)
 	}
 }
@@ -76,8 +76,8 @@
 
 func TestLineHasEveryCounter(t *testing.T) {
 	b := newBook(0)
-	b.add(logDropped, 3)
-	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "log_dropped=3") {
+	b.add(reloadsFaulty, 3)
+	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "reloads_faulty=3") {
 		t.Error(line)
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -13,6 +13,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 
@@ -28,14 +29,24 @@
 	intake  *intake
 	book    *book
 	client  *fasthttp.HostClient
+	next    atomic.Pointer[string] // the address that a reload named
 }
 
 func newRelay(l config.Limits, address string, groups []string, b *backlog, t *intake) *relay {
-	r := &relay{limits: l, address: address, groups: groups, backlog: b, intake: t, book: t.book}
-	r.client = client(l, address, func() (net.Conn, error) { return dial(l, address, l.RelayAnswer) }, false, l.RelayIdle)
+	r := &relay{limits: l, groups: groups, backlog: b, intake: t, book: t.book}
+	r.turn(address)
 	return r
 }
 
+// moveTo names the address of all calls after the one under way.
+func (r *relay) moveTo(address string) { r.next.Store(&address) }
+
+func (r *relay) turn(address string) {
+	r.address = address
+	r.client = client(r.limits, address,
+		func() (net.Conn, error) { return dial(r.limits, address, r.limits.RelayAnswer) }, false, r.limits.RelayIdle)
+}
+
 func (r *relay) run() {
 	for {
 		o, ok := r.backlog.next()
@@ -66,7 +77,7 @@
 		if end != done {
 			r.book.say("relay", "outcome=%s orders=%d", end, rest.Count())
 		}
-		if (end != unknown || tries > 0) && !r.intake.rest() {
+		if (end != unknown || tries > 0) && !r.intake.rest(r.intake.stop) {
 			return false
 		}
 		reply := make(chan later, 1)
@@ -132,6 +143,10 @@
 
 // call makes one call and gives how many of its orders were taken.
 func (r *relay) call(orders string) (int, error) {
+	if address := r.next.Swap(nil); address != nil {
+		r.client.CloseIdleConnections()
+		r.turn(*address)
+	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -182,8 +182,8 @@
 func TestCallTellsThatNothingWasSent(t *testing.T) {
 	l, _ := net.Listen("tcp", "127.0.0.1:0")
 	l.Close()
-	r := &relay{limits: limits, address: l.Addr().String()}
-	r.client = client(limits, r.address, func() (net.Conn, error) { return dial(limits, r.address, time.Second) }, false, time.Second)
+	r := &relay{limits: limits}
+	r.turn(l.Addr().String())
 	if _, err := r.call("mark,1,0"); !errors.Is(err, errUnreached) {
 		t.Error(err)
 	}
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,92 @@
+package node
+
+// Reload moves a running manager to another configuration, make before break. It owns the ways of the
+// two streams: a new way opens at once, the old one serves until the new has opened, is never dialled
+// again and is let go then. It must never touch what the module learnt, nor apply half of a file.
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"reflect"
+	"strings"
+
+	"tamarindshore/internal/config"
+)
+
+// way is where a stream goes until a reload names another address.
+type way struct {
+	address string
+	open    context.Context // until it is let go
+	renew   context.Context // until a newer way is there: what ends before is opened again
+	letGo   context.CancelFunc
+	retire  context.CancelFunc
+	over    chan struct{} // closed once it hands on nothing more
+	old     *way
+}
+
+func newWay(life context.Context, address string) *way {
+	w := &way{address: address, over: make(chan struct{})}
+	w.open, w.letGo = context.WithCancel(life)
+	w.renew, w.retire = context.WithCancel(w.open)
+	return w
+}
+
+// next is the way to another address.
+func (w *way) next(life context.Context, address string) *way {
+	n := newWay(life, address)
+	n.old = w
+	w.retire()
+	return n
+}
+
+// takeOver lets the older ways go; once it returns they hand on nothing more, so that nothing stale
+// follows what the new one opens with.
+func (w *way) takeOver() {
+	for o := w.old; o != nil; o = o.old {
+		o.letGo()
+		<-o.over
+	}
+	w.old = nil
+}
+
+// reload takes the file anew. A faulty one changes nothing; keys that only count at the start are named.
+func (n *Node) reload(t *intake, reread func() (config.Start, error)) {
+	next, err := reread()
+	if err == nil {
+		_, _, err = n.words.list(next.Known)
+		if err != nil {
+			err = fmt.Errorf("known: %v", err)
+		}
+	}
+	if err != nil {
+		n.book.add(reloadsFaulty, 1)
+		log.Printf("event=reload_faulty error=%q", err)
+		return
+	}
+	n.book.add(reloads, 1)
+	s := n.start
+	var left []string
+	for _, one := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", s.Name == next.Name}, {"listen", s.Listen == next.Listen}, {"limits", s.Limits == next.Limits},
+		{"settings", reflect.DeepEqual(s.Terms, next.Terms) && reflect.DeepEqual(s.Groups, next.Groups) && s.Loads == next.Loads},
+	} {
+		if !one.same {
+			left = append(left, one.key)
+		}
+	}
+	log.Printf("event=reload discovery=%s relay=%s left_out=%q", next.Discovery, next.Relay, strings.Join(left, ","))
+	if next.Relay != s.Relay {
+		n.relay.moveTo(next.Relay)
+		n.news = n.news.next(n.life, next.Relay)
+		go t.news(n.news)
+	}
+	if next.Discovery != s.Discovery {
+		n.watch = n.watch.next(n.life, next.Discovery)
+		go n.follow(t, n.watch, true)
+	}
+	n.start.Relay, n.start.Discovery = next.Relay, next.Discovery
+}
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+)
+
+// Guards against an end, a gap or a dial of the old addresses at SIGHUP, and against half a reload by a
+// faulty file.
+func TestReloadMovesToTheFilesAddresses(t *testing.T) {
+	s := testStart(t)
+	n, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := s
+	var relayAsked, discoveryAsked <-chan string
+	next.Relay, relayAsked = streaming(t, "event: joined\ndata: id=18&site=a&rps=21.5&new=1\n\n...")
+	next.Discovery, discoveryAsked = streaming(t, entry(43, false, "s-2")+"...")
+	next.Name = "n9"
+	files := make(chan error, 2)
+	files <- errors.New("store.address: is missing")
+	files <- nil
+	signals, ended := make(chan os.Signal, 4), make(chan error)
+	signals <- syscall.SIGHUP
+	signals <- syscall.SIGHUP
+	go func() {
+		ended <- n.Run(signals, func() (config.Start, error) { return next, <-files })
+	}()
+	if got := <-relayAsked; got != "GET /v3/kv/stream HTTP/1.1" {
+		t.Errorf("relay: %s", got)
+	}
+	if got := <-discoveryAsked; !strings.HasPrefix(got, "GET /discovery/hosts?watch=1&after=4") {
+		t.Errorf("discovery: %s", got)
+	}
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if good, faulty := n.book.counts[reloads].Load(), n.book.counts[reloadsFaulty].Load(); good != 1 || faulty != 1 {
+		t.Errorf("%d reloads, %d faulty", good, faulty)
+	}
+}
+
+// The old way serves until the new one has opened; what it held back by then no longer counts.
+func TestAWayServesUntilTheNextHasOpened(t *testing.T) {
+	before, _ := streaming(t, "event: joined\ndata: id=17&site=a&rps=21.5&new=1\n\n...")
+	late := make(chan bool)
+	after := server(t, func(c net.Conn) {
+		<-late
+		body := "event: joined\ndata: id=18&site=a&rps=21.5&new=1\n\n"
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+		io.ReadAll(c)
+	})
+	in, inputs := testIntake(make(chan struct{}), limits), make(chan any)
+	in.inputs = inputs
+	old := to(before)
+	go in.news(old)
+	if got := fmt.Sprint(<-inputs, <-inputs); got != fmt.Sprint(newsOpened{}, joined{17, "a", 21.5}) {
+		t.Fatal(got)
+	}
+	next := old.next(context.Background(), after)
+	go in.news(next)
+	if old.open.Err() != nil {
+		t.Error("let go before the next has opened")
+	}
+	close(late)
+	if got := fmt.Sprint(<-inputs, <-inputs); got != fmt.Sprint(newsOpened{}, joined{18, "a", 21.5}) {
+		t.Error(got)
+	}
+	if old.open.Err() == nil {
+		t.Error("kept after the next has opened")
+	}
+	<-old.over
+}
+
+// Guards against dialling an old address again.
+func TestAnOldWayIsNotOpenedAgain(t *testing.T) {
+	n, w := 0, to("")
+	testIntake(nil, limits).keep(w, "news", newsBreaks, func() (bool, error) {
+		n++
+		w.next(w.open, "")
+		return true, errors.New("broken")
+	})
+	if n != 1 {
+		t.Errorf("opened %d times", n)
+	}
+}
+
+// Guards against calls to the old address, and against a call lost by the move.
+func TestCallsFollowAReload(t *testing.T) {
+	r, calls := testRelay(t, limits)
+	r.settle(lines2(1))
+	other, elsewhere := testRelay(t, limits)
+	r.moveTo(other.address)
+	r.settle(lines2(2))
+	expect(t, calls, "share,0,s-1,1")
+	expect(t, elsewhere, "share,0,s-1,2")
+}
+
+// Guards against a watch that loses the version held when it moves.
+func TestAWatchMovesWithItsVersion(t *testing.T) {
+	held := &lists{held: 41, lowest: -1}
+	ids, _ := watched(t, limits, held, entry(42, false, "s-1"))
+	address, asked := streaming(t, "")
+	testIntake(make(chan struct{}), limits).watch(to(address), held)
+	if got := <-asked; !strings.Contains(got, "after=42 ") || !slices.Equal(ids, []choice.ServerID{"s-1"}) {
+		t.Errorf("%s %v", got, ids)
+	}
+}
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -36,11 +36,13 @@
 }
 
 // give hands an input to the module's owner; false once the manager ends.
-func (t *intake) give(in any) bool {
+func (t *intake) give(in any) bool { return give(in, t.inputs, t.stop) }
+
+func give(in any, inputs chan<- any, stop <-chan struct{}) bool {
 	select {
-	case t.inputs <- in:
+	case inputs <- in:
 		return true
-	case <-t.stop:
+	case <-stop:
 		return false
 	}
 }
@@ -180,29 +182,28 @@
 }
 
 // keep opens a stream again and again: at once when one that had opened ends, then with short
-// waits by chance.
-func (t *intake) keep(what string, breaks counter, open func() (opened bool, err error)) {
-	for tries := 0; ; tries++ {
+// waits by chance, until its way is let go or another is there.
+func (t *intake) keep(w *way, what string, breaks counter, open func() (opened bool, err error)) {
+	defer close(w.over)
+	for tries := 0; w.renew.Err() == nil; tries++ {
 		began := time.Now()
 		opened, err := open()
-		select {
-		case <-t.stop:
+		if w.open.Err() != nil {
 			return
-		default:
 		}
 		t.book.add(breaks, 1)
 		t.book.say(what, "lasted=%.3f opened=%v error=%q", time.Since(began).Seconds(), opened, err)
 		if opened && time.Since(began) > t.limits.AgainMost {
 			tries = 0
 		}
-		if tries > 0 && !t.rest() {
+		if tries > 0 && !t.rest(w.renew.Done()) {
 			return
 		}
 	}
 }
 
-// rest waits for a short time by chance; false once the manager ends.
-func (t *intake) rest() bool {
+// rest waits for a short time by chance; false where it is stopped meanwhile.
+func (t *intake) rest(stop <-chan struct{}) bool {
 	t.mu.Lock()
 	spread := t.chance.Float64()
 	t.mu.Unlock()
@@ -210,21 +211,28 @@
 	select {
 	case <-time.After(wait):
 		return true
-	case <-t.stop:
+	case <-stop:
 		return false
 	}
 }
 
-// news reads the relay's news once, to its end. What it opens with is over at the first sign of
+// news keeps the relay's news on a way.
+func (t *intake) news(w *way) {
+	t.keep(w, "news", newsBreaks, func() (bool, error) { return t.readNews(w) })
+}
+
+// readNews reads the relay's news once, to its end. What it opens with is over at the first sign of
 // life that comes a while after it.
-func (t *intake) news(address string) (opened bool, err error) {
+func (t *intake) readNews(w *way) (opened bool, err error) {
 	var kind, data string
 	var at time.Time
 	standing := false
-	err = stream(t.limits, address, "/v3/kv/stream", t.limits.SilentNews, t.limits.LineNews, func() error {
+	stop := w.open.Done()
+	err = stream(t.limits, w.address, "/v3/kv/stream", t.limits.SilentNews, t.limits.LineNews, func() error {
+		w.takeOver()
 		opened, at = true, time.Now()
 		t.book.add(newsOpens, 1)
-		t.give(newsOpened{})
+		give(newsOpened{}, t.inputs, stop)
 		return nil
 	}, func(line []byte) error {
 		text := string(line)
@@ -251,13 +259,13 @@
 			case applied:
 				t.book.add(appliedIn, 1)
 			}
-			if !t.give(in) {
+			if !give(in, t.inputs, stop) {
 				return errStop
 			}
 		case name == "": // a sign of life
 			if !standing && time.Since(at) >= t.limits.NewsOpening {
 				standing = true
-				t.give(newsStands{})
+				give(newsStands{}, t.inputs, stop)
 			}
 		case name == "event" && strings.Trim(value, "abcdefghijklmnopqrstuvwxyz_") == "":
 			kind = value
@@ -269,20 +277,22 @@
 			return fmt.Errorf("%.40q is no line of an event stream", text)
 		}
 		return nil
-	}, t.stop)
+	}, stop)
 	return opened, err
 }
 
 // lists is discovery's watch from the version held.
 type lists struct {
+	mu     sync.Mutex
 	held   int64
 	lowest int64 // a whole list that is older than held, told at the opening of the last watch
 }
 
-func (t *intake) watch(address string, held *lists) (opened bool, err error) {
-	first := true
-	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.held, 10)
-	err = stream(t.limits, address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
+func (t *intake) watch(w *way, held *lists) (opened bool, err error) {
+	first, stop := true, w.open.Done()
+	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.version(), 10)
+	err = stream(t.limits, w.address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
+		w.takeOver()
 		opened = true
 		t.book.add(watchOpens, 1)
 		return nil
@@ -299,7 +309,7 @@
 		first = false
 		if !held.admits(in, opening) {
 			t.book.add(listsOld, 1)
-			t.book.say("old_list", "version=%d held=%d", in.version, held.held)
+			t.book.say("old_list", "version=%d held=%d", in.version, held.version())
 			if opening && in.whole {
 				return errors.New("an older list than the one held")
 			}
@@ -309,18 +319,26 @@
 			return nil // nothing has changed
 		}
 		t.book.add(listsIn, 1)
-		if !t.give(in) {
+		if !give(in, t.inputs, stop) {
 			return errStop
 		}
 		return nil
-	}, t.stop)
+	}, stop)
 	return opened, err
 }
 
+func (h *lists) version() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.held
+}
+
 // admits tells whether a list is news. An older one never replaces a newer by accident: a whole
 // list with a lower version is taken only where two watches in a row open with it, as after
 // discovery began anew.
 func (h *lists) admits(in listed, opening bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	older := in.version < h.held || in.version == h.held && !in.whole && len(in.entries) > 0
 	if older && !(opening && in.whole && h.lowest == in.version) {
 		if opening && in.whole {
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +21,8 @@
 		fit: func() bool { return true }, chance: rand.New(rand.NewPCG(1, 1))}
 }
 
+func to(address string) *way { return newWay(context.Background(), address) }
+
 // listening is an intake that accepts; what it hands on comes out of the channel.
 func listening(t *testing.T, l config.Limits, fit bool) (*intake, string, chan any) {
 	at, err := net.Listen("tcp", "127.0.0.1:0")
@@ -169,7 +172,7 @@
 		"event: applied\r\ndata: id=17&seq=905&ms=310.4\r\n\r\nevent: other\ndata: x\n\nevent: left\ndata: id=17\n\nevent: left\nda")
 	in, inputs := testIntake(make(chan struct{}), limits), make(chan any, 64)
 	in.inputs = inputs
-	opened, err := in.news(address)
+	opened, err := in.readNews(to(address))
 	if got := <-asked; got != "GET /v3/kv/stream HTTP/1.1" || !opened || !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("%q %v %v", got, opened, err)
 	}
@@ -193,7 +196,7 @@
 			l.SilentNews = 200 * time.Millisecond
 		}
 		address, _ := streaming(t, text)
-		if _, err := testIntake(make(chan struct{}), l).news(address); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := testIntake(make(chan struct{}), l).readNews(to(address)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%.30q: %v", text, err)
 		}
 	}
@@ -208,7 +211,7 @@
 	address, _ := streaming(t, text)
 	in, inputs := testIntake(make(chan struct{}), l), make(chan any, 64)
 	in.inputs = inputs
-	_, err = in.watch(address, held)
+	_, err = in.watch(to(address), held)
 	for _, one := range drained(inputs) {
 		ids = append(ids, one.(listed).entries[0].Server)
 	}
@@ -247,14 +250,12 @@
 }
 
 func TestKeepOpensAtOnceThatWhichHadOpened(t *testing.T) {
-	stop := make(chan struct{})
 	l := limits
 	l.Again, l.AgainMost = time.Hour, time.Hour
-	n := 0
-	in := testIntake(stop, l)
-	in.keep("news", newsBreaks, func() (bool, error) {
+	n, w := 0, to("")
+	testIntake(nil, l).keep(w, "news", newsBreaks, func() (bool, error) {
 		if n++; n == 2 {
-			close(stop)
+			w.letGo()
 		}
 		return true, io.EOF
 	})
@@ -307,7 +308,7 @@
 	l := limits
 	l.Opening = 30 * time.Millisecond
 	address := server(t, func(c net.Conn) { io.ReadAll(c) })
-	if opened, err := testIntake(make(chan struct{}), l).news(address); opened || err == nil {
+	if opened, err := testIntake(make(chan struct{}), l).readNews(to(address)); opened || err == nil {
 		t.Errorf("%v %v", opened, err)
 	}
 }
