The line follows the proxies heard, and waits until most of them are

Checked in the managers' logs: 3 s after its restart one set the line at 6 flows/s by the 3 that it had heard of (choice.go, moveLine: delivered and knee of few proxies), and it stood in absolute flows when the other's proxies joined. Ruled out: servers (0 dropped, p50 200 ms), the channel (most 28%). The line is now kept in proportion to what the proxies heard of told, and stands still until half of them are heard. Should also catch: proxies that move between managers for good, reports that come back after a gap. May harm: a restart under overload is open for a second or two longer.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,7 @@
 	lineFall                    = 0.92          // of what is delivered
 	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
 	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, all that is let in at once
+	heardPart                   = 0.5           // of what proxies told, heard of before the line moves
 	lineCreep, lineOpen         = 0.05, 1.2     // beyond it, and of what is asked to let in all
 	nearlyAll, fewDrops         = 0.9, 0.03     // quick answers, and drops, for further tries
 	heldLeast                   = 0.3           // tries a second for told load to say something
@@ -98,19 +99,6 @@
 	{(*Manager).unwoken, (*Manager).setWake},
 }
 
-// decide ends every input.
-func (m *Manager) decide() Orders {
-	for i := 0; i < len(rules); i++ {
-		if rules[i].when(m) {
-			rules[i].then(m)
-			i = -1
-		}
-	}
-	o := m.o
-	m.o = Orders{}
-	return o
-}
-
 func (m *Manager) Listed(now time.Duration, whole bool, entries []Entry) Orders {
 	m.now = now
 	seen := map[ServerID]bool{}
@@ -378,7 +366,15 @@
 	calm := min(m.calmest, calmMost)
 	high, low := max(pressureHigh, calmHigh*calm), max(pressureLow, calmLow*calm)
 	asked, delivered := m.traffic()
-	told := m.toldRate() * float64(len(m.proxies))
+	// guards against a line that is set by the first few proxies heard, or stands still while a lost manager's join
+	told := m.heardOf()
+	if m.told > 0 && told > 0 {
+		m.line *= told / m.told
+	}
+	m.told = cmp.Or(told, m.told)
+	if told < heardPart*m.toldRate()*float64(len(m.proxies)) || told == 0 {
+		return
+	}
 	m.peaks = lastOf(append(m.peaks, delivered/max(told, 1)), samplesKept)
 	knee := slices.Max(m.peaks) * told
 	// guards against a surge that fills all queues before a late answer is heard of
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -447,7 +447,7 @@
 
 func TestLineMovesOnlyWhenServersShowFull(t *testing.T) {
 	m := manager(2)
-	m.now = 10 * time.Second
+	m.now = 4 * time.Second
 	for _, s := range m.servers {
 		m.hear(s.id, 50, 10, 1500*time.Millisecond)
 	}
@@ -464,7 +464,7 @@
 
 func TestLineIsNotMovedByDropsOfTheFirstSeconds(t *testing.T) {
 	m := manager(2)
-	m.probes, m.now, m.calmest = false, 10*time.Second, 0.1
+	m.probes, m.now, m.calmest = false, 4*time.Second, 0.1
 	for _, s := range m.servers {
 		m.hear(s.id, 20, 8, 450*time.Millisecond)
 	}
@@ -477,6 +477,29 @@
 	}
 }
 
+// Guards against a line set by the first few proxies heard after a start, which blocks nearly all that come then.
+func TestLineWaitsUntilMostProxiesAreHeard(t *testing.T) {
+	m := manager(2)
+	m.probes, m.now, m.calmest, m.proxies[0].rate, m.proxies[1].rate = false, 4*time.Second, 0.1, 10, 90
+	m.proxies[1].flows = [][]figure{{}, {}}
+	for _, s := range m.servers {
+		m.hear(s.id, 2, 0, 1500*time.Millisecond)
+	}
+	if m.moveLine(); !math.IsInf(m.line, 1) {
+		t.Errorf("line at %.0f though a tenth is heard", m.line)
+	}
+}
+
+// Guards against a line for half of the proxies that stands still when another manager's join.
+func TestLineFollowsTheProxiesHeard(t *testing.T) {
+	m := manager(2)
+	m.now, m.calmest, m.proxies[0].rate, m.proxies[1].rate, m.line, m.told = 4*time.Second, 0.1, 10, 30, 40, 10
+	m.proxies[0].flows[0][0].value, m.proxies[1].flows[0][0].value = 300, 300
+	if m.moveLine(); m.line < 160 {
+		t.Errorf("line at %.0f for four times the proxies", m.line)
+	}
+}
+
 func TestLineStaysOpenWhereFlowsTakeLongByThemselves(t *testing.T) {
 	m := manager(2)
 	m.probes, m.now, m.calmest = false, 10*time.Second, 0.3
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -183,6 +183,19 @@
 	return v
 }
 
+// heardOf is what the proxies heard of lately told that they get a second.
+func (m *Manager) heardOf() (told float64) {
+	for _, p := range m.proxies {
+		for _, f := range p.flows {
+			if n := len(f); n > 0 && m.now-f[n-1].at <= samplesOld {
+				told += max(p.rate, 1e-3) // some may tell nothing
+				break
+			}
+		}
+	}
+	return told
+}
+
 func (m *Manager) meanBudget() float64 {
 	sum, all := 0.0, 0.0
 	for g, b := range m.budget {
--- a/choice/state.go
+++ b/choice/state.go
@@ -136,6 +136,7 @@
 	askFrom    time.Duration
 	line       float64 // flows a second that are let in, the most useful first
 	lineMoved  time.Duration
+	told       float64   // flows a second of the proxies heard of, as the line was moved last
 	calmest    float64   // the least latency over budget so far
 	peaks      []float64 // flows delivered a second, lately
 	lost       float64   // share of tries dropped by servers that answer others quickly
@@ -362,6 +363,19 @@
 	then func(*Manager)
 }
 
+// decide ends every input.
+func (m *Manager) decide() Orders {
+	for i := 0; i < len(rules); i++ {
+		if rules[i].when(m) {
+			rules[i].then(m)
+			i = -1
+		}
+	}
+	o := m.o
+	m.o = Orders{}
+	return o
+}
+
 func (m *Manager) add(e Entry) *server {
 	s := &server{id: e.Server, zone: m.zone(e.Zone), weight: e.Weight, health: 1, load: -1}
 	s.block, s.quietFrom, s.startedAt, s.probedAt = m.blockOf(s.zone), m.now, m.now, -silentFor
