Spoilt messages are dropped alone; strangers have one fixed time; gone servers are forgotten

Now: one fixed time of 1.5 s until something is reported; a message of a known kind is dropped alone, 64 in a row end the connection; bounds by span, expiry and number of proxies; a server gone for a minute leaves tables, module and router.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,6 +19,7 @@
 	silentTries, silentFor  = 4.0, 2 * time.Second               // tries due and time before silence counts
 	mostFlows, freshFor     = 0.6, 1500 * time.Millisecond       // of fresh good answers: pressure is theirs
 	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
+	forgetAfter             = time.Minute                        // that a server is gone
 
 	bandLow, bandHigh           = 0.8, 1.2      // of a server's target: its floor and ceiling
 	shareMost                   = 2.0           // of its listed share, the most that its target is
@@ -141,6 +142,7 @@
 	if c != Gone || s.state == Ready {
 		s.state = c
 	}
+	s.goneAt = either(c == Gone, cmp.Or(s.goneAt, m.now), 0)
 	m.drains = m.drains || c != Ready
 	if s.out || s.state == Gone {
 		m.ask(s)
@@ -153,6 +155,12 @@
 	}
 }
 
+// past tells whether a server went too long ago to come back: its lines go, then all that is known of it. Guards
+// against memory and tables that grow as servers are replaced by others.
+func (m *Manager) past(s *server) bool {
+	return s.goneAt > 0 && m.now-s.goneAt > forgetAfter && (!m.open(s) || s.out)
+}
+
 // open tells whether a server may get flows.
 func (m *Manager) open(s *server) bool {
 	return s.state == Ready || s.state == Gone && m.goneStays && m.probes
@@ -223,6 +231,7 @@
 	if !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && !m.sliced {
 		m.part()
 	}
+	m.servers = slices.DeleteFunc(m.servers, func(s *server) bool { return m.past(s) && !m.stands(s) })
 	m.lookForBare()
 	m.holdBackCold()
 	m.judgeServers()
@@ -368,9 +377,7 @@
 	asked, delivered := m.traffic()
 	// guards against a line that is set by the first few proxies heard, or stands still while a lost manager's join
 	told := m.heardOf()
-	if m.told > 0 && told > 0 {
-		m.line *= told / m.told
-	}
+	m.line *= cmp.Or(told, m.told, 1) / cmp.Or(m.told, told, 1)
 	m.told = cmp.Or(told, m.told)
 	if told < heardPart*m.toldRate()*float64(len(m.proxies)) || told == 0 {
 		return
@@ -656,7 +663,7 @@
 	t := m.tables[id]
 	scale, bare := t.scale(), m.bare(t)
 	for _, s := range m.servers {
-		if s.withdrawn && !m.open(s) {
+		if s.withdrawn && !m.open(s) && !m.past(s) {
 			continue // its line does no harm
 		}
 		was, weight := t.standing[s.id], math.Round(t.wanted[s.id]*scale*1000)/1000
@@ -711,10 +718,3 @@
 	mark, m.o = m.o.Mark, Orders{}
 	return n, mark
 }
-
-func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
-
-func (m *Manager) setWake() {
-	m.wakeAt = max(m.due, m.now+time.Millisecond)
-	m.o.Wake = m.wakeAt
-}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -593,3 +593,39 @@
 		t.Errorf("%v flows a second asked, %v before, block %d, sent %v", asked, before, m.proxies[0].block, m.proxies[1].sent)
 	}
 }
+
+// Guards against memory and tables that grow as servers are replaced by others, and against forgetting one that
+// may come back.
+func TestAServerThatIsGoneIsForgottenInTime(t *testing.T) {
+	m := manager(3)
+	m.now = 10 * time.Second
+	gone := m.server("a0")
+	m.list(gone, Gone)
+	gone.withdrawn = true
+	m.tables[0].wanted = map[ServerID]float64{"a1": 0.5, "a2": 0.5}
+	if moves := m.differences(0); slices.ContainsFunc(moves, func(l move) bool { return l.Server == "a0" }) {
+		t.Errorf("its line is taken at once: %v", moves)
+	}
+	m.now += forgetAfter + 1
+	moves := m.differences(0)
+	i := slices.IndexFunc(moves, func(l move) bool { return l.Server == "a0" })
+	if i < 0 || moves[i].Weight != 0 {
+		t.Fatalf("its line stays: %v", moves)
+	}
+	if m.openSecond(); !m.Knows("a0") {
+		t.Error("forgotten while a table names it")
+	}
+	delete(m.tables[0].standing, "a0")
+	if m.openSecond(); m.Knows("a0") || !m.Knows("a1") {
+		t.Error("kept, or others forgotten")
+	}
+}
+
+func TestAServerThatCameBackIsKept(t *testing.T) {
+	m := manager(2)
+	m.list(m.server("a0"), Gone)
+	m.list(m.server("a0"), Ready)
+	if m.now += 2 * forgetAfter; m.past(m.server("a0")) {
+		t.Error("past though it is listed")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -19,6 +19,7 @@
 	started   time.Duration // as listed
 	climbing  bool
 	startedAt time.Duration // when that start was heard of
+	goneAt    time.Duration // the list called it gone then; 0: it is there
 	withdrawn bool
 	unlaid    bool // a table still names it for more than it should get
 	heard     []Report
@@ -199,6 +200,14 @@
 	return m.servers[i]
 }
 
+// Knows tells whether a server is remembered.
+func (m *Manager) Knows(id ServerID) bool { return m.server(id) != nil }
+
+// stands tells whether a table names a server.
+func (m *Manager) stands(s *server) bool {
+	return slices.ContainsFunc(m.tables, func(t *table) bool { return t.standing[s.id] > 0 })
+}
+
 func (m *Manager) proxy(id ProxyID) (int, bool) {
 	return slices.BinarySearchFunc(m.proxies, id, func(p *proxy, id ProxyID) int { return cmp.Compare(p.id, id) })
 }
@@ -401,3 +410,10 @@
 		s.load, s.loadAt = load, now
 	}
 }
+
+func (m *Manager) unwoken() bool { return m.wakeAt <= m.now }
+
+func (m *Manager) setWake() {
+	m.wakeAt = max(m.due, m.now+time.Millisecond)
+	m.o.Wake = m.wakeAt
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,17 +49,21 @@
 	Answer      int // bytes of an answer of relay or server
 	LogWaits    int // lines of the log
 
-	SilentUnnamed, SilentNamed time.Duration
-	SilentNews, SilentWatch    time.Duration // past their signs of life
-	Opening                    time.Duration // until a stream begins
-	NewsOpening                time.Duration // a sign of life later than that ends what stands at the opening
-	Connect, Write             time.Duration
-	RelayAnswer, ProbeAnswer   time.Duration
-	Look                       time.Duration // for what came while this process stood still
-	RelayIdle                  time.Duration
-	Again, AgainMost           time.Duration // waits before a new try, by chance between them
-	LogEvery                   time.Duration // of lines of one kind
-	LogEnd                     time.Duration // for the last lines
+	SpoiltMost int     // messages one after another
+	FlowsMost  float64 // a second in a report, and held by a server
+
+	Stranger, SilentNamed    time.Duration // from the start of a connection until it reports; then
+	SpanMost                 time.Duration // of a report
+	SilentNews, SilentWatch  time.Duration // past their signs of life
+	Opening                  time.Duration // until a stream begins
+	NewsOpening              time.Duration // a sign of life later than that ends what stands at the opening
+	Connect, Write           time.Duration
+	RelayAnswer, ProbeAnswer time.Duration
+	Look                     time.Duration // for what came while this process stood still
+	RelayIdle                time.Duration
+	Again, AgainMost         time.Duration // waits before a new try, by chance between them
+	LogEvery                 time.Duration // of lines of one kind
+	LogEnd                   time.Duration // for the last lines
 }
 
 func limits(cores, memoryMB float64, sockets int) Limits {
@@ -67,8 +71,8 @@
 		Cores: max(1, int(cores+0.5)), Memory: int64(memoryMB * (1 << 20)), Sockets: sockets,
 		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 256,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
-		Words: 64, LineUnnamed: 4 << 10, LineNamed: 1 << 20, LineNews: 64 << 10, LineList: 1 << 20, Answer: 64 << 10,
-		SilentUnnamed: 5 * time.Second, SilentNamed: time.Minute,
+		Words: 64, LineUnnamed: 4 << 10, LineNamed: min(1<<20, int(memoryMB*(1<<20))/512), LineNews: 64 << 10, LineList: 1 << 20, Answer: 64 << 10,
+		SpoiltMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, SpanMost: time.Minute,
 		SilentNews: 1500 * time.Millisecond, SilentWatch: 2600 * time.Millisecond, NewsOpening: 300 * time.Millisecond,
 		Opening: 700 * time.Millisecond,
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -15,10 +15,12 @@
 	"time"
 
 	"tamarindshore/choice"
+	"tamarindshore/internal/config"
 )
 
 // The inputs of the module's owner, in the form that it takes them.
 type (
+	collector  struct{ zone choice.ZoneID }
 	heard      struct{ choice.Report }
 	used       struct{ choice.Usage }
 	newsOpened struct{} // all proxies that are joined follow
@@ -55,24 +57,37 @@
 	later struct{ now, rest choice.Orders }
 )
 
-// errUnknown is what a message that names an unknown zone or traffic group gives: it is dropped,
-// and the connection goes on.
-var errUnknown = errors.New("names what the site does not")
+// errUnknown is what a message that names an unknown zone or traffic group gives. It is dropped like
+// one that is spoilt, and the connection goes on; errUnread is no message at all, which ends it.
+var (
+	errUnknown = errors.New("names what the site does not")
+	errUnread  = errors.New("unreadable")
+)
 
+// words are what the wire may name, and the bounds of its figures.
 type words struct {
-	zones  map[string]choice.ZoneID
-	groups map[string]choice.GroupID
-	born   time.Time
-	most   int // of a line
+	zones     map[string]choice.ZoneID
+	groups    map[string]choice.GroupID
+	born      time.Time
+	most      int // of a line
+	proxies   int // the highest number of one
+	latest    time.Duration
+	longest   time.Duration // span of a report
+	flowsMost float64       // a second, and held
 }
 
-func newWords(zones []choice.ZoneID, groups []string, born time.Time, most int) *words {
-	w := &words{map[string]choice.ZoneID{}, map[string]choice.GroupID{}, born, most}
-	for _, z := range zones {
+func newWords(t choice.Terms, groups []string, born time.Time, l config.Limits) *words {
+	w := &words{zones: map[string]choice.ZoneID{}, groups: map[string]choice.GroupID{}, born: born, most: l.Words,
+		proxies: mostProxies, longest: l.SpanMost, flowsMost: l.FlowsMost}
+	if t.Proxies > 0 {
+		w.proxies = t.Proxies - 1
+	}
+	for _, z := range t.Zones {
 		w.zones[string(z)] = z
 	}
 	for g, name := range groups {
 		w.groups[name] = choice.GroupID(g)
+		w.latest = max(w.latest, 2*t.Groups[g].Expiry) // means come with noise
 	}
 	return w
 }
@@ -119,6 +134,20 @@
 	return time.Duration(f.number(name) * float64(time.Millisecond))
 }
 
+// over is the span of a report, with the count of what it saw and how many of those it could not serve, which
+// may have come in the span before. Guards against figures that no span makes possible, which would stand for
+// seconds in what is worked out of samples.
+func (f *fields) over(w *words) (count, failed int, span time.Duration) {
+	count, failed, span = f.whole("count", 1<<40), f.whole("fail", 1<<40), f.millis("over")
+	switch {
+	case span <= 0 || span > w.longest:
+		f.fail("over", "is no span of a report")
+	case float64(max(count, failed)) > w.flowsMost*max(1, span.Seconds()):
+		f.fail("count", "is more than the span makes possible")
+	}
+	return count, failed, span
+}
+
 func (f *fields) zone(w *words, name string) choice.ZoneID {
 	z, ok := w.zones[f.text(name)]
 	if !ok && f.err == nil {
@@ -127,35 +156,40 @@
 	return z
 }
 
-// load gives the flows held that a load report tells, -1 without one. Its pairs are split by
-// `between`, a pair by `within`. Guards against a report that is taken for none: the flows held
+// load gives the flows held that a load report tells, -1 without one; false where a figure is none. Its pairs
+// are split by `between`, a pair by `within`. Guards against a report that is taken for none: the flows held
 // come under the protocol's word or under that of the settings.
-func load(text, between, within string) float64 {
+func load(text, between, within string, most float64) (held float64, ok bool) {
+	held = -1
 	for _, pair := range strings.Split(text, between) {
 		key, figure, _ := strings.Cut(strings.TrimSpace(pair), within)
+		x, err := strconv.ParseFloat(figure, 64)
+		if err != nil || !(x >= 0 && x <= 1e12) {
+			return -1, false
+		}
 		if key != "inflight" && key != "outstanding" {
 			continue
 		}
-		if x, err := strconv.ParseFloat(figure, 64); err == nil && x >= 0 && x <= 1e12 {
-			return x
+		if held = x; x > most {
+			return -1, false
 		}
 	}
-	return -1
+	return held, true
 }
 
-const mostProxies = 65535 // and marks, by the protocol
+const mostProxies, mostMarks = 65535, 65535 // by the protocol
 
 // line decodes a line that came to the manager's address: a kind and words of the form name=value.
 func (w *words) line(text string) (kind string, in any, err error) {
+	kind, rest, _ := strings.Cut(strings.TrimSpace(text), " ")
+	if kind != "ping" && kind != "collector" && kind != "heard" && kind != "usage" {
+		return "", nil, errors.Join(errUnread, fmt.Errorf("%.40q is no kind of message", kind))
+	}
 	var named [][2]string
-	for word := range strings.FieldsSeq(text) {
-		if kind == "" {
-			kind = word
-			continue
-		}
+	for word := range strings.FieldsSeq(rest) {
 		name, v, ok := strings.Cut(word, "=")
 		if !ok || len(named) == w.most {
-			return "", nil, fmt.Errorf("%.40q: up to %d words name=value are due", word, w.most)
+			return kind, nil, fmt.Errorf("%.40q: up to %d words name=value are due", word, w.most)
 		}
 		named = append(named, [2]string{name, v})
 	}
@@ -169,32 +203,34 @@
 	}
 	f := &fields{value: value}
 	switch kind {
-	case "ping":
 	case "collector":
-		f.zone(w, "site")
+		in = collector{f.zone(w, "site")}
 	case "heard":
-		util, _ := value("util")
-		mean := time.Duration(0) // where none was good it may be left out
-		if _, told := value("mean"); told {
-			mean = f.millis("mean")
-		}
-		r := choice.Report{Server: choice.ServerID(f.text("target")), Zone: f.zone(w, "site"),
-			Tries: f.whole("count", 1<<40), Failed: f.whole("fail", 1<<40), Latency: mean,
-			Span: f.millis("over"), Load: load(util, ",", ":")}
+		r := choice.Report{Server: choice.ServerID(f.text("target")), Zone: f.zone(w, "site"), Load: -1}
+		r.Tries, r.Failed, r.Span = f.over(w)
 		if r.Failed > r.Tries {
 			f.fail("fail", "is more than count")
 		}
+		if _, told := value("mean"); told || r.Failed < r.Tries { // where none was good it may be left out
+			r.Latency = f.millis("mean")
+		}
+		if r.Latency > w.latest || r.Failed < r.Tries && r.Latency == 0 {
+			f.fail("mean", "is no time of an answer")
+		}
+		if util, told := value("util"); told && util != "" {
+			if r.Load, told = load(util, ",", ":", w.flowsMost); !told {
+				f.fail("util", "is no load report")
+			}
+		}
 		in = heard{r}
 	case "usage":
-		u := choice.Usage{Proxy: choice.ProxyID(f.whole("id", mostProxies)), Flows: f.whole("count", 1<<40),
-			Dropped: f.whole("fail", 1<<40), Span: f.millis("over")}
+		u := choice.Usage{Proxy: choice.ProxyID(f.whole("id", w.proxies))}
+		u.Flows, u.Dropped, u.Span = f.over(w)
 		g, ok := w.groups[f.text("lane")]
 		if u.Group = g; !ok && f.err == nil {
 			f.err = errUnknown
 		}
 		in = used{u}
-	default:
-		return "", nil, fmt.Errorf("%.40q is no kind of message", kind)
 	}
 	return kind, in, f.err
 }
@@ -209,14 +245,14 @@
 		return nil, err
 	}
 	f := &fields{value: func(name string) (string, bool) { return values.Get(name), values.Has(name) }}
-	proxy := choice.ProxyID(f.whole("id", mostProxies))
+	proxy := choice.ProxyID(f.whole("id", w.proxies))
 	switch kind {
 	case "joined":
 		in = joined{proxy, f.zone(w, "site"), f.number("rps")}
 	case "left":
 		in = left{proxy}
 	case "applied":
-		in = applied{proxy, choice.MarkID(f.whole("seq", mostProxies))}
+		in = applied{proxy, choice.MarkID(f.whole("seq", mostMarks))}
 	}
 	return in, f.err
 }
--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +12,9 @@
 var born = time.UnixMilli(1_000_000)
 
 func testWords() *words {
-	return newWords([]choice.ZoneID{"a", "b"}, []string{"lookup", "book"}, born, 64)
+	t := terms
+	t.Groups, t.Proxies = append(t.Groups, t.Groups...), 50
+	return newWords(t, []string{"lookup", "book"}, born, limits)
 }
 
 func TestLineDecodesReports(t *testing.T) {
@@ -34,31 +37,48 @@
 	}
 }
 
-func TestLineTellsUnknownNamesFromRubbish(t *testing.T) {
+// Guards against figures that cannot be and reach the module, and against rubbish that passes for a message.
+func TestLineTellsSpoiltFromRubbish(t *testing.T) {
 	for text, want := range map[string]string{
 		"heard site=z target=s-1 count=2 fail=0 mean=1 over=1": errUnknown.Error(),
 		"usage id=17 lane=none count=19 fail=0 over=1":         errUnknown.Error(),
 		"collector site=z": errUnknown.Error(),
 		"collector":        "site: is missing",
 		"":                 "is no kind",
-		"GET / HTTP/1.1":   "name=value",
-		"usage id=65536 lane=book count=19 fail=0 over=1":      "id: ",
-		"usage id=1 lane=book count=-1 fail=0 over=1":          "count: ",
-		"usage id=1 lane=book count=19 fail=0 over=NaN":        "over: ",
-		"heard site=a target=s-1 count=2 fail=3 mean=1 over=1": "fail: ",
-		"sing":                              "is no kind",
-		"ping" + strings.Repeat(" a=b", 65): "up to 64 words",
+		"GET / HTTP/1.1":   "is no kind",
+		"usage id=50 lane=book count=19 fail=0 over=1":                              "id: ",
+		"usage id=1 lane=book count=-1 fail=0 over=1":                               "count: ",
+		"usage id=1 lane=book count=19 fail=0 over=NaN":                             "over: ",
+		"usage id=1 lane=book count=19 fail=0 over=0":                               "over: ",
+		"usage id=1 lane=book count=19 fail=0 over=1e9":                             "over: ",
+		"usage id=1 lane=book count=99999 fail=0 over=1000":                         "count: ",
+		"usage id1 lane=book count=19 fail=0 over=1":                                "name=value",
+		"heard site=a target=s-1 count=2 fail=3 mean=1 over=1":                      "fail: ",
+		"heard site=a target=s-1 count=2 fail=1 over=1":                             "mean: ",
+		"heard site=a target=s-1 count=2 fail=1 mean=0 over=1":                      "mean: ",
+		"heard site=a target=s-1 count=2 fail=1 mean=9000 over=1":                   "mean: ",
+		"heard site=a target=s-1 count=2 fail=1 mean=Inf over=1":                    "mean: ",
+		"heard site=a target=s-1 count=2 fail=0 mean=1 over=1 util=inflight:x":      "util: ",
+		"heard site=a target=s-1 count=2 fail=0 mean=1 over=1 util=inflight:1e9":    "util: ",
+		"heard site=a target=s-1 count=2 fail=0 mean=1 over=1 util=util:-1":         "util: ",
+		"heard site=a target=s-1 count=2 fail=0 mean=1 over=1 util=inflight:7,util": "util: ",
+		"sing":                               "is no kind",
+		"usage" + strings.Repeat(" a=b", 65): "up to 64 words",
 	} {
-		if _, _, err := testWords().line(text); err == nil || !strings.Contains(err.Error(), want) {
+		_, _, err := testWords().line(text)
+		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, not %q", text, err, want)
 		}
+		if errors.Is(err, errUnread) != (want == "is no kind") {
+			t.Errorf("%q: %v: only what is no message ends its connection", text, err)
+		}
 	}
 }
 
 func TestLoadIsTheFlowsHeld(t *testing.T) {
-	for text, want := range map[string]float64{"inflight=7, queue=2": 7, "queue=2, outstanding=2.5": 2.5, "": -1, "queue=2": -1, "inflight=x": -1, "inflight=-1": -1} {
-		if got := load(text, ",", "="); got != want {
-			t.Errorf("%q: %v", text, got)
+	for text, want := range map[string]float64{"inflight=7, queue=2": 7, "queue=2, outstanding=2.5": 2.5, "": -1, "queue=2": -1, "inflight=x": -1, "inflight=-1": -1, "inflight=101": -1} {
+		if got, ok := load(text, ",", "=", 100); got != want || ok != (strings.Contains(text, "2")) {
+			t.Errorf("%q: %v %v", text, got, ok)
 		}
 	}
 }
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -49,6 +49,8 @@
 	probesFailed
 	probesDropped
 	logDropped
+	spoilt
+	strangersLate
 	reloads
 	reloadsFaulty
 	counters
@@ -60,7 +62,7 @@
 	"news_opens", "news_breaks", "watch_opens", "watch_breaks",
 	"calls_sent", "calls_answered", "calls_unknown", "calls_unsent", "calls_busy", "calls_folded", "calls_again",
 	"orders_sent", "orders_refused", "marks_sent", "probes_sent", "probes_answered", "probes_failed", "probes_dropped", "log_dropped",
-	"reloads", "reloads_faulty",
+	"spoilt", "strangers_late", "reloads", "reloads_faulty",
 }
 
 type book struct {
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -28,11 +28,16 @@
 	within, look, write time.Duration
 	until               time.Time
 	looked              bool
+	fixed               bool  // until stays as it is
 	failed              error // of a read
 }
 
-// expect sets the time for what is due next.
-func (p *patient) expect() { p.until, p.looked = time.Now().Add(p.within), false }
+// expect sets the time for what is due next, unless that is fixed.
+func (p *patient) expect() {
+	if !p.fixed {
+		p.until, p.looked = time.Now().Add(p.within), false
+	}
+}
 
 func (p *patient) Read(b []byte) (int, error) {
 	p.Conn.SetReadDeadline(p.until)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,7 @@
 	n := &Node{start: s, book: newBook(s.Limits.LogEvery)}
 	n.life, n.end = context.WithCancel(context.Background())
 	born := time.Now()
-	n.words = newWords(s.Terms.Zones, s.Groups, born, s.Limits.Words)
+	n.words = newWords(s.Terms, s.Groups, born, s.Limits)
 	known, _, err := n.words.list(s.Known)
 	if err != nil {
 		return nil, fmt.Errorf("known: %v", err)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -108,7 +108,7 @@
 	for !empty(o) {
 		text := encode(o, r.groups, r.limits.CallBytes)
 		r.book.add(callsSent, 1)
-		taken, err := r.call(strings.Join(text, ";"))
+		taken, err := r.call(strings.Join(text, ";"), len(text))
 		switch {
 		case errors.Is(err, errUnreached):
 			r.book.add(callsUnsent, 1)
@@ -141,8 +141,8 @@
 
 var errBusy, errSyntax = errors.New("the relay is busy"), errors.New("the relay can't read the call")
 
-// call makes one call and gives how many of its orders were taken.
-func (r *relay) call(orders string) (int, error) {
+// call makes one call of n orders and gives how many of them were taken.
+func (r *relay) call(orders string, n int) (int, error) {
 	if address := r.next.Swap(nil); address != nil {
 		r.client.CloseIdleConnections()
 		r.turn(*address)
@@ -162,11 +162,16 @@
 		r.client.CloseIdleConnections()
 		return 0, err
 	}
-	return answer(resp.Body())
+	taken, err := answer(resp.Body(), n)
+	if err == nil && resp.StatusCode() != fasthttp.StatusOK {
+		return 0, fmt.Errorf("unreadable answer: status %d", resp.StatusCode())
+	}
+	return taken, err
 }
 
-// answer reads what the relay says of a call: how many orders it took, or an error word.
-func answer(body []byte) (taken int, err error) {
+// answer reads what the relay says of a call of n orders: how many it took, or an error word. Guards against
+// a spoilt count that passes for done.
+func answer(body []byte, n int) (taken int, err error) {
 	taken = -1
 	in := xml.NewDecoder(bytes.NewReader(body))
 	element := ""
@@ -189,8 +194,9 @@
 			case text == "SYNTAX":
 				return 0, errSyntax
 			case element == "taken":
-				if taken, err = strconv.Atoi(text); err != nil || taken < 0 {
-					return 0, fmt.Errorf("unreadable answer: taken %q", text)
+				again := taken >= 0
+				if taken, err = strconv.Atoi(text); err != nil || again || taken < 0 || taken > n {
+					return 0, fmt.Errorf("unreadable answer: taken %.20q of %d", text, n)
 				}
 			}
 		}
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -126,7 +126,7 @@
 
 // Guards against an unknown outcome that is taken for a known one: the call goes out again, before others.
 func TestSettleRepeatsWhatIsUnknown(t *testing.T) {
-	for _, answer := range []string{"", "<Response><items>", "<Response/>", "nonsense", taken(-1)} {
+	for _, answer := range []string{"", "<Response><items>", "<Response/>", "nonsense", taken(-1), taken(3), "<Response><taken>1</taken><taken>2</taken></Response>"} {
 		r, calls := testRelay(t, limits, answer)
 		r.settle(lines2(1, 2))
 		expect(t, calls, "share,0,s-1,1;share,0,s-2,2", "share,0,s-1,1;share,0,s-2,2;mark,2,0")
@@ -184,7 +184,7 @@
 	l.Close()
 	r := &relay{limits: limits}
 	r.turn(l.Addr().String())
-	if _, err := r.call("mark,1,0"); !errors.Is(err, errUnreached) {
+	if _, err := r.call("mark,1,0", 1); !errors.Is(err, errUnreached) {
 		t.Error(err)
 	}
 }
@@ -195,7 +195,7 @@
 		"<Response><Error><Code>SYNTAX</Code></Error></Response>": errSyntax,
 		taken(7): nil,
 	} {
-		if n, err := answer([]byte(body)); err != want || want == nil && n != 7 {
+		if n, err := answer([]byte(body), 7); err != want || want == nil && n != 7 {
 			t.Errorf("%s: %d %v", body, n, err)
 		}
 	}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -120,10 +120,15 @@
 			r.decided(m.Left(r.now, in.proxy))
 		}
 	case applied:
+		if !r.proxies[in.proxy] {
+			r.book.add(unknownNames, 1)
+			return
+		}
 		r.decided(m.Applied(r.now, in.proxy, in.mark))
 	case listed:
 		maps.Copy(r.servers, in.addresses)
 		r.decided(m.Listed(r.now, in.whole, in.entries))
+		maps.DeleteFunc(r.servers, func(s choice.ServerID, _ string) bool { return !m.Knows(s) })
 	case listFailed:
 		r.decided(m.ListFailed(r.now))
 	case probed:
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -12,7 +12,7 @@
 var limits = config.Limits{
 	Inputs: 64, Together: 64, CallsWait: 8, CallBytes: 60000, ProbesWait: 4, ProbesOpen: 2, Unnamed: 3, Named: 2,
 	Words: 64, LineUnnamed: 64, LineNamed: 1 << 10, LineNews: 1 << 10, LineList: 1 << 12, Answer: 1 << 10,
-	SilentUnnamed: time.Minute, SilentNamed: time.Minute, SilentNews: time.Minute, SilentWatch: time.Minute,
+	SpoiltMost: 3, FlowsMost: 10000, SpanMost: time.Minute, Stranger: time.Minute, SilentNamed: time.Minute, SilentNews: time.Minute, SilentWatch: time.Minute,
 	Opening: time.Minute, Connect: time.Second, Write: time.Second, RelayAnswer: time.Minute, ProbeAnswer: time.Minute,
 	Look: time.Millisecond, RelayIdle: time.Second, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour, LogWaits: 64, LogEnd: time.Minute,
 }
@@ -146,6 +146,20 @@
 	}
 }
 
+// Guards against addresses that pile up as servers are replaced, and answers for proxies that are not joined.
+func TestAddressesFollowTheModule(t *testing.T) {
+	r := testRouter(t)
+	r.servers["s-gone"] = "127.0.0.1:3"
+	r.take(listed{version: 2, addresses: map[choice.ServerID]string{}})
+	if len(r.servers) != 2 {
+		t.Errorf("%v", r.servers)
+	}
+	before := r.book.counts[unknownNames].Load()
+	if r.take(applied{9, 1}); r.book.counts[unknownNames].Load() != before+1 {
+		t.Error("an answer of a proxy that is not joined is taken")
+	}
+}
+
 func TestTheEarliestWakeIsKept(t *testing.T) {
 	r := testRouter(t)
 	r.wake = 0
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -12,6 +12,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,15 +52,18 @@
 var errStop = errors.New("the manager ends")
 
 // guest is a connection to the manager's address; it is named once it says whose collector it is.
+// Until it has reported something it has one fixed time, whatever it sends.
 type guest struct {
 	patient
 	named   bool
+	zone    choice.ZoneID
 	useful  bool // it has reported something
 	spokeAt time.Time
+	spoilt  int // messages, one after another
 }
 
-// accept takes connections at the manager's address. Strangers have a number and a silence of
-// their own: where either is full, the one that has been silent for longest goes.
+// accept takes connections at the manager's address. Strangers have a number and a time of their
+// own: where there are too many, the one that has been silent for longest goes.
 func (t *intake) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -71,13 +76,15 @@
 				continue
 			}
 		}
-		g := &guest{patient: patient{Conn: c}, spokeAt: time.Now()}
+		g := &guest{patient: patient{Conn: c, look: t.limits.Look, write: t.limits.Write}, spokeAt: time.Now()}
+		g.until, g.fixed = g.spokeAt.Add(t.limits.Stranger), true
 		t.book.add(connections, 1)
 		t.mu.Lock()
 		t.guests = append(t.guests, g)
 		t.makeRoom(false, t.limits.Unnamed)
 		t.mu.Unlock()
 		go t.attend(g)
+		runtime.Gosched() // guards against a collector in a flood that gives way before its name is read
 	}
 }
 
@@ -118,10 +125,8 @@
 		t.forget(g)
 		t.mu.Unlock()
 	}()
-	g.within, g.look, g.write = t.limits.SilentUnnamed, t.limits.Look, t.limits.Write
-	g.expect()
 	longest := func() int {
-		if g.named {
+		if g.useful {
 			return t.limits.LineNamed
 		}
 		return t.limits.LineUnnamed
@@ -130,33 +135,45 @@
 	switch {
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		t.book.add(halfLines, 1)
+	case errors.Is(err, os.ErrDeadlineExceeded) && !g.useful:
+		t.book.add(strangersLate, 1)
 	case errors.Is(err, errUnread), errors.Is(err, errLong):
 		t.book.add(linesUnread, 1)
 		t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
 	}
 }
 
-var errUnread = errors.New("unreadable")
-
-// hear takes one line of a guest; an error ends the connection.
+// hear takes one line of a guest; an error ends the connection. A spoilt message is dropped alone, but many
+// one after another mean that the rest can't be read either.
 func (t *intake) hear(g *guest, line string) error {
 	kind, in, err := t.words.line(line)
-	if err != nil && err != errUnknown {
-		return errors.Join(errUnread, err)
+	switch name, naming := in.(collector); {
+	case errors.Is(err, errUnread):
+		return err
+	case kind == "ping":
+		t.book.add(pings, 1)
+		if t.fit() {
+			_, err = g.Write([]byte("pong\r\n"))
+		}
+		return err
+	case !g.named && !naming:
+		return errors.Join(errUnread, errors.New("a collector names its zone first"))
+	case err != nil:
+		t.book.add(either(err == errUnknown, unknownNames, spoilt), 1)
+		t.book.say("spoilt", "from=%s line=%.200q error=%q", g.RemoteAddr(), line, err)
+		if g.spoilt++; !g.named || g.spoilt > t.limits.SpoiltMost {
+			return errors.Join(errUnread, err)
+		}
+		return nil
+	case naming:
+		t.name(g, name.zone)
+		return nil
 	}
 	t.mu.Lock()
-	g.spokeAt = time.Now()
-	g.useful = g.useful || g.named && in != nil && err == nil
-	if kind == "collector" && err == nil && !g.named {
-		g.named, g.within = true, t.limits.SilentNamed
-		t.makeRoom(true, t.limits.Named)
-	}
+	g.spokeAt, g.useful, g.spoilt = time.Now(), true, 0
 	t.mu.Unlock()
+	g.fixed, g.within = false, t.limits.SilentNamed
 	g.expect()
-	if err == errUnknown {
-		t.book.add(unknownNames, 1)
-		return nil
-	}
 	switch in := in.(type) {
 	case heard:
 		t.book.add(reportsIn, 1)
@@ -166,21 +183,37 @@
 	case used:
 		t.book.add(usagesIn, 1)
 	}
-	switch {
-	case kind == "ping":
-		t.book.add(pings, 1)
-		if t.fit() {
-			_, err = g.Write([]byte("pong\r\n"))
-		}
-		return err
-	case in != nil && !g.named:
-		return errors.Join(errUnread, errors.New("a collector names its zone first"))
-	case in != nil && !t.give(in):
+	if !t.give(in) {
 		return errStop
 	}
 	return nil
 }
 
+// name notes whose collector a guest is. Where no other of its zone reports, it may have nothing to report for
+// a while; where one does, it keeps a stranger's time: guards against strangers that know a zone's name.
+func (t *intake) name(g *guest, zone choice.ZoneID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g.named {
+		return
+	}
+	g.named, g.zone = true, zone
+	t.makeRoom(true, t.limits.Named)
+	for _, other := range t.guests {
+		if other.useful && other.zone == zone && time.Since(other.spokeAt) < t.limits.Stranger {
+			return
+		}
+	}
+	g.until = g.until.Add(t.limits.SilentNamed)
+}
+
+func either[T any](first bool, a, b T) T {
+	if first {
+		return a
+	}
+	return b
+}
+
 // keep opens a stream again and again: at once when one that had opened ends, then with short
 // waits by chance, until its way is let go or another is there.
 func (t *intake) keep(w *way, what string, breaks counter, open func() (opened bool, err error)) {
@@ -248,6 +281,9 @@
 			if err == errUnknown {
 				t.book.add(unknownNames, 1)
 				return nil
+			} else if _, answer := in.(applied); answer && err != nil {
+				t.book.add(spoilt, 1) // alone: a later mark settles it; a join or a leave that is lost would stay lost
+				return nil
 			} else if err != nil {
 				return err
 			}
@@ -378,7 +414,7 @@
 	case err != nil:
 	case status == fasthttp.StatusOK:
 		out.answer = choice.Answered
-		out.load = load(strings.TrimPrefix(string(resp.Body()), "TEXT "), ",", "=")
+		out.load, _ = load(strings.TrimPrefix(string(resp.Body()), "TEXT "), ",", "=", t.words.flowsMost)
 	case status == fasthttp.StatusServiceUnavailable:
 		out.answer = choice.Full
 	default:
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -81,9 +81,11 @@
 	}
 }
 
+// Guards against strangers that are kept waiting: rubbish, orders, HTTP, what names no zone of the site.
 func TestAttendClosesWhatItCantRead(t *testing.T) {
-	for _, text := range []string{"sing\r\n", report, "collector site=a\r\nusage id=x\r\n", strings.Repeat("x", 6000),
-		"collector site=a\r\n" + strings.Repeat("x", 8000)} {
+	for _, text := range []string{"sing\r\n", report, strings.Repeat("x", 6000), "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "\r\n",
+		"share,4,s-1,1.5\r\n", "joined id=99999 site=a rps=1 new=1\r\n", "collector site=z\r\n", "collector\r\n",
+		"collector site=a\r\n\x02\xff\r\n", "collector site=a\r\n" + strings.Repeat("x", 8000)} {
 		_, address, inputs := listening(t, limits, true)
 		if got := ended(dialled(t, address, text)); got != "" {
 			t.Errorf("%.20q: %q", text, got)
@@ -94,6 +96,56 @@
 	}
 }
 
+// Guards against good reports that are lost with a spoilt one, and against a connection that brings nothing else.
+func TestAttendDropsASpoiltMessageAlone(t *testing.T) {
+	in, address, inputs := listening(t, limits, true)
+	spoiltOne := "usage id=x lane=book count=19 fail=1 over=1000.0\r\n"
+	c := dialled(t, address, "collector site=a\r\n"+report+spoiltOne+spoiltOne+spoiltOne+report+spoiltOne)
+	<-inputs
+	if got := (<-inputs).(used); got.Proxy != 17 {
+		t.Errorf("%+v", got)
+	}
+	io.WriteString(c, spoiltOne+spoiltOne+spoiltOne+report)
+	if got := ended(c); got != "" || len(inputs) > 0 || in.book.counts[spoilt].Load() != 7 {
+		t.Errorf("%q, %d inputs, %d spoilt", got, len(inputs), in.book.counts[spoilt].Load())
+	}
+}
+
+// Guards against a stranger that begins its time anew with each line, and one that knows a zone's name.
+func TestStrangersHaveOneFixedTime(t *testing.T) {
+	l := limits
+	l.Stranger, l.SilentNamed = 150*time.Millisecond, 50*time.Millisecond
+	for _, start := range []string{"", "ping\r\n", "collector site=a\r\n"} {
+		_, address, _ := listening(t, l, true)
+		c := dialled(t, address, start)
+		began := time.Now()
+		go func() {
+			for range 200 {
+				time.Sleep(10 * time.Millisecond)
+				if _, err := io.WriteString(c, "ping\r\n"); err != nil {
+					return
+				}
+			}
+		}()
+		if got := ended(c); got == "still open" || time.Since(began) > time.Second {
+			t.Errorf("%q: closed after %v", start, time.Since(began))
+		}
+	}
+}
+
+func TestANameWinsTimeOnlyWhereNobodyReports(t *testing.T) {
+	in := testIntake(make(chan struct{}), limits)
+	now := time.Now()
+	good := &guest{named: true, useful: true, zone: "a", spokeAt: now}
+	in.guests = []*guest{good}
+	for zone, more := range map[choice.ZoneID]bool{"a": false, "b": true} {
+		g := &guest{patient: patient{until: now}}
+		if in.name(g, zone); !g.named || g.until.After(now) != more {
+			t.Errorf("%s: until %v later", zone, g.until.Sub(now))
+		}
+	}
+}
+
 func TestAttendDropsAHalfLine(t *testing.T) {
 	in, address, inputs := listening(t, limits, true)
 	c := dialled(t, address, "collector site=a\r\n"+report+report[:20])
@@ -127,7 +179,7 @@
 
 func TestSilentStrangersAreClosed(t *testing.T) {
 	l := limits
-	l.SilentUnnamed = 5 * time.Millisecond
+	l.Stranger = 5 * time.Millisecond
 	_, address, _ := listening(t, l, true)
 	if got := ended(dialled(t, address, "")); got != "" {
 		t.Errorf("%q", got)
@@ -184,12 +236,12 @@
 
 func TestNewsEndsWhereItIsSilentOrUnreadable(t *testing.T) {
 	for text, want := range map[string]string{
-		"event: joined\ndata: id=17&site=a&rps=21.5&new=1\n\n...": "timeout",
-		"event: left\ndata: id=x\n\n...":                          "id: ",
-		"\x00\xff\xfe\n...":                                       "no line",
-		"event: \x01left\ndata: id=17\n\n...":                     "no line",
-		strings.Repeat("data: x", 1000) + "...":                   errLong.Error(),
-		strings.Repeat("data: xxxxxxx\n", 1000) + "...":           errLong.Error(),
+		"event: joined\ndata: id=17&site=a&rps=21.5&new=1\n\n...":      "timeout",
+		"event: applied\ndata: id=x\n\nevent: left\ndata: id=x\n\n...": "id: ",
+		"\x00\xff\xfe\n...":                             "no line",
+		"event: \x01left\ndata: id=17\n\n...":           "no line",
+		strings.Repeat("data: x", 1000) + "...":         errLong.Error(),
+		strings.Repeat("data: xxxxxxx\n", 1000) + "...": errLong.Error(),
 	} {
 		l := limits
 		if want == "timeout" {
