Blocks are cut by the servers that are there, not by those a stale list still names

Ruled out: calls and news (no outcome unknown). The line's log line no longer tells of falls that only follow proxies that leave (moveLine, was).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -359,7 +359,7 @@
 // whole they are late or drop flows, up slowly. All is let in while they are healthy.
 func (m *Manager) moveLine() {
 	latency, drops := m.flowsMeet(mostFlows)
-	budget, was := m.meanBudget(), m.line
+	budget := m.meanBudget()
 	pressure := latency / budget
 	if pressure > pressureLow && len(m.servers) > 0 {
 		pressure = m.atServers(latency) / budget
@@ -378,6 +378,7 @@
 	// guards against a line that is set by the first few proxies heard, or stands still while a lost manager's join
 	told := m.heardOf()
 	m.line *= cmp.Or(told, m.told, 1) / cmp.Or(m.told, told, 1)
+	was := m.line
 	m.told = cmp.Or(told, m.told)
 	if told < heardPart*m.toldRate()*float64(len(m.proxies)) || told == 0 {
 		return
@@ -439,7 +440,7 @@
 func (m *Manager) part() {
 	m.parted = true
 	zones := float64(len(m.zones))
-	servers, uses := float64(len(m.servers))/zones, m.toldRate()*m.connIdle.Seconds()
+	servers, uses := float64(count(m.servers, m.open))/zones, m.toldRate()*m.connIdle.Seconds()
 	m.blocks = int(max(1, min(math.Ceil(keptOpen*servers/max(uses, 1e-6)), servers/blockServers,
 		m.allProxies/m.managers/zones/blockProxies)))
 	if m.blocks == 1 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -629,3 +629,22 @@
 		t.Error("past though it is listed")
 	}
 }
+
+// Guards against blocks cut for servers that a stale list still names, as after a restart amid a release.
+func TestBlocksCountTheServersThatAreThere(t *testing.T) {
+	blocks := func(state Condition) int {
+		m := manager(12)
+		m.parted, m.allProxies, m.connIdle = false, 100, 10*time.Second
+		for _, p := range m.proxies {
+			p.rate = 6
+		}
+		for _, s := range m.servers[6:18] {
+			s.state = state
+		}
+		m.part()
+		return m.blocks
+	}
+	if all, half := blocks(Ready), blocks(Draining); all != 2 || half != 1 {
+		t.Errorf("%d blocks for 24 servers, %d for 12 that are there", all, half)
+	}
+}
