A climb counts from a start before the manager's; unheard peers hold back its first half only

The one that is left or back holds out all 12 fresh servers for 5 s (choice.go, holdBackCold) and begins their climb anew, though the list says that they started 7 s before (Listed and add: startedAt was the time it heard). Now a climb counts from a start before the manager's own, and until half of the peers are heard of only those in the first half of their climb wait; drops hold back all as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	blockServers                = 4.0           // servers of a block at least,
 	blockProxies                = 5.0           // and proxies of this manager
 	climbFrom, climbCold        = 0.1, 0.6      // of its target, of the stated cold share: a climb's start
-	floodDrops                  = 0.4           // median share of drops at which cold servers wait
+	floodDrops, holdUnheard     = 0.4, 0.5      // median drops, and part of a climb, at which cold servers wait
 	askedFor, volumeFor         = 0.9, 6.0      // seconds of usage that make what is asked, and a volume
 	usualVolume                 = 0.5           // of what a proxy usually gets, while servers climb
 	volumeMoved                 = 0.2           // part by which a volume moves before a new split
@@ -63,7 +63,7 @@
 )
 
 func New(seed uint64, t Terms) *Manager {
-	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), flooded: true, markedAt: -1, heldAt: -1}
+	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, markedAt: -1, heldAt: -1}
 	m.calmest = math.Inf(1)
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
@@ -105,20 +105,21 @@
 	seen := map[ServerID]bool{}
 	for _, e := range entries {
 		seen[e.Server] = true
-		s, started := m.server(e.Server), time.Duration(math.MinInt64)
-		if e.Fresh {
-			started = e.Started
+		s, began := m.server(e.Server), now
+		started := either(e.Fresh, e.Started, math.MinInt64)
+		if started < 0 { // before this manager's: guards against a restart that puts back all who climb
+			began = max(started, now-m.warmAfter)
 		}
 		if s == nil {
 			// guards against a list that names servers that do not exist: one that the first list did not
 			// name gets flows once it answers a probe
 			s = m.add(e)
-			s.started, s.climbing = started, e.Fresh && (now-started < m.warmAfter || !whole)
+			s.started, s.startedAt, s.climbing = started, began, e.Fresh && (now-started < m.warmAfter || !whole)
 			s.out = m.probes && m.listedOnce
 		} else if started > s.started {
 			// guards against pushing over a cold server that came back before its end was listed:
 			// what stands in the tables is lowered at once
-			s.climbing, s.startedAt, s.started = true, now, started
+			s.climbing, s.startedAt, s.started = true, began, started
 			s.health, s.load, s.heard, s.heardAt, s.quietFrom = 1, -1, nil, nil, now
 			s.out, m.urgent = s.out && m.probes, m.urgent || !s.withdrawn
 		}
@@ -246,14 +247,15 @@
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away, which would all come
-// to it: it waits outside until half of its peers are heard of and answer most flows. It may hold back much.
+// to it: it waits outside until they answer most flows, and early in its climb until half of them are heard of.
+// It may hold back much.
 func (m *Manager) holdBackCold() {
 	_, drops, heard := m.peers()
 	steady := count(m.servers, func(s *server) bool { return m.open(s) && !s.out && !s.climbing })
-	flooded := steady > 0 && (drops > floodDrops || 2*heard < steady)
-	if flooded != m.flooded {
-		m.flooded, m.cause, m.urgent = flooded, "flood", true
-		m.note("cold servers held back %v: %.2f dropped, %d of %d peers heard", flooded, drops, heard, steady)
+	hold := either(steady == 0, 0, either(drops > floodDrops, 1, either(2*heard < steady, holdUnheard, 0)))
+	if hold != m.hold {
+		m.hold, m.cause, m.urgent = hold, "flood", true
+		m.note("cold servers held back under %.1f: %.2f dropped, %d of %d peers heard", hold, drops, heard, steady)
 	}
 	for _, s := range m.servers {
 		if s.climbing {
@@ -465,6 +467,8 @@
 
 func (m *Manager) unsolved() bool { return m.cause != "" && m.parted && (m.batch || m.urgent) }
 
+func (m *Manager) heldBack(s *server) bool { return s.climbing && m.climbed(s) < m.hold }
+
 // climbed is the part of its target that a server gets by now.
 func (m *Manager) climbed(s *server) float64 {
 	if !s.climbing {
@@ -482,7 +486,7 @@
 	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return m.open(s) && !s.out })
 	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
 	for _, s := range m.servers {
-		if !m.open(s) || s.out && anyIn || s.climbing && m.flooded {
+		if !m.open(s) || s.out && anyIn || m.heldBack(s) {
 			continue
 		}
 		p := part{block: s.block, target: max(s.weight, 1e-6) * s.health, low: bandLow, high: bandHigh}
@@ -642,7 +646,7 @@
 	}
 	need := either(m.bareWaits, draining, pressing)
 	for _, s := range m.servers {
-		waits := s.withdrawn && m.open(s) && !s.unlaid && !(s.climbing && m.flooded)
+		waits := s.withdrawn && m.open(s) && !s.unlaid && !m.heldBack(s)
 		if waits && m.room(m.holders(s), 1, need) {
 			return s
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -230,7 +230,7 @@
 	m := manager(2)
 	m.servers[0].withdrawn, m.servers[0].state = true, Gone
 	delete(m.tables[0].standing, "a0")
-	m.now, m.flooded = 4*time.Second, false
+	m.now, m.hold = 4*time.Second, 0
 	for _, s := range m.servers[1:] {
 		m.hear(s.id, 10, 0, 200*time.Millisecond)
 	}
@@ -410,18 +410,21 @@
 	m.servers[0].climbing, m.now = true, 3*time.Second
 	m.holdBackCold()
 	m.solve()
-	if !m.flooded || m.tables[0].wanted["a0"] != 0 {
+	if m.hold != 1 || m.tables[0].wanted["a0"] != 0 {
 		t.Errorf("wanted %v", m.tables[0].wanted)
 	}
 }
 
 func TestColdServersWaitUntilPeersAreHeardOf(t *testing.T) {
 	m := manager(3)
-	m.servers[0].climbing, m.servers[0].withdrawn, m.flooded = true, true, true
+	m.servers[0].climbing, m.servers[0].withdrawn, m.hold = true, true, holdUnheard
 	m.holdBackCold()
-	if !m.flooded || m.returned() != nil {
+	if m.hold != holdUnheard || m.returned() != nil {
 		t.Error("a cold server comes back though no peer is heard of")
 	}
+	if m.servers[0].startedAt = -m.warmAfter * 3 / 4; m.returned() == nil {
+		t.Error("a server that is nearly warm waits for reports")
+	}
 }
 
 func TestSilenceAloneOnlyProbes(t *testing.T) {
@@ -648,3 +651,17 @@
 		t.Errorf("%d blocks for 24 servers, %d for 12 that are there", all, half)
 	}
 }
+
+// Guards against a restarted manager that takes all who climb for servers that start as it hears of them.
+func TestAClimbCountsFromAStartBeforeTheManagers(t *testing.T) {
+	m := New(1, terms)
+	m.Listed(0, true, []Entry{{Server: "old", Zone: "a", Weight: 1, Started: -8 * time.Second, Fresh: true},
+		{Server: "back", Zone: "a", Weight: 1}})
+	m.Listed(time.Second, false, []Entry{{Server: "back", Zone: "a", Weight: 1, Started: -8 * time.Second, Fresh: true},
+		{Server: "new", Zone: "a", Weight: 1, Started: time.Second / 2, Fresh: true}})
+	for id, want := range map[ServerID]time.Duration{"old": -8 * time.Second, "back": -8 * time.Second, "new": time.Second} {
+		if s := m.server(id); !s.climbing || s.startedAt != want {
+			t.Errorf("%s: climbing %v from %v", id, s.climbing, s.startedAt)
+		}
+	}
+}
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -20,7 +20,7 @@
 // manager holds per zone n ready servers a0.., b0.. and a proxy, bound to its zone's table.
 func manager(n int) *Manager {
 	m := New(1, terms)
-	m.due, m.wakeAt, m.flooded = time.Hour, time.Hour, false
+	m.due, m.wakeAt, m.hold = time.Hour, time.Hour, 0
 	for z, name := range m.zones {
 		for i := range n {
 			id := ServerID(fmt.Sprint(name, i))
--- a/choice/state.go
+++ b/choice/state.go
@@ -18,7 +18,7 @@
 	state     Condition
 	started   time.Duration // as listed
 	climbing  bool
-	startedAt time.Duration // when that start was heard of
+	startedAt time.Duration // its climb counts from then
 	goneAt    time.Duration // the list called it gone then; 0: it is there
 	withdrawn bool
 	unlaid    bool // a table still names it for more than it should get
@@ -142,7 +142,7 @@
 	peaks      []float64 // flows delivered a second, lately
 	lost       float64   // share of tries dropped by servers that answer others quickly
 	repeating  bool
-	flooded    bool     // most flows are turned away
+	hold       float64  // part of a climb below which cold servers wait
 	answers    []figure // seconds that probes took, lately
 	loadTold   bool
 	wakeAt     time.Duration
