--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,8 +50,7 @@
 	pressureLow, pressureHigh   = 0.26, 0.32    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
-	lineLeast                   = 0.6           // of the most lately: guards against a line set by a collapse
-	lineFall                    = 0.92          // of what is delivered
+	lineFall, lineLeast         = 0.92, 0.6     // of what is delivered; of the most lately, if that collapsed
 	lineRise, kneePart          = 0.3, 0.85     // in a second, up to this part of the most lately,
 	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, all that is let in at once
 	heardPart                   = 0.5           // of what proxies told, heard of before the line moves
@@ -63,8 +62,8 @@
 )
 
 func New(seed uint64, t Terms) *Manager {
-	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, markedAt: -1, heldAt: -1}
-	m.calmest = math.Inf(1)
+	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, calmest: math.Inf(1)}
+	m.markedAt, m.heldAt = -1, -1
 	m.due = time.Duration(m.random() * float64(batchEvery))
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
@@ -156,8 +155,8 @@
 	}
 }
 
-// past tells whether a server went too long ago to come back: its lines go, then all that is known of it. Guards
-// against memory and tables that grow as servers are replaced by others.
+// past tells whether a server went too long ago to come back: its lines go, then all that is known of it.
+// Guards against memory and tables that grow as servers are replaced by others.
 func (m *Manager) past(s *server) bool {
 	return s.goneAt > 0 && m.now-s.goneAt > forgetAfter && (!m.open(s) || s.out)
 }
@@ -247,8 +246,8 @@
 }
 
 // holdBackCold guards against pushing over a cold server when its peers turn flows away, which would all come
-// to it: it waits outside until they answer most flows, and early in its climb until half of them are heard of.
-// It may hold back much.
+// to it: it waits until they answer most flows, and early in its climb until half of them are heard of. It
+// may hold back much.
 func (m *Manager) holdBackCold() {
 	_, drops, heard := m.peers()
 	steady := count(m.servers, func(s *server) bool { return m.open(s) && !s.out && !s.climbing })
@@ -377,7 +376,7 @@
 	calm := min(m.calmest, calmMost)
 	high, low := max(pressureHigh, calmHigh*calm), max(pressureLow, calmLow*calm)
 	asked, delivered := m.traffic()
-	// guards against a line that is set by the first few proxies heard, or stands still while a lost manager's join
+	// guards against a line that the first few proxies heard set, or that stays while a lost manager's join
 	told := m.heardOf()
 	m.line *= cmp.Or(told, m.told, 1) / cmp.Or(m.told, told, 1)
 	was := m.line
@@ -676,8 +675,7 @@
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
 			if bare || weight < was && (s.climbing || weight == 0) {
-				// what guards a rule or is lost goes first
-				flows = math.Inf(1)
+				flows = math.Inf(1) // what guards a rule or is lost goes first
 			}
 			moves = append(moves, move{Line{id, s.id, weight}, flows})
 		}
