--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -665,3 +665,16 @@
 		}
 	}
 }
+
+// Guards against marks past the protocol's bound on long days.
+func TestMarksBeginAnewPastTheirBound(t *testing.T) {
+	m := manager(2)
+	m.mark = 65534
+	for _, want := range []MarkID{65535, 1} {
+		m.now += time.Second
+		m.post(m.proxies, 1)
+		if m.o.Mark != want {
+			t.Errorf("mark %d, not %d", m.o.Mark, want)
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,6 +30,17 @@
 	}
 }
 
+// Guards against network code that outgrows the smallest machine.
+func TestLimitsScaleWithTheMachine(t *testing.T) {
+	l := limits(0.2, 32, 256)
+	if open := l.Unnamed + l.Named + l.ProbesOpen + 8; open > 128 {
+		t.Errorf("%d descriptors of 256", open)
+	}
+	if held := int64(l.Unnamed*l.LineUnnamed + l.Named*l.LineNamed + 2*l.LineList); held > l.Memory/8 {
+		t.Errorf("%d bytes of %d in lines", held, l.Memory)
+	}
+}
+
 func TestParseLetsTheEnvironmentWin(t *testing.T) {
 	s, err := parse(func(key string) string {
 		return map[string]string{"PROXY_LISTEN": "127.0.0.9:1", "PROXY_NAME": "n4"}[key]
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -119,3 +119,26 @@
 		t.Errorf("%s %v", got, ids)
 	}
 }
+
+// Guards against old ways that are left open, or wait for one another, when reloads follow quickly or one
+// names an address that is out of reach.
+func TestWaysInARowAreAllLetGo(t *testing.T) {
+	first := to("")
+	close(first.over)
+	second := first.next(context.Background(), "127.0.0.1:1")
+	in, inputs := testIntake(make(chan struct{}), limits), make(chan any, 64)
+	in.inputs = inputs
+	go in.news(second) // it never opens
+	address, _ := streaming(t, "event: joined\ndata: id=17&site=a&rps=21.5&new=1\n\n...")
+	third := second.next(context.Background(), address)
+	go in.news(third)
+	<-inputs
+	for i, w := range []*way{first, second} {
+		if <-w.over; w.open.Err() == nil {
+			t.Errorf("way %d is still open", i+1)
+		}
+	}
+	if third.old != nil {
+		t.Error("old ways are remembered")
+	}
+}
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -108,12 +109,9 @@
 }
 
 func (t *intake) forget(g *guest) {
-	for i, other := range t.guests {
-		if other == g {
-			t.guests = append(t.guests[:i], t.guests[i+1:]...)
-			t.book.add(connectionsClosed, 1)
-			return
-		}
+	if i := slices.Index(t.guests, g); i >= 0 {
+		t.guests = slices.Delete(t.guests, i, i+1)
+		t.book.add(connectionsClosed, 1)
 	}
 }
 
