--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,8 +49,8 @@
 	Answer      int // bytes of an answer of relay or server
 	LogWaits    int // lines of the log
 
-	SpoiltMost int     // messages one after another
-	FlowsMost  float64 // a second in a report, and held by a server
+	IdleMost  int     // messages one after another that report nothing
+	FlowsMost float64 // a second in a report, and held by a server
 
 	Stranger, SilentNamed    time.Duration // from the start of a connection until it reports; then
 	SpanMost                 time.Duration // of a report
@@ -72,7 +72,7 @@
 		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 256,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
 		Words: 64, LineUnnamed: 4 << 10, LineNamed: min(1<<20, int(memoryMB*(1<<20))/512), LineNews: 64 << 10, LineList: 1 << 20, Answer: 64 << 10,
-		SpoiltMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, SpanMost: time.Minute,
+		IdleMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, SpanMost: time.Minute,
 		SilentNews: 1500 * time.Millisecond, SilentWatch: 2600 * time.Millisecond, NewsOpening: 300 * time.Millisecond,
 		Opening: 700 * time.Millisecond,
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -60,7 +60,7 @@
 	zone    choice.ZoneID
 	useful  bool // it has reported something
 	spokeAt time.Time
-	spoilt  int // messages, one after another
+	idle    int // messages that report nothing, one after another
 }
 
 // accept takes connections at the manager's address. Strangers have a number and a time of their
@@ -141,14 +141,18 @@
 	}
 }
 
-// hear takes one line of a guest; an error ends the connection. A spoilt message is dropped alone, but many
-// one after another mean that the rest can't be read either.
+// hear takes one line of a guest; an error ends the connection. A spoilt message is dropped alone, but many one
+// after another that report nothing end it too: the rest can't be read either, or it asks for signs of life
+// without end and takes the time that decisions need.
 func (t *intake) hear(g *guest, line string) error {
 	kind, in, err := t.words.line(line)
 	switch name, naming := in.(collector); {
 	case errors.Is(err, errUnread):
 		return err
+	case g.idle >= t.limits.IdleMost && (err != nil || naming || kind == "ping"):
+		return errors.Join(errUnread, errors.New("reports nothing"))
 	case kind == "ping":
+		g.idle++
 		t.book.add(pings, 1)
 		if t.fit() {
 			_, err = g.Write([]byte("pong\r\n"))
@@ -159,16 +163,17 @@
 	case err != nil:
 		t.book.add(either(err == errUnknown, unknownNames, spoilt), 1)
 		t.book.say("spoilt", "from=%s line=%.200q error=%q", g.RemoteAddr(), line, err)
-		if g.spoilt++; !g.named || g.spoilt > t.limits.SpoiltMost {
+		if g.idle++; !g.named {
 			return errors.Join(errUnread, err)
 		}
 		return nil
 	case naming:
+		g.idle++
 		t.name(g, name.zone)
 		return nil
 	}
 	t.mu.Lock()
-	g.spokeAt, g.useful, g.spoilt = time.Now(), true, 0
+	g.spokeAt, g.useful, g.idle = time.Now(), true, 0
 	t.mu.Unlock()
 	g.fixed, g.within = false, t.limits.SilentNamed
 	g.expect()
