--- /dev/null
+++ b/internal/model/fleet.go
@@ -0,0 +1,389 @@
+// Package model is a small fleet without sockets: servers, proxies and a relay as rates and delays, driven by the
+// decision module's orders on a clock of its own. It owns what a manager would hear and what its orders do; the same
+// seed gives the same run. It must never decide anything, nor be imported by the daemon.
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tamarindshore/choice"
+)
+
+// Shape says how large a fleet is and what happens to it.
+type Shape struct {
+	Name             string
+	Zones            int
+	Servers, Proxies int
+	Rate             float64       // flows a second at each proxy, of all groups
+	Capacity         float64       // flows a second that a warm server serves
+	Draining         float64       // part of the servers that drain and come back cold, one after another
+	Slow             float64       // part of the servers that run five times slower from a third of the run on
+	Surge            float64       // factor on all flows from a third of the run on; 0: none
+	Churn            time.Duration // between two proxies that leave and join again; 0: none
+	GoneStays, Rates bool          // gone does not bind; levels are rates
+	Messages         int           // to one proxy within 10 s; 0: no limit
+}
+
+// Terms are those of a site of this shape.
+func (s Shape) Terms() choice.Terms {
+	t := choice.Terms{
+		Groups: []choice.Group{
+			{Budget: 2 * time.Second, Expiry: 6 * time.Second, Utility: 1, Repeat: choice.Retriable},
+			{Budget: time.Second, Expiry: 4 * time.Second, Utility: 3},
+		},
+		MayProbe: true, Admit: choice.AdmitShare, UsualTries: choice.TryUnrun, TryWait: 0.8, ColdShare: 0.15,
+		WarmAfter: 16 * time.Second, Proxies: s.Proxies, ConnIdle: 4 * time.Second, GoneStaysOpen: s.GoneStays,
+		QueueLines: max(8600, 8*float64(s.Proxies)), LinesPerS: max(8600, 8*float64(s.Proxies)), HeadLines: 4,
+		LinePrice: 0.02, MessagesMost: s.Messages, MessagesOver: 10 * time.Second,
+	}
+	if s.Rates {
+		t.Admit = choice.AdmitRate
+	}
+	for z := range s.Zones {
+		t.Zones = append(t.Zones, zone(z))
+	}
+	return t
+}
+
+func zone(z int) choice.ZoneID { return choice.ZoneID(fmt.Sprint("z", z)) }
+
+type server struct {
+	id      choice.ServerID
+	zone    int
+	started time.Duration
+	state   choice.Condition
+	slow    bool
+	pulled  bool
+	at      []float64 // flows a second by zone of proxies
+}
+
+type proxy struct {
+	zone  int
+	table choice.TableID
+	bound bool
+	away  bool
+}
+
+type later struct {
+	at time.Duration
+	do func(time.Duration) choice.Orders
+}
+
+// Fleet is one run. Each input of the manager goes through Say, so that a caller may look at it.
+type Fleet struct {
+	Shape   Shape
+	Manager *choice.Manager
+	Seen    func(now time.Duration, o choice.Orders) // all that was ordered
+	Inputs  int
+	Spent   time.Duration // by the manager, on the wall clock
+
+	now     time.Duration
+	chance  *rand.Rand
+	servers []*server
+	named   map[choice.ServerID]*server
+	proxies []*proxy
+	tables  map[choice.TableID]map[choice.ServerID]float64
+	levels  map[choice.TableID]map[uint]float64
+	wake    time.Duration
+	waits   []later // by time
+}
+
+// New makes a fleet at rest; the seed settles its chance and the manager's.
+func New(s Shape, seed uint64) *Fleet {
+	f := &Fleet{Shape: s, Manager: choice.New(seed, s.Terms()), chance: rand.New(rand.NewPCG(seed, 7)),
+		named: map[choice.ServerID]*server{}, tables: map[choice.TableID]map[choice.ServerID]float64{},
+		levels: map[choice.TableID]map[uint]float64{}, Seen: func(time.Duration, choice.Orders) {}}
+	for i := range s.Servers {
+		one := &server{id: choice.ServerID(fmt.Sprintf("s-%05x", (i*2654435761)&0xfffff)), zone: i % s.Zones, started: -time.Hour,
+			at: make([]float64, s.Zones)}
+		f.servers, f.named[one.id] = append(f.servers, one), one
+	}
+	for i := range s.Proxies {
+		f.proxies = append(f.proxies, &proxy{zone: i % s.Zones})
+	}
+	return f
+}
+
+// call gives the manager one input and carries out what it orders.
+func (f *Fleet) call(input func(time.Duration) choice.Orders) {
+	began := time.Now()
+	o := input(f.now)
+	f.Spent += time.Since(began)
+	f.Inputs++
+	f.Seen(f.now, o)
+	for _, s := range o.Withdraw {
+		f.named[s].pulled = true
+	}
+	for _, l := range o.Lines {
+		if f.tables[l.Table] == nil {
+			f.tables[l.Table] = map[choice.ServerID]float64{}
+		}
+		if f.tables[l.Table][l.Server] = l.Weight; l.Weight == 0 {
+			delete(f.tables[l.Table], l.Server)
+		}
+	}
+	for _, l := range o.Levels {
+		if f.levels[l.Table] == nil {
+			f.levels[l.Table] = map[uint]float64{}
+		}
+		f.levels[l.Table][l.Groups] = l.Amount
+	}
+	for _, s := range o.Readmit {
+		f.named[s].pulled = false
+	}
+	for _, b := range o.Bind {
+		f.proxies[b.Proxy].bound, f.proxies[b.Proxy].table = true, b.Table
+	}
+	if o.Mark > 0 {
+		for _, p := range f.concerned(o) {
+			f.after(100*time.Millisecond+f.spread(200*time.Millisecond), func(now time.Duration) choice.Orders {
+				return f.Manager.Applied(now, p, o.Mark)
+			})
+		}
+	}
+	for _, id := range o.Probe {
+		s, answer, took := f.named[id], choice.Answered, 2*time.Millisecond+f.spread(10*time.Millisecond)
+		if s.state == choice.Gone {
+			answer = choice.Silent
+		}
+		f.after(took, func(now time.Duration) choice.Orders { return f.Manager.Probed(now, id, answer, took, -1) })
+	}
+	if o.Wake > 0 && (f.wake <= f.now || o.Wake < f.wake) {
+		f.wake = o.Wake
+	}
+}
+
+// concerned are up to four of the proxies that a message went to; that many answer the mark.
+func (f *Fleet) concerned(o choice.Orders) (some []choice.ProxyID) {
+	for _, b := range o.Bind {
+		if some = append(some, b.Proxy); len(some) == 4 {
+			return some
+		}
+	}
+	for i := 0; i < len(f.proxies) && len(some) < 4; i++ {
+		if p := f.proxies[i]; p.bound && !p.away && len(o.Lines) > 0 && o.Lines[0].Table == p.table {
+			some = append(some, choice.ProxyID(i))
+		}
+	}
+	return some
+}
+
+func (f *Fleet) spread(most time.Duration) time.Duration {
+	return time.Duration(f.chance.Float64() * float64(most))
+}
+
+func (f *Fleet) after(wait time.Duration, do func(time.Duration) choice.Orders) {
+	l := later{f.now + wait, do}
+	i, _ := slices.BinarySearchFunc(f.waits, l, func(a, b later) int {
+		if a.at <= b.at {
+			return -1
+		}
+		return 1
+	})
+	f.waits = slices.Insert(f.waits, i, l)
+}
+
+// until plays what falls due before a time.
+func (f *Fleet) until(end time.Duration) {
+	for {
+		due, what := end, 0
+		if len(f.waits) > 0 && f.waits[0].at < due {
+			due, what = f.waits[0].at, 1
+		}
+		if f.wake > f.now && f.wake < due {
+			due, what = f.wake, 2
+		}
+		f.now = max(f.now, due)
+		switch what {
+		case 0:
+			return
+		case 1:
+			l := f.waits[0]
+			f.waits = f.waits[1:]
+			f.call(l.do)
+		case 2:
+			f.wake = 0
+			f.call(f.Manager.Woke)
+		}
+	}
+}
+
+func (f *Fleet) entry(s *server) choice.Entry {
+	return choice.Entry{Server: s.id, Zone: zone(s.zone), Weight: 1, Started: s.started, Fresh: s.started > 0, State: s.state}
+}
+
+func (f *Fleet) list(s *server, state choice.Condition) {
+	s.state = state
+	if state == choice.Ready {
+		s.started = f.now
+	}
+	f.call(func(now time.Duration) choice.Orders { return f.Manager.Listed(now, false, []choice.Entry{f.entry(s)}) })
+}
+
+// Open tells the manager the whole list, and then all proxies, one by one.
+func (f *Fleet) Open() {
+	var all []choice.Entry
+	for _, s := range f.servers {
+		all = append(all, f.entry(s))
+	}
+	f.now = time.Millisecond
+	f.call(func(now time.Duration) choice.Orders { return f.Manager.Listed(now, true, all) })
+	for i := range f.proxies {
+		f.now += time.Microsecond
+		f.join(i)
+	}
+}
+
+func (f *Fleet) join(i int) {
+	f.proxies[i].bound = false
+	f.call(func(now time.Duration) choice.Orders {
+		return f.Manager.Joined(now, choice.ProxyID(i), zone(f.proxies[i].zone), f.Shape.Rate)
+	})
+}
+
+// share is what a zone's proxies send a server a second, by the tables.
+func (f *Fleet) shares(flows float64) {
+	for _, s := range f.servers {
+		clear(s.at)
+	}
+	for _, p := range f.proxies {
+		if !p.bound || p.away {
+			continue
+		}
+		sum := 0.0
+		ids := f.sorted(p.table)
+		for _, id := range ids {
+			if !f.named[id].pulled {
+				sum += f.tables[p.table][id]
+			}
+		}
+		let := 1.0
+		if l := f.levels[p.table][1]; l > 0 && !f.Shape.Rates {
+			let = min(1, l)
+		}
+		for _, id := range ids {
+			if s := f.named[id]; !s.pulled {
+				s.at[p.zone] += flows * let * f.tables[p.table][id] / max(sum, 1e-9)
+			}
+		}
+	}
+}
+
+func (f *Fleet) sorted(t choice.TableID) []choice.ServerID {
+	ids := make([]choice.ServerID, 0, len(f.tables[t]))
+	for id := range f.tables[t] {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// meets is what one server does with what comes to it: how long an answer takes, and the part that is dropped.
+func (f *Fleet) meets(s *server) (latency time.Duration, drops float64) {
+	capacity, comes := f.Shape.Capacity, 0.0
+	if warm := f.now - s.started; warm < 16*time.Second {
+		capacity *= 0.15 + 0.85*warm.Seconds()/16
+	}
+	if s.slow {
+		capacity /= 5
+	}
+	for _, x := range s.at {
+		comes += x
+	}
+	use := comes / capacity
+	if s.state == choice.Gone {
+		return 0, 1
+	}
+	base := 120 * time.Millisecond
+	if s.slow {
+		base *= 5
+	}
+	return min(time.Duration(float64(base)/max(0.05, 1-use)), 3*time.Second), max(0, 1-1/max(use, 1e-9))
+}
+
+// Second plays one second: what happens to the fleet, then reports and usages spread over the second as they come,
+// late, from each zone.
+func (f *Fleet) Second(n, of int) {
+	s, flows := f.Shape, f.Shape.Rate
+	if s.Surge > 0 && n > of/3 {
+		flows *= s.Surge
+	}
+	if most := int(s.Draining * float64(s.Servers)); most > 0 && n > 2 {
+		f.rollOn(n, most)
+	}
+	if s.Slow > 0 && n == of/3 {
+		for i := range int(s.Slow * float64(s.Servers)) {
+			f.servers[i*7%s.Servers].slow = true
+		}
+	}
+	f.shares(flows)
+	start, inputs := f.now, s.Servers*s.Zones+s.Proxies*2
+	step, i := time.Second/time.Duration(inputs+1), 0
+	next := func() {
+		i++
+		f.until(start + time.Duration(i)*step)
+	}
+	for _, one := range f.servers {
+		latency, drops := f.meets(one)
+		for z, x := range one.at {
+			if next(); x <= 0 {
+				continue
+			}
+			tries := f.draw(x)
+			r := choice.Report{Server: one.id, Zone: zone(z), Tries: tries, Failed: f.draw(float64(tries) * drops), Span: time.Second, Load: -1}
+			r.Failed = min(r.Failed, r.Tries)
+			if r.Failed < r.Tries {
+				r.Latency = time.Duration(float64(latency) * (0.9 + 0.2*f.chance.Float64()))
+			}
+			f.call(func(now time.Duration) choice.Orders { return f.Manager.Heard(now, r) })
+		}
+	}
+	for p, one := range f.proxies {
+		for g, part := range []float64{0.8, 0.2} {
+			if next(); !one.away {
+				f.call(func(now time.Duration) choice.Orders {
+					return f.Manager.Used(now, choice.Usage{Proxy: choice.ProxyID(p), Group: choice.GroupID(g), Flows: f.draw(flows * part), Span: time.Second})
+				})
+			}
+		}
+	}
+	if s.Churn > 0 {
+		for range int(time.Second / s.Churn) {
+			i := f.chance.IntN(len(f.proxies))
+			if p := f.proxies[i]; p.away {
+				p.away = false
+				f.join(i)
+			} else {
+				p.away, p.bound = true, false
+				f.call(func(now time.Duration) choice.Orders { return f.Manager.Left(now, choice.ProxyID(i)) })
+			}
+		}
+	}
+	f.until(start + time.Second)
+}
+
+// rollOn drains one server after another; a drained one goes, and comes back as a fresh process.
+func (f *Fleet) rollOn(n, most int) {
+	for i := range max(1, most/5) {
+		one := f.servers[(n*7+i*13)%f.Shape.Servers]
+		switch one.state {
+		case choice.Ready:
+			f.list(one, choice.Draining)
+		case choice.Draining:
+			f.list(one, choice.Gone)
+		case choice.Gone:
+			f.list(one, choice.Ready)
+		}
+	}
+	for _, one := range f.servers {
+		if one.state != choice.Ready && f.chance.Float64() < 0.3 {
+			f.list(one, choice.Condition((int(one.state)+1)%3))
+		}
+	}
+}
+
+// draw is a whole number with the given mean.
+func (f *Fleet) draw(mean float64) int { return int(mean + f.chance.Float64()) }
