An input costs what it changes: conditions by sets and indexes, the same orders to the byte

Change: choice/index.go keeps the sets that conditions ask for, the proxies of each block, the tables that name a server and the cheapest table waited for; a split is kept sparse and skips blocks without room; what is asked is summed once a second and not once a table.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -132,7 +132,7 @@
 			m.list(s, Gone)
 		}
 	}
-	m.listedOnce, m.relisted, m.cause = true, true, "list"
+	m.listedOnce, m.relisted, m.cause, m.sorted = true, true, "list", false
 	return m.decide()
 }
 
@@ -182,7 +182,7 @@
 			}
 			if s.state == Gone {
 				// it may be a fresh process that the list does not know yet
-				s.climbing, s.startedAt = true, now
+				s.climbing, s.startedAt, m.sorted = true, now, false
 			}
 			m.note("server back: %s answers a probe", id)
 		}
@@ -195,9 +195,8 @@
 
 // leaving is a server that drains or is gone: it is withdrawn at once from all that joined proxies hold.
 func (m *Manager) leaving() *server {
-	for _, s := range m.servers {
-		leaves := !s.withdrawn && (s.state == Draining || s.state == Gone && !m.goneStays)
-		if leaves && m.room(m.holders(s), 1, draining) {
+	for _, s := range m.sets().leave {
+		if m.room(m.holders(s), 1, draining) {
 			return s
 		}
 	}
@@ -208,7 +207,8 @@
 
 func (m *Manager) withdraw() {
 	s := m.leaving()
-	s.withdrawn, m.o.Withdraw = true, append(m.o.Withdraw, s.id)
+	m.o.Withdraw = append(m.o.Withdraw, s.id)
+	m.pull(s, true)
 	m.post(m.holders(s), 1)
 	m.lookForBare()
 }
@@ -231,7 +231,7 @@
 	if !m.parted && len(m.proxies) > 0 && len(m.servers) > 0 && !m.sliced {
 		m.part()
 	}
-	m.servers = slices.DeleteFunc(m.servers, func(s *server) bool { return m.past(s) && !m.stands(s) })
+	m.forget(func(s *server) bool { return m.past(s) && !m.stands(s) })
 	m.lookForBare()
 	m.holdBackCold()
 	m.judgeServers()
@@ -258,7 +258,7 @@
 	}
 	for _, s := range m.servers {
 		if s.climbing {
-			s.climbing, m.cause = m.now-s.startedAt < m.warmAfter, "climb"
+			s.climbing, m.cause, m.sorted = m.now-s.startedAt < m.warmAfter, "climb", false
 		}
 	}
 }
@@ -298,10 +298,10 @@
 
 // probeSilent guards against servers that no longer answer, before the list knows; silence may be another's.
 func (m *Manager) probeSilent() {
-	flows := m.expected()
-	for i, s := range m.servers {
+	m.expect()
+	for _, s := range m.servers {
 		quiet := m.now - s.quietFrom
-		silent := quiet >= silentFor && flows[i]*quiet.Seconds() >= silentTries
+		silent := quiet >= silentFor && s.expects*quiet.Seconds() >= silentTries
 		suspect := silent || s.out || s.health < returnHealth || s.state == Gone && quiet >= silentFor
 		if suspect && m.now-s.probedAt >= silentFor {
 			m.ask(s)
@@ -411,22 +411,21 @@
 }
 
 // levels are what must change in what a table lets in: the groups by utility, each what those above it left.
-func (m *Manager) levels(z int) (levels []Level) {
+func (m *Manager) levels(z int, sums []float64) (levels []Level) {
 	left, tries := m.line, m.usual
 	if !math.IsInf(m.line, 1) {
 		tries = TryOnce // under overload each further try takes room from a first one
 	}
-	sums, rates := m.demands(z)
 	for _, g := range m.byUtility {
 		part := min(1, left/max(sums[g], 1e-9))
-		l := Level{Table: TableID(z), Groups: 1 << g, Amount: m.amount(part, rates[g]), Tries: tries}
+		l := Level{Table: TableID(z), Groups: 1 << g, Amount: m.amount(part, z, g), Tries: tries}
 		left = max(0, left-sums[g])
 		if m.repeating && math.IsInf(m.line, 1) && m.mayRepeat[g] {
 			l.Tries = TryTwice
 		}
 		was, stands := m.tables[z].levels[l.Groups]
 		if !stands {
-			was = Level{Amount: m.amount(1, nil), Tries: m.usual}
+			was = Level{Amount: m.amount(1, z, g), Tries: m.usual}
 		}
 		moved := math.Abs(l.Amount-was.Amount) > levelStep*max(l.Amount, was.Amount)
 		if moved || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
@@ -457,7 +456,7 @@
 func (m *Manager) newcomer() bool { return m.joined }
 func (m *Manager) weigh() {
 	m.joined = false
-	if slices.ContainsFunc(m.servers, m.cold) {
+	if m.climbs() {
 		m.cause, m.unweighed = "join", true
 	}
 }
@@ -480,7 +479,7 @@
 	m.cause, m.batch, m.relisted, m.unweighed = "", true, false, false
 	m.solved = m.volumes()
 	var parts []part
-	var ids []ServerID
+	var in []*server
 	// health never takes the last server of all
 	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return m.open(s) && !s.out })
 	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
@@ -500,26 +499,23 @@
 		} else {
 			steady += p.target
 		}
-		parts, ids = append(parts, p), append(ids, s.id)
+		parts, in = append(parts, p), append(in, s)
 	}
-	for i, id := range ids {
-		switch climbing := m.server(id).climbing; {
-		case !climbing:
+	for i, s := range in {
+		switch {
+		case !s.climbing:
 			parts[i].target *= (all - cold) / steady
 		case steady == 0:
 			parts[i].target *= all / cold
 		}
 		// guards against a sound server that gets the flows of all its weak peers, as after its climb
-		parts[i].target = min(parts[i].target, shareMost*all*max(m.server(id).weight, 1e-6)/listed)
+		parts[i].target = min(parts[i].target, shareMost*all*max(s.weight, 1e-6)/listed)
 	}
 	shares := split(m.solved, parts, m.nearest(), m.closed)
 	for z, t := range m.tables {
 		clear(t.wanted)
-		for i, id := range ids {
-			if x := shares[z][i]; x > leastLine*m.solved[z] {
-				t.wanted[id] = x / m.solved[z]
-			}
-		}
+		least := leastLine * m.solved[z]
+		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 	}
 }
 
@@ -537,39 +533,43 @@
 // split shares the volume of each zone over the servers so that little of it leaves its zone and
 // every server stays within its band: floors first, from its own zone and then from the surplus of
 // others; then ceilings in-zone; then what is left spills to the spare band nearest by latency.
-func split(volumes []float64, parts []part, nearest [][]int, closed func(a, b int) bool) [][]float64 {
-	shares, left, got := make([][]float64, len(volumes)), slices.Clone(volumes), make([]float64, len(parts))
-	for z := range shares {
-		shares[z] = make([]float64, len(parts))
+func split(volumes []float64, parts []part, nearest func(z int) []int, closed func(a, b int) bool) shares {
+	left, got, members := slices.Clone(volumes), make([]float64, len(parts)), make([][]int, len(volumes))
+	for i, p := range parts {
+		members[p.block] = append(members[p.block], i)
 	}
+	given, full := make([]map[int]float64, len(volumes)), make([]bool, len(volumes))
 	// fill gives from zone a to the servers of zone b, by their room up to a bound
 	fill := func(a, b int, bound func(part) float64) {
 		room := 0.0
-		for i, p := range parts {
-			if p.block == b {
-				room += max(0, bound(p)*p.target-got[i])
-			}
+		for _, i := range members[b] {
+			room += max(0, bound(parts[i])*parts[i].target-got[i])
 		}
-		if room <= 0 || left[a] <= 0 {
+		if full[b] = room <= 0; full[b] || left[a] <= 0 {
 			return
 		}
+		if given[a] == nil {
+			given[a] = map[int]float64{}
+		}
 		give := min(1, left[a]/room)
-		for i, p := range parts {
-			if p.block == b {
-				x := give * max(0, bound(p)*p.target-got[i])
-				shares[a][i], got[i], left[a] = shares[a][i]+x, got[i]+x, left[a]-x
-			}
+		for _, i := range members[b] {
+			x := give * max(0, bound(parts[i])*parts[i].target-got[i])
+			given[a][i], got[i], left[a] = given[a][i]+x, got[i]+x, left[a]-x
 		}
 	}
 	floor, ceiling := func(p part) float64 { return p.low }, func(p part) float64 { return p.high }
 	for _, bound := range []func(part) float64{floor, ceiling} {
+		clear(full)
 		for z := range volumes {
 			fill(z, z, bound)
 		}
 		for _, shut := range []bool{false, true} {
 			for z := range volumes {
-				for _, b := range nearest[z] {
-					if closed(z, b) == shut {
+				if left[z] <= 0 || !slices.Contains(full, false) {
+					continue
+				}
+				for _, b := range nearest(z) {
+					if left[z] > 0 && !full[b] && closed(z, b) == shut {
 						fill(z, b, bound)
 					}
 				}
@@ -584,12 +584,7 @@
 			by[i], all = p.target, all+p.target
 		}
 	}
-	for z := range volumes {
-		for i := range parts {
-			shares[z][i] += left[z] * by[i] / all
-		}
-	}
-	return shares
+	return shares{given, left, by, all}
 }
 
 func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now }
@@ -599,7 +594,7 @@
 func (m *Manager) lay() {
 	m.batch = false
 	need, rest := either(m.urgent, pressing, calm), false
-	users, moves := make([][]*proxy, len(m.tables)), []move{}
+	users, moves, sums := make([][]*proxy, len(m.tables)), []move{}, m.demands()
 	book := func(t TableID) bool {
 		fits := m.room(users[t], 1, need)
 		if fits {
@@ -610,9 +605,9 @@
 	}
 	for z, t := range m.tables {
 		users[z] = m.users(z)
-		for _, l := range m.levels(z) {
+		for _, l := range m.levels(z, sums) {
 			if book(l.Table) {
-				t.levels[l.Groups], m.o.Levels = l, append(m.o.Levels, l)
+				m.setLevel(t, l)
 			}
 		}
 		moves = append(moves, m.differences(TableID(z))...)
@@ -644,9 +639,8 @@
 		return nil
 	}
 	need := either(m.bareWaits, draining, pressing)
-	for _, s := range m.servers {
-		waits := s.withdrawn && m.open(s) && !s.unlaid && !m.heldBack(s)
-		if waits && m.room(m.holders(s), 1, need) {
+	for _, s := range m.sets().comeBack {
+		if !s.unlaid && !m.heldBack(s) && m.room(m.holders(s), 1, need) {
 			return s
 		}
 	}
@@ -657,7 +651,8 @@
 
 func (m *Manager) readmit() {
 	s := m.returned()
-	s.withdrawn, m.o.Readmit = false, append(m.o.Readmit, s.id)
+	m.o.Readmit = append(m.o.Readmit, s.id)
+	m.pull(s, false)
 	m.post(m.holders(s), 1)
 }
 
@@ -666,7 +661,7 @@
 func (m *Manager) differences(id TableID) (moves []move) {
 	t := m.tables[id]
 	scale, bare := t.scale(), m.bare(t)
-	for _, s := range m.servers {
+	for _, s := range m.named(t) {
 		if s.withdrawn && !m.open(s) && !m.past(s) {
 			continue // its line does no harm
 		}
@@ -685,9 +680,10 @@
 
 // A proxy that joins is put on its block's table as soon as the channel has room.
 func (m *Manager) waitingProxy() *proxy {
-	for _, p := range m.proxies {
+	spare := m.spare(pressing)
+	for _, p := range m.unboundWithin(spare) {
 		t := m.tables[p.block]
-		if !p.bound && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
+		if !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
 			return p
 		}
 	}
@@ -695,12 +691,12 @@
 }
 
 func (m *Manager) proxyWaits() bool {
-	return m.parted && m.unbound > 0 && !m.unweighed && m.waitingProxy() != nil
+	return m.parted && !m.unweighed && m.waitingProxy() != nil
 }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
-	p.bound, m.unbound = true, m.unbound-1
+	m.put(p)
 	m.post([]*proxy{p}, m.whole(m.tables[p.block]))
 	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block)})
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -17,13 +17,13 @@
 }
 
 func TestSplitStaysInZoneWithinTheBand(t *testing.T) {
-	got := split([]float64{22, 18}, append(pool(0, 2, 10), pool(1, 2, 10)...), [][]int{{1}, {0}}, open)
+	got := dealt([]float64{22, 18}, append(pool(0, 2, 10), pool(1, 2, 10)...), [][]int{{1}, {0}}, open)
 	near(t, "own", got[0][0]+got[0][1], 22)
 	near(t, "other's", got[1][2]+got[1][3], 18)
 }
 
 func TestSplitGivesFloorsFromSurplus(t *testing.T) {
-	got := split([]float64{30, 10}, append(pool(0, 2, 10), pool(1, 2, 10)...), [][]int{{1}, {0}}, open)
+	got := dealt([]float64{30, 10}, append(pool(0, 2, 10), pool(1, 2, 10)...), [][]int{{1}, {0}}, open)
 	near(t, "ceilings in-zone", got[0][0]+got[0][1], 24)
 	near(t, "spill", got[0][2]+got[0][3], 6)
 	near(t, "floor from both", got[0][2]+got[1][2], 8)
@@ -32,18 +32,18 @@
 func TestSplitSpillsToTheNearestOpenZone(t *testing.T) {
 	parts := append(append(pool(0, 1, 10), pool(1, 4, 10)...), pool(2, 4, 10)...)
 	volumes, nearest := []float64{18, 36, 36}, [][]int{{1, 2}, {0, 2}, {0, 1}}
-	got := split(volumes, parts, nearest, open)
+	got := dealt(volumes, parts, nearest, open)
 	near(t, "nearest", got[0][1]*4, 6)
-	got = split(volumes, parts, nearest, func(a, b int) bool { return a == 0 && b == 1 })
+	got = dealt(volumes, parts, nearest, func(a, b int) bool { return a == 0 && b == 1 })
 	near(t, "closed", got[0][1], 0)
 	near(t, "next", got[0][5]*4, 6)
-	got = split(volumes, parts, nearest, func(a, b int) bool { return true })
+	got = dealt(volumes, parts, nearest, func(a, b int) bool { return true })
 	near(t, "all closed", got[0][1]*4, 6)
 }
 
 func TestSplitPlacesAllWithTooLittleRoom(t *testing.T) {
 	parts := []part{{0, 1, 0, 0.5}, {0, 3, 0, 0.5}}
-	got := split([]float64{8}, parts, [][]int{{}}, open)
+	got := dealt([]float64{8}, parts, [][]int{{}}, open)
 	near(t, "first", got[0][0], 2)
 	near(t, "second", got[0][1], 6)
 }
@@ -68,7 +68,7 @@
 	if slices.Min(sizes) != 4 || slices.Max(sizes) != 4 {
 		t.Errorf("sizes %v", sizes)
 	}
-	if near := m.nearest()[1]; near[0] != 2 || near[1] != 0 {
+	if near := m.nearest()(1); near[0] != 2 || near[1] != 0 {
 		t.Errorf("nearest %v", near)
 	}
 }
@@ -364,7 +364,7 @@
 func TestLevelsFillByUtility(t *testing.T) {
 	m := manager(2)
 	m.line = 50
-	got := m.levels(0)
+	got := m.levels(0, m.demands())
 	near(t, "most useful", got[0].Amount, 1)
 	near(t, "the rest", got[1].Amount, 0.5)
 }
@@ -373,18 +373,18 @@
 	near(t, "rate", evenRate([]float64{2, 8, 10}, 0.6), 5)
 	m := manager(2)
 	m.admit, m.line = AdmitRate, 50
-	near(t, "a proxy", m.levels(0)[1].Amount, 15)
-	near(t, "open", m.levels(0)[0].Amount, rateOpen)
+	near(t, "a proxy", m.levels(0, m.demands())[1].Amount, 15)
+	near(t, "open", m.levels(0, m.demands())[0].Amount, rateOpen)
 }
 
 func TestLevelsRepeatOnlyWhatMayRunAgain(t *testing.T) {
 	m := manager(2)
 	m.repeating = true
-	if got := m.levels(0); len(got) != 1 || got[0].Groups != 1 || got[0].Tries != TryTwice {
+	if got := m.levels(0, m.demands()); len(got) != 1 || got[0].Groups != 1 || got[0].Tries != TryTwice {
 		t.Errorf("levels %v", got)
 	}
 	m.line = 1000
-	if got := m.levels(0); got[0].Tries != TryOnce || got[1].Tries != TryOnce {
+	if got := m.levels(0, m.demands()); got[0].Tries != TryOnce || got[1].Tries != TryOnce {
 		t.Error("further tries under overload")
 	}
 }
@@ -619,6 +619,7 @@
 		t.Error("forgotten while a table names it")
 	}
 	delete(m.tables[0].standing, "a0")
+	m.placed = false
 	if m.openSecond(); m.Knows("a0") || !m.Knows("a1") {
 		t.Error("kept, or others forgotten")
 	}
@@ -688,6 +689,6 @@
 	for i, span := range []float64{1, 1, 1, 1, 2, 2, 3, 5} {
 		m.proxies = append(m.proxies, &proxy{id: ProxyID(i), flows: [][]figure{{{m.now, 1, span}}, nil}})
 	}
-	sums, _ := m.demands(-1)
+	sums := m.demands()
 	near(t, "asked", sums[0], 4)
 }
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -146,26 +146,30 @@
 	return latency, drops / max(all, 1e-6)
 }
 
-// expected is the rate at which tries should come to each server by the standing tables.
-func (m *Manager) expected() []float64 {
-	flows := make([]float64, len(m.servers))
+// expect works out the rate at which tries should come to each server by the standing tables.
+func (m *Manager) expect() {
+	for _, s := range m.servers {
+		s.expects = 0
+	}
 	for z, v := range m.volumes() {
-		weights := make([]float64, len(m.servers))
-		for i, s := range m.servers {
+		t, all := m.tables[z], 0.0
+		named := m.named(t)
+		for _, s := range named {
 			if !s.withdrawn {
-				weights[i] = m.tables[z].standing[s.id]
+				all += t.standing[s.id]
 			}
 		}
-		for i, w := range weights {
-			flows[i] += v * w / max(sum(weights), 1e-9)
+		for _, s := range named {
+			if !s.withdrawn {
+				s.expects += v * t.standing[s.id] / max(all, 1e-9)
+			}
 		}
 	}
-	return flows
 }
 
 // volumes are the flows a second by zone of proxies; listed weight before any usage is heard.
 func (m *Manager) volumes() []float64 {
-	v, cold := make([]float64, len(m.tables)), slices.ContainsFunc(m.servers, m.cold)
+	v, cold := make([]float64, len(m.tables)), m.climbs()
 	for _, p := range m.proxies {
 		sum := 0.0
 		for g := range p.flows {
@@ -255,67 +259,79 @@
 	for _, s := range m.servers {
 		delivered += m.delivered(s)
 	}
-	sums, _ := m.demands(-1)
-	return sum(sums), delivered
+	return sum(m.demands()), delivered
 }
 
-// demands are the flows a second by traffic group, of all proxies and of each one of a zone. All flows over all
-// spans, for a span ends where some flow came: the sum of each proxy's last rate is far too high where it gets few.
-func (m *Manager) demands(z int) (sums []float64, rates [][]float64) {
-	sums, rates = make([]float64, len(m.budget)), make([][]float64, len(m.budget))
+// demands are the flows a second by traffic group, of all proxies. All flows over all spans, for a span ends
+// where some flow came: the sum of each proxy's last rate is far too high where it gets few.
+func (m *Manager) demands() []float64 {
+	sums := make([]float64, len(m.budget))
 	for g := range m.budget {
 		flows, spans, heard := 0.0, 0.0, 0.0
 		for _, p := range m.proxies {
 			if f, span := p.samples(g, m.now, askedFor); span > 0 {
 				flows, spans, heard = flows+f, spans+span, heard+1
 			}
-			if p.block == z {
-				rates[g] = append(rates[g], p.demand(g, m.now, volumeFor))
-			}
 		}
 		sums[g] = heard * flows / max(spans, 0.1)
 	}
-	return sums, rates
+	return sums
 }
 
-// nearest orders, for each block, the others: those of its own zone, then those of others by latency.
-func (m *Manager) nearest() [][]int {
-	order := make([][]int, len(m.tables))
+// rates are the flows a second of a traffic group at each proxy of a block.
+func (m *Manager) rates(z int, g GroupID) (rates []float64) {
+	m.place()
+	for _, p := range m.tables[z].dealt {
+		rates = append(rates, p.demand(int(g), m.now, volumeFor))
+	}
+	return rates
+}
+
+// nearest orders, for a block, the others: those of its own zone, then those of others by latency. They begin with
+// the next one, so that neighbours do not all begin with the same.
+func (m *Manager) nearest() func(a int) []int {
+	zones := len(m.tables) / m.blocks
+	order := make([][]int, zones) // of the other zones
 	for a := range order {
-		far := func(b int) float64 {
-			if b/m.blocks == a/m.blocks {
-				return -1
-			}
-			return median(m.pairs[a/m.blocks][b/m.blocks].latency)
+		dist := make([]float64, zones)
+		for i := 1; i < zones; i++ {
+			b := (a + i) % zones
+			dist[b], order[a] = median(m.pairs[a][b].latency), append(order[a], b)
+		}
+		slices.SortStableFunc(order[a], func(b, c int) int { return cmp.Compare(dist[b], dist[c]) })
+	}
+	return func(a int) (others []int) {
+		z, first := a/m.blocks, a/m.blocks*m.blocks
+		for i := 1; i < m.blocks; i++ {
+			others = append(others, first+(a-first+i)%m.blocks)
 		}
-		dist := make([]float64, len(m.tables))
-		for i := range m.tables {
-			// from its own on, so that neighbours do not all begin with the same
-			b := (a + i) % len(m.tables)
-			if dist[b] = far(b); a != b {
-				order[a] = append(order[a], b)
+		for _, b := range order[z] {
+			for i := range m.blocks {
+				others = append(others, b*m.blocks+i)
 			}
 		}
-		slices.SortStableFunc(order[a], func(b, c int) int { return cmp.Compare(dist[b], dist[c]) })
+		return others
 	}
-	return order
 }
 
 // whole is what a table costs a proxy that is put on it.
 func (m *Manager) whole(t *table) float64 {
-	n := 1 + len(t.standing) + len(t.levels)
-	for _, s := range m.servers {
-		if s.withdrawn && t.standing[s.id] > 0 {
-			n++
+	if t.cost == 0 {
+		n := 1 + len(t.standing) + len(t.levels)
+		for id := range t.standing {
+			if s := m.server(id); s != nil && s.withdrawn {
+				n++
+			}
 		}
+		t.cost = float64(n)
 	}
-	return float64(n)
+	return t.cost
 }
 
 // bare tells whether no line of a table can be picked.
 func (m *Manager) bare(t *table) bool {
-	for _, s := range m.servers {
-		if t.standing[s.id] > 0 && !s.withdrawn {
+	for id, w := range t.standing {
+		if s := m.server(id); s != nil && w > 0 && !s.withdrawn {
 			return false
 		}
 	}
@@ -327,23 +343,25 @@
 
 // blockOf is the block of a zone with the fewest servers, and blockFor that with the fewest flows.
 func (m *Manager) blockOf(z int) int {
+	if m.blocks == 1 {
+		return z
+	}
 	has := make([]float64, len(m.tables))
 	for _, s := range m.servers {
-		if s.block >= 0 {
-			has[s.block]++
-		}
+		has[s.block]++
 	}
 	return m.leastOf(z, has)
 }
 
 func (m *Manager) blockFor(z int) int {
-	has := make([]float64, len(m.tables))
-	for _, p := range m.proxies {
-		if p.block >= 0 {
-			has[p.block] += p.rate
+	m.place()
+	least := z * m.blocks
+	for b := least; b < (z+1)*m.blocks; b++ {
+		if m.tables[b].load < m.tables[least].load {
+			least = b
 		}
 	}
-	return m.leastOf(z, has)
+	return least
 }
 
 func (m *Manager) leastOf(z int, has []float64) int {
@@ -370,11 +388,50 @@
 func (m *Manager) closed(a, b int) bool { return m.pairs[a/m.blocks][b/m.blocks].closed }
 
 // amount is a level in the unit that proxies take.
-func (m *Manager) amount(part float64, rates []float64) float64 {
-	if m.admit == AdmitRate {
-		return evenRate(rates, part)
+func (m *Manager) amount(part float64, z int, g GroupID) float64 {
+	if m.admit != AdmitRate {
+		return part
+	} else if part >= 1 {
+		return rateOpen
+	}
+	return evenRate(m.rates(z, g), part)
+}
+
+// shares are what a split gives: what each zone was given, and of what is left, its part by target.
+type shares struct {
+	given []map[int]float64
+	left  []float64
+	by    []float64
+	all   float64
+}
+
+func (s shares) at(z, i int) float64 {
+	if s.left[z] == 0 {
+		return s.given[z][i]
+	}
+	return s.given[z][i] + s.left[z]*s.by[i]/s.all
+}
+
+// above calls with all shares of a zone that are more than a bound. Where no part of what is left reaches the
+// bound by itself, only what was given is looked at: a fleet of thousands is not gone through for each table.
+func (s shares) above(z int, bound float64, take func(i int, x float64)) {
+	most := 0.0
+	if s.left[z] != 0 && len(s.by) > 0 {
+		most = s.left[z] * slices.Max(s.by) / s.all
+	}
+	if most > bound || s.left[z] < 0 {
+		for i := range s.by {
+			if x := s.at(z, i); x > bound {
+				take(i, x)
+			}
+		}
+		return
+	}
+	for i := range s.given[z] {
+		if x := s.at(z, i); x > bound {
+			take(i, x)
+		}
 	}
-	return part
 }
 
 func count[T any](x []T, is func(T) bool) (n int) {
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -49,3 +49,14 @@
 		t.Errorf("%s: %v, not %v", what, got, want)
 	}
 }
+
+// dealt is what a split gives, by zone and part.
+func dealt(volumes []float64, parts []part, nearest [][]int, closed func(a, b int) bool) [][]float64 {
+	s, all := split(volumes, parts, func(z int) []int { return nearest[z] }, closed), make([][]float64, len(volumes))
+	for z := range volumes {
+		for i := range parts {
+			all[z] = append(all[z], s.at(z, i))
+		}
+	}
+	return all
+}
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -10,6 +10,9 @@
 
 // room tells whether lines for each of these proxies fit into the queue and the messages they may get.
 func (m *Manager) room(to []*proxy, lines float64, u urgency) bool {
+	if !m.mayWrite(to, u) {
+		return false
+	}
 	cost := 0.0
 	for _, p := range to {
 		cost += lines
@@ -17,9 +20,12 @@
 			cost += m.head + 1
 		}
 	}
-	return m.mayWrite(to, u) && cost <= max(0, m.rooms[u]-m.waiting())
+	return cost <= m.spare(u)
 }
 
+// spare is how many lines there is room for.
+func (m *Manager) spare(u urgency) float64 { return max(0, m.rooms[u]-m.waiting()) }
+
 // written tells whether a proxy gets a message at this time anyway.
 func (p *proxy) written(now time.Duration) bool {
 	return len(p.sent) > 0 && p.sent[len(p.sent)-1] == now
@@ -42,11 +48,13 @@
 	if len(m.queue) == 0 {
 		return 0
 	}
-	sum := 0.0
-	for _, q := range m.queue {
-		sum += q.lines * (1 - q.answered/max(q.sent, 1))
+	if !m.summed {
+		m.sum, m.summed = 0, true
+		for _, q := range m.queue {
+			m.sum += q.lines * (1 - q.answered/max(q.sent, 1))
+		}
 	}
-	return max(0, sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
+	return max(0, m.sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
 }
 
 // post books lines for each proxy concerned, and a message and a mark for those that have none yet.
@@ -57,6 +65,7 @@
 	if m.waiting() == 0 {
 		m.queue = nil
 	}
+	m.summed = false
 	if m.markedAt != m.now {
 		m.mark, m.markedAt = m.mark%65535+1, m.now
 		m.o.Mark = m.mark
@@ -86,7 +95,7 @@
 			p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return at == q.at })
 		}
 	}
-	m.queue = m.queue[:i]
+	m.queue, m.summed = m.queue[:i], false
 }
 
 // concerned are the proxies that get the n-th order, counted in the order of the fields, and its lines at each.
@@ -100,8 +109,8 @@
 			return m.users(int(o.Levels[n-len(o.Lines)].Table)), 1
 		case n >= len(o.Lines)+len(o.Levels)+len(o.Readmit):
 			b := o.Bind[n-len(o.Lines)-len(o.Levels)-len(o.Readmit)]
-			if i, joined := m.proxy(b.Proxy); joined {
-				to = m.proxies[i : i+1]
+			if p := m.proxy(b.Proxy); p != nil {
+				to = []*proxy{p}
 			}
 			return to, m.whole(m.tables[b.Table])
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,7 +28,9 @@
 	health    float64
 	out       bool // does not answer at all
 	probedAt  time.Duration
-	load      float64 // flows it said it holds; below 0 before it did
+	expects   float64   // tries a second that should come by the standing tables
+	tables    []TableID // that name it, in order
+	load      float64   // flows it said it holds; below 0 before it did
 	loadAt    time.Duration
 }
 
@@ -59,6 +61,9 @@
 type table struct {
 	wanted, standing map[ServerID]float64
 	levels           map[uint]Level // standing, by mask of groups
+	cost             float64        // lines that a proxy put on it gets; 0: to be counted anew
+	dealt            []*proxy       // its block's, bound or not, by number
+	load             float64        // flows a second that those told
 }
 
 // owed is what was ordered at one time and no answered mark shows to have left the channel.
@@ -131,7 +136,6 @@
 	drains     bool // some server may have to be withdrawn
 	joined     bool // a proxy has
 	unweighed  bool // its flows are in no table
-	unbound    int  // proxies
 	bareWaits  bool // some table has no line that can be picked
 	listedOnce bool
 	askFrom    time.Duration
@@ -146,6 +150,7 @@
 	answers    []figure // seconds that probes took, lately
 	loadTold   bool
 	wakeAt     time.Duration
+	index
 }
 
 // stated takes over what the site states as it is.
@@ -192,26 +197,9 @@
 	}
 }
 
-func (m *Manager) server(id ServerID) *server {
-	i, ok := slices.BinarySearchFunc(m.servers, id, (*server).compare)
-	if !ok {
-		return nil
-	}
-	return m.servers[i]
-}
-
 // Knows tells whether a server is remembered.
 func (m *Manager) Knows(id ServerID) bool { return m.server(id) != nil }
 
-// stands tells whether a table names a server.
-func (m *Manager) stands(s *server) bool {
-	return slices.ContainsFunc(m.tables, func(t *table) bool { return t.standing[s.id] > 0 })
-}
-
-func (m *Manager) proxy(id ProxyID) (int, bool) {
-	return slices.BinarySearchFunc(m.proxies, id, func(p *proxy, id ProxyID) int { return cmp.Compare(p.id, id) })
-}
-
 // ListFailed keeps the list and asks again with the next second.
 func (m *Manager) ListFailed(now time.Duration) Orders {
 	m.now, m.asked, m.askFrom = now, false, now+batchEvery
@@ -223,36 +211,23 @@
 func (m *Manager) Joined(now time.Duration, id ProxyID, zone ZoneID, rate float64) Orders {
 	m.now = now
 	p := &proxy{id: id, zone: m.zone(zone), rate: rate, joinedAt: now, flows: make([][]figure, len(m.budget))}
-	i, again := m.proxy(id)
-	if p.block = m.blockFor(p.zone); again {
-		was := m.proxies[i]
+	p.block = m.blockFor(p.zone)
+	if was := m.proxy(id); was != nil {
 		if p.flows, p.sent = was.flows, was.sent; p.zone == was.zone {
 			p.block = was.block
 		}
-		m.proxies[i] = p
-	} else {
-		m.proxies = slices.Insert(m.proxies, i, p)
+		m.leave(was)
 	}
+	m.enter(p)
 	m.joined = true
-	m.countUnbound()
 	return m.decide()
 }
 
-func (m *Manager) countUnbound() {
-	m.unbound = 0
-	for _, p := range m.proxies {
-		if !p.bound {
-			m.unbound++
-		}
-	}
-}
-
 func (m *Manager) Left(now time.Duration, id ProxyID) Orders {
 	m.now = now
-	if i, ok := m.proxy(id); ok {
-		m.proxies = slices.Delete(m.proxies, i, i+1)
+	if p := m.proxy(id); p != nil {
+		m.leave(p)
 	}
-	m.countUnbound()
 	return m.decide()
 }
 
@@ -279,8 +254,8 @@
 
 func (m *Manager) Used(now time.Duration, u Usage) Orders {
 	m.now = now
-	if i, ok := m.proxy(u.Proxy); ok && u.Span > 0 && int(u.Group) < len(m.budget) {
-		f := &m.proxies[i].flows[u.Group]
+	if p := m.proxy(u.Proxy); p != nil && u.Span > 0 && int(u.Group) < len(m.budget) {
+		f := &p.flows[u.Group]
 		*f = lastOf(append(*f, figure{now, float64(u.Flows), u.Span.Seconds()}), samplesKept)
 		m.used = true
 	}
@@ -291,7 +266,7 @@
 func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID) Orders {
 	m.now = now
 	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i >= 0 {
-		m.queue = slices.Delete(m.queue, 0, i)
+		m.queue, m.summed = slices.Delete(m.queue, 0, i), false
 		m.queue[0].at, m.queue[0].answered = now, min(m.queue[0].answered+1, m.queue[0].sent)
 	}
 	return m.decide()
@@ -302,18 +277,6 @@
 	return m.decide()
 }
 
-// holders are the proxies whose table names a server, and those that hold tables of others.
-func (m *Manager) holders(s *server) []*proxy {
-	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool {
-		return p.bound && m.tables[p.block].standing[s.id] == 0
-	})
-}
-
-// users are the proxies bound to a table.
-func (m *Manager) users(z int) []*proxy {
-	return slices.DeleteFunc(slices.Clone(m.proxies), func(p *proxy) bool { return !p.bound || p.block != z })
-}
-
 // layOut makes the tables anew and deals servers and proxies to the blocks.
 func (m *Manager) layOut(blocks int, zones []ZoneID) {
 	m.blocks, m.tables = blocks, nil
@@ -321,27 +284,39 @@
 		m.zone(z)
 	}
 	m.addTables()
-	for _, s := range m.servers {
-		s.block = -1
+	m.placed = true
+	for _, t := range m.tables {
+		t.dealt = nil
 	}
+	has := make([]float64, len(m.tables))
 	for _, s := range m.servers {
-		s.block = m.blockOf(s.zone)
+		s.block, s.tables = m.leastOf(s.zone, has), nil
+		has[s.block]++
 	}
+	clear(has)
 	for _, p := range m.proxies {
-		p.block = -1
+		p.block = m.leastOf(p.zone, has)
+		has[p.block] += p.rate
+		m.tables[p.block].dealt = append(m.tables[p.block].dealt, p)
 	}
-	for _, p := range m.proxies {
-		p.block = m.blockFor(p.zone)
+	for b, t := range m.tables {
+		t.load = has[b]
 	}
+	m.placed = len(m.proxies) > 0
 }
 
 // stand notes that a line was ordered.
 func (m *Manager) stand(l Line, s *server, t *table) {
-	if m.o.Lines = append(m.o.Lines, l); t.standing[s.id] == 0 {
+	m.place()
+	m.o.Lines, t.cost, m.least = append(m.o.Lines, l), 0, 0
+	i, names := slices.BinarySearch(s.tables, l.Table)
+	if !names {
 		s.quietFrom = m.now
+		s.tables = slices.Insert(s.tables, i, l.Table)
 	}
 	if t.standing[s.id] = l.Weight; l.Weight == 0 {
 		delete(t.standing, s.id)
+		s.tables = slices.Delete(s.tables, i, i+1)
 	}
 }
 
@@ -386,10 +361,12 @@
 }
 
 func (m *Manager) add(e Entry) *server {
+	m.server(e.Server) // the index is there
 	s := &server{id: e.Server, zone: m.zone(e.Zone), weight: e.Weight, health: 1, load: -1}
 	s.block, s.quietFrom, s.startedAt, s.probedAt = m.blockOf(s.zone), m.now, m.now, -silentFor
 	i, _ := slices.BinarySearchFunc(m.servers, s.id, (*server).compare)
 	m.servers = slices.Insert(m.servers, i, s)
+	m.byID[s.id] = s
 	return s
 }
 
