--- a/choice/choice.go
+++ b/choice/choice.go
@@ -224,7 +224,7 @@
 
 func (m *Manager) secondOver() bool { return m.now >= m.due }
 func (m *Manager) openSecond() {
-	m.due, m.batch = m.now+batchEvery, true
+	m.due, m.batch, m.heldBy = m.now+batchEvery, true, 0
 	if next := m.reportAt + batchEvery + afterReport; m.reportAt > 0 && next > m.now+batchEvery/2 {
 		m.due = min(next, m.due+batchEvery/2) // what is heard is judged while it is fresh
 	}
@@ -476,7 +476,7 @@
 }
 
 func (m *Manager) solve() {
-	m.cause, m.batch, m.relisted, m.unweighed = "", true, false, false
+	m.cause, m.batch, m.relisted, m.unweighed, m.heldBy = "", true, false, false, 0
 	m.solved = m.volumes()
 	var parts []part
 	var in []*server
@@ -587,21 +587,27 @@
 	return shares{given, left, by, all}
 }
 
-func (m *Manager) batchWaits() bool { return m.batch && m.parted && m.heldAt != m.now }
+// An urgent batch that found no room waits until the least that was left of it fits, or for the next second.
+func (m *Manager) batchWaits() bool {
+	return m.batch && m.parted && m.heldAt != m.now && (m.heldBy == 0 || m.fresh(m.heldBy) <= m.spare(pressing))
+}
 
 // lay sends levels, and the lines that move most flows, as far as the queue has room; the rest is solved anew
 // with the next second. Guards against tables so large that all their differences never fit at once.
 func (m *Manager) lay() {
-	m.batch = false
+	m.batch, m.heldBy = false, 0
 	need, rest := either(m.urgent, pressing, calm), false
 	users, moves, sums := make([][]*proxy, len(m.tables)), []move{}, m.demands()
+	late := false // some wait for messages, not for room
 	book := func(t TableID) bool {
 		fits := m.room(users[t], 1, need)
 		if fits {
 			m.post(users[t], 1)
+			return true
 		}
-		rest = rest || !fits
-		return fits
+		rest, late = true, late || !m.mayWrite(users[t], need)
+		m.heldBy = either(late, 0, min(cmp.Or(m.heldBy, len(users[t])), len(users[t])))
+		return false
 	}
 	for z, t := range m.tables {
 		users[z] = m.users(z)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -692,3 +692,40 @@
 	sums := m.demands()
 	near(t, "asked", sums[0], 4)
 }
+
+// Guards against a batch without room that is laid anew with each input: thousands a second of a large fleet.
+func TestAnUrgentBatchWithoutRoomWaitsUntilItsLeastFits(t *testing.T) {
+	m := manager(2)
+	m.now, m.rooms[pressing], m.urgent = time.Second, 3, true
+	m.tables[0].wanted = map[ServerID]float64{"a0": 0.9, "a1": 0.1}
+	m.lay()
+	if len(m.o.Lines) > 0 || !m.batch {
+		t.Fatalf("lines %v", m.o.Lines)
+	}
+	if m.now += time.Millisecond; m.batchWaits() {
+		t.Error("laid anew without room")
+	}
+	if m.rooms[pressing] = 6; !m.batchWaits() {
+		t.Error("waits though its least fits")
+	}
+	m.rooms[pressing] = 3
+	if m.openSecond(); !m.batchWaits() {
+		t.Error("not looked at with the next second")
+	}
+}
+
+// Guards against a walk over all who wait, with each input after a restart, while no table that they wait for fits.
+func TestWaitingProxiesAreGoneThroughOnlyWhereSomeTableFits(t *testing.T) {
+	m := manager(2)
+	m.proxies[0].bound, m.rooms[pressing] = false, 7
+	if some := m.unboundWithin(m.spare(pressing)); some != nil || m.waitingProxy() != nil {
+		t.Error("gone through for a table of 3 lines and 5 of the message")
+	}
+	if m.rooms[pressing] = 8; m.waitingProxy() != m.proxies[0] {
+		t.Error("not bound though its table fits")
+	}
+	m.pull(m.servers[1], true)
+	if m.waitingProxy() != nil {
+		t.Error("a withdrawn server's line is not counted")
+	}
+}
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -23,6 +23,11 @@
 	return cost <= m.spare(u)
 }
 
+// fresh is what a line costs for so many proxies, that get a message for it alone if none was written yet.
+func (m *Manager) fresh(proxies int) float64 {
+	return float64(proxies) * (1 + either(m.markedAt == m.now, 0, m.head+1))
+}
+
 // spare is how many lines there is room for.
 func (m *Manager) spare(u urgency) float64 { return max(0, m.rooms[u]-m.waiting()) }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -124,6 +124,7 @@
 	cause      string    // why the tables are to be solved anew
 	urgent     bool
 	heldAt     time.Duration // the batch found no room then
+	heldBy     int           // proxies of the least that was left of it; 0: it is tried again with each input
 	batch      bool          // a second has passed
 	due        time.Duration // when the next has
 	reportAt   time.Duration // the last came then
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -72,10 +72,26 @@
 	do func(time.Duration) choice.Orders
 }
 
+// Decider is what the fleet hears of its manager: the decision module, or a way of dividing it.
+type Decider interface {
+	Listed(now time.Duration, whole bool, entries []choice.Entry) choice.Orders
+	Joined(now time.Duration, id choice.ProxyID, zone choice.ZoneID, rate float64) choice.Orders
+	Left(now time.Duration, id choice.ProxyID) choice.Orders
+	Heard(now time.Duration, r choice.Report) choice.Orders
+	Used(now time.Duration, u choice.Usage) choice.Orders
+	Probed(now time.Duration, id choice.ServerID, a choice.Answer, took time.Duration, load float64) choice.Orders
+	Applied(now time.Duration, id choice.ProxyID, mark choice.MarkID) choice.Orders
+	Woke(now time.Duration) choice.Orders
+}
+
+// Tally sums flows over all seconds played.
+type Tally struct{ Asked, Blocked, Dropped, Crossed float64 }
+
 // Fleet is one run. Each input of the manager goes through Say, so that a caller may look at it.
 type Fleet struct {
 	Shape   Shape
-	Manager *choice.Manager
+	Manager Decider
+	Tally   Tally
 	Seen    func(now time.Duration, o choice.Orders) // all that was ordered
 	Inputs  int
 	Spent   time.Duration // by the manager, on the wall clock
@@ -260,15 +276,20 @@
 				sum += f.tables[p.table][id]
 			}
 		}
+		f.Tally.Asked += flows
 		let := 1.0
 		if l := f.levels[p.table][1]; l > 0 && !f.Shape.Rates {
 			let = min(1, l)
 		}
 		for _, id := range ids {
 			if s := f.named[id]; !s.pulled {
-				s.at[p.zone] += flows * let * f.tables[p.table][id] / max(sum, 1e-9)
+				x := flows * let * f.tables[p.table][id] / max(sum, 1e-9)
+				if s.at[p.zone] += x; s.zone != p.zone {
+					f.Tally.Crossed += x
+				}
 			}
 		}
+		f.Tally.Blocked += flows * (1 - let)
 	}
 }
 
@@ -329,6 +350,7 @@
 	for _, one := range f.servers {
 		latency, drops := f.meets(one)
 		for z, x := range one.at {
+			f.Tally.Dropped += x * drops
 			if next(); x <= 0 {
 				continue
 			}
