internal/lanes: who owns a connection, how it moves between cores, what waits for the decisions

Need: several cores take in, one decides. The keeper gives each connection one owner under an epoch; a move is hold, carry, take over, let go; lanes that stand still or fail lose their connections at once, and what they bring late has an older epoch. Samples that wait for the decisions fold to one for each pair, so that they are bounded by what exists.

--- /dev/null
+++ b/internal/lanes/fold.go
@@ -0,0 +1,116 @@
+package lanes
+
+import (
+	"time"
+
+	"tamarindshore/choice"
+)
+
+// Mail is what waits for the one core that decides: samples in the order in which they were brought. Where more wait
+// than a bound, samples of the same pair of server and zone, or of the same proxy and traffic group, become one over
+// the sum of their spans, so that what waits is bounded by what exists and rates stay as they are. Where even that is
+// too much, Room is false and those who bring wait: the senders' buffers fill, and they decide.
+type Mail struct {
+	most    int
+	waits   []any // choice.Report or choice.Usage
+	folded  bool  // no two that wait are of the same
+	reports map[pair]int
+	usages  map[part]int
+	Folds   int // samples that became part of another
+}
+
+type pair struct {
+	server choice.ServerID
+	zone   choice.ZoneID
+}
+
+type part struct {
+	proxy choice.ProxyID
+	group choice.GroupID
+}
+
+// NewMail holds about so many samples.
+func NewMail(most int) *Mail { return &Mail{most: most} }
+
+// Room tells whether more may be brought. It folds what waits if that may help.
+func (m *Mail) Room() bool {
+	if len(m.waits) >= m.most && !m.folded {
+		m.fold()
+	}
+	return len(m.waits) < m.most
+}
+
+// Put adds samples behind those that wait.
+func (m *Mail) Put(samples []any) {
+	if m.folded {
+		for _, s := range samples {
+			m.merge(s)
+		}
+		return
+	}
+	m.waits = append(m.waits, samples...)
+}
+
+// Next takes up to so many of the oldest, into the room of those taken before.
+func (m *Mail) Next(n int, into []any) []any {
+	n = min(n, len(m.waits))
+	into = append(into[:0], m.waits[:n]...)
+	if m.waits = m.waits[n:]; len(m.waits) == 0 {
+		m.waits = nil
+	}
+	if n > 0 && m.folded {
+		m.folded, m.reports, m.usages = false, nil, nil // places have shifted
+	}
+	return into
+}
+
+func (m *Mail) Len() int { return len(m.waits) }
+
+func (m *Mail) fold() {
+	all := m.waits
+	m.waits, m.folded = make([]any, 0, len(all)), true
+	m.reports, m.usages = map[pair]int{}, map[part]int{}
+	for _, s := range all {
+		m.merge(s)
+	}
+}
+
+func (m *Mail) merge(sample any) {
+	switch s := sample.(type) {
+	case choice.Report:
+		at, same := m.reports[pair{s.Server, s.Zone}]
+		if !same {
+			m.reports[pair{s.Server, s.Zone}] = len(m.waits)
+			break
+		}
+		m.waits[at] = Sum(m.waits[at].(choice.Report), s)
+		m.Folds++
+		return
+	case choice.Usage:
+		at, same := m.usages[part{s.Proxy, s.Group}]
+		if !same {
+			m.usages[part{s.Proxy, s.Group}] = len(m.waits)
+			break
+		}
+		u := m.waits[at].(choice.Usage)
+		u.Flows, u.Dropped, u.Span = u.Flows+s.Flows, u.Dropped+s.Dropped, u.Span+s.Span
+		m.waits[at] = u
+		m.Folds++
+		return
+	}
+	m.waits = append(m.waits, sample)
+}
+
+// Sum is what two reports of the same pair say together; the later one's load counts, if it tells any.
+func Sum(a, b choice.Report) choice.Report {
+	good := float64(a.Tries-a.Failed)*float64(a.Latency) + float64(b.Tries-b.Failed)*float64(b.Latency)
+	sum := choice.Report{Server: a.Server, Zone: a.Zone, Tries: a.Tries + b.Tries, Failed: a.Failed + b.Failed,
+		Span: a.Span + b.Span, Load: b.Load}
+	if n := sum.Tries - sum.Failed; n > 0 {
+		sum.Latency = time.Duration(good / float64(n))
+	}
+	if b.Load < 0 {
+		sum.Load = a.Load
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/lanes/keeper_test.go
@@ -0,0 +1,374 @@
+package lanes
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tamarindshore/choice"
+)
+
+// keeper has lanes with so many connections each, at rest; those of lane 0 take `busy` cores each.
+func keeper(lanes, conns int, busy float64) *Keeper {
+	k := NewKeeper(Usual(lanes))
+	id := ConnID(0)
+	for i, l := range k.lanes {
+		for range conns {
+			id++
+			c := &conn{id: id, owner: Owner{LaneID(i), 1}, work: []float64{0, 0, 0}}
+			if i == 0 {
+				c.work = []float64{busy, busy, busy}
+			}
+			k.conns[id] = c
+			l.add(c)
+		}
+	}
+	return k
+}
+
+func (k *Keeper) spreadOut(now time.Duration) Acts {
+	cores := map[ConnID]float64{}
+	for id, c := range k.conns {
+		cores[id] = c.load()
+	}
+	return k.Worked(now, cores)
+}
+
+func TestAConnectionMovesInFourSteps(t *testing.T) {
+	k := keeper(2, 2, 0.3)
+	a := k.spreadOut(time.Second)
+	if len(a.Hold) != 1 || a.Hold[0].Owner != (Owner{0, 1}) || len(a.Take) != 0 {
+		t.Fatalf("%+v", a)
+	}
+	id := a.Hold[0].Conn
+	if a = k.Held(time.Second, id, 1); len(a.Take) != 1 || a.Take[0].Owner != (Owner{1, 2}) || len(a.LetGo) != 0 {
+		t.Fatalf("%+v", a)
+	}
+	if a = k.Taken(time.Second, id, 2); len(a.LetGo) != 1 || a.LetGo[0].Owner != (Owner{0, 1}) {
+		t.Fatalf("%+v", a)
+	}
+	if a = k.Taken(time.Second, id, 2); len(a.LetGo) != 0 {
+		t.Errorf("let go twice: %+v", a)
+	}
+}
+
+func TestAMoveThatIsNotHeldIsCalledOffAndNobodyIsLeftWithoutAnOwner(t *testing.T) {
+	k := keeper(2, 2, 0.3)
+	id := k.spreadOut(time.Second).Hold[0].Conn
+	k.Looked(time.Second+k.t.HoldMost, []time.Duration{-1, -1})
+	if c := k.conns[id]; c.step != settled {
+		t.Fatalf("%+v", c)
+	}
+	if a := k.Held(2*time.Second, id, 1); len(a.Take) != 1 || a.Take[0].Owner != (Owner{0, 2}) {
+		t.Errorf("one that stopped late is served by nobody: %+v", a)
+	}
+}
+
+func TestALostLaneGivesItsConnectionsUnderTheNextEpoch(t *testing.T) {
+	k := keeper(3, 2, 0.1)
+	a := k.Failed(time.Second, 0, 1)
+	if !slices.Equal(a.Renew, []LaneID{0}) || len(a.Take) != 2 {
+		t.Fatalf("%+v", a)
+	}
+	for _, p := range a.Take {
+		if p.Owner.Lane == 0 || p.Owner.Epoch != 2 {
+			t.Errorf("%+v", p)
+		}
+	}
+	if a := k.Held(time.Second, 1, 1); len(a.Take) > 0 {
+		t.Errorf("what the lost owner says is taken: %+v", a)
+	}
+}
+
+func TestOnlyALaneThatStandsStillByTwoLooksInTimeIsLost(t *testing.T) {
+	k, at := keeper(2, 1, 0.1), []time.Duration{time.Second, -1}
+	every := k.t.LookEvery
+	k.Looked(0, at)
+	if a := k.Looked(2*time.Second, at); len(a.Renew) > 0 {
+		t.Error("lost by a look that was late itself: the whole process stood still")
+	}
+	k.Looked(2*time.Second+every, at)
+	if a := k.Looked(2*time.Second+2*every, at); !slices.Equal(a.Renew, []LaneID{0}) {
+		t.Errorf("%+v", a)
+	}
+	if a := k.Looked(2*time.Second+3*every, []time.Duration{0, -1}); len(a.Renew) > 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestALaneThatFailsOftenRestsButNeverTheLast(t *testing.T) {
+	k := keeper(2, 1, 0.1)
+	for i := range 3 {
+		k.Failed(time.Duration(i)*time.Second, 0, 99)
+		k.Failed(time.Duration(i)*time.Second, 1, 99)
+	}
+	resting := 0
+	for _, l := range k.lanes {
+		if l.rests > 0 {
+			resting++
+		}
+	}
+	if resting != 1 {
+		t.Fatalf("%d of 2 rest", resting)
+	}
+	k.Looked(time.Hour, []time.Duration{-1, -1})
+	if k.lanes[0].rests != 0 || k.lanes[1].rests != 0 {
+		t.Error("rests for ever")
+	}
+}
+
+func TestAConnectionThatBringsLanesDownIsClosed(t *testing.T) {
+	k := keeper(3, 1, 0.1)
+	if a := k.Failed(0, 0, 1); len(a.Close) > 0 {
+		t.Error("closed at once")
+	}
+	if a := k.Failed(0, 1, 1); !slices.Equal(a.Close, []ConnID{1}) {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestWorkIsSpreadWithoutSwinging(t *testing.T) {
+	k, moves := keeper(4, 6, 0.15), []time.Duration{}
+	for s := 1; s <= 120; s++ {
+		now := time.Duration(s) * time.Second
+		cores := map[ConnID]float64{}
+		for id := range k.conns {
+			if (int(id)+s/3)%5 == 0 { // load that wanders every three seconds
+				cores[id] = 0.3
+			}
+		}
+		a := k.Worked(now, cores)
+		for _, p := range a.Hold {
+			moves = append(moves, now)
+			k.Held(now, p.Conn, p.Owner.Epoch)
+			k.Taken(now, p.Conn, p.Owner.Epoch+1)
+		}
+	}
+	for i, at := range moves {
+		if j := i + k.t.MovesMost; j < len(moves) && moves[j]-at < k.t.SwingOver {
+			t.Fatalf("more than %d moves within %v", k.t.MovesMost, k.t.SwingOver)
+		}
+	}
+	if len(moves) == 0 {
+		t.Error("nothing is spread")
+	}
+}
+
+func TestOneHeavyConnectionStays(t *testing.T) {
+	k := keeper(2, 1, 0.9)
+	if a := k.spreadOut(time.Second); len(a.Hold) > 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestFoldKeepsCountsAndRates(t *testing.T) {
+	m := NewMail(4)
+	u := choice.Usage{Proxy: 1, Group: 2, Flows: 3, Dropped: 1, Span: time.Second}
+	r := choice.Report{Server: "s", Zone: "a", Tries: 10, Failed: 5, Latency: time.Second, Span: time.Second, Load: 7}
+	late := choice.Report{Server: "s", Zone: "a", Tries: 5, Latency: 2 * time.Second, Span: time.Second, Load: -1}
+	m.Put([]any{u, r, u, late})
+	if !m.Room() || m.Len() != 2 || m.Folds != 2 {
+		t.Fatalf("%d wait after %d folds", m.Len(), m.Folds)
+	}
+	m.Put([]any{u})
+	got := m.Next(9, nil)
+	if sum := got[0].(choice.Usage); sum.Flows != 9 || sum.Dropped != 3 || sum.Span != 3*time.Second {
+		t.Errorf("%+v", sum)
+	}
+	if sum := got[1].(choice.Report); sum.Tries != 15 || sum.Failed != 5 || sum.Latency != 1500*time.Millisecond || sum.Load != 7 {
+		t.Errorf("%+v", sum)
+	}
+	for i := range 4 {
+		m.Put([]any{choice.Usage{Proxy: choice.ProxyID(i)}})
+	}
+	if m.Room() || m.Len() != 4 {
+		t.Errorf("%d wait: as many as exist, and no room for more", m.Len())
+	}
+}
+
+// world carries out what a keeper decides, as the connections and workers of a manager do: a worker takes the oldest
+// piece of a connection that it owns, and what it brings counts only under the epoch in force.
+type world struct {
+	t      *rapid.T
+	k      *Keeper
+	now    time.Duration
+	owner  map[ConnID]Owner
+	hold   map[ConnID]bool
+	said   map[ConnID]int // pieces that came
+	next   map[ConnID]int // the first that no owner has brought
+	hand   []piece        // by lane
+	stands []bool         // by lane: its worker does not go on
+	stale  []piece        // of workers that were given up, still to be brought
+	moves  []time.Duration
+}
+
+type piece struct {
+	conn  ConnID
+	epoch Epoch
+	n     int
+}
+
+func (w *world) do(a Acts) {
+	for _, p := range a.Hold {
+		w.moves = append(w.moves, w.now)
+		if w.owner[p.Conn] != p.Owner {
+			w.t.Fatalf("held by %+v, owned by %+v", p.Owner, w.owner[p.Conn])
+		}
+		w.hold[p.Conn] = true
+	}
+	for _, p := range a.Take {
+		if p.Owner.Epoch != w.owner[p.Conn].Epoch+1 {
+			w.t.Fatalf("epoch %d after %d", p.Owner.Epoch, w.owner[p.Conn].Epoch)
+		}
+		w.owner[p.Conn] = p.Owner
+		delete(w.hold, p.Conn)
+	}
+	for _, id := range a.Close {
+		w.shut(id)
+	}
+	for _, l := range a.Renew {
+		if w.hand[l].conn != 0 {
+			w.stale = append(w.stale, w.hand[l])
+		}
+		w.hand[l], w.stands[l] = piece{}, false
+	}
+}
+
+func (w *world) shut(id ConnID) {
+	for _, m := range []map[ConnID]int{w.said, w.next} {
+		delete(m, id)
+	}
+	delete(w.owner, id)
+	delete(w.hold, id)
+	w.do(w.k.Closed(w.now, id))
+}
+
+// bring ends a piece of work; it counts once, and in order.
+func (w *world) bring(p piece) {
+	if o, open := w.owner[p.conn]; !open || o.Epoch != p.epoch {
+		return
+	}
+	if p.n != w.next[p.conn] {
+		w.t.Fatalf("connection %d brings piece %d, not %d", p.conn, p.n, w.next[p.conn])
+	}
+	w.next[p.conn]++
+}
+
+// work lets a lane end what it has in hand and take the next piece, or hold a connection that it should.
+func (w *world) work(l LaneID) {
+	if w.stands[l] {
+		return
+	}
+	w.bring(w.hand[l])
+	w.hand[l] = piece{}
+	for _, id := range w.conns() {
+		o := w.owner[id]
+		if o.Lane != l {
+			continue
+		}
+		if w.hold[id] {
+			w.do(w.k.Held(w.now, id, o.Epoch))
+			return
+		}
+		w.do(w.k.Taken(w.now, id, o.Epoch))
+		if w.next[id] < w.said[id] {
+			w.hand[l] = piece{id, o.Epoch, w.next[id]}
+			return
+		}
+	}
+}
+
+func (w *world) conns() (all []ConnID) {
+	for id := range w.owner {
+		all = append(all, id)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (w *world) look() {
+	var at []time.Duration
+	for l := range w.hand {
+		at = append(at, either(w.stands[l], time.Second, -1))
+	}
+	w.do(w.k.Looked(w.now, at))
+}
+
+func either(first bool, a, b time.Duration) time.Duration {
+	if first {
+		return a
+	}
+	return b
+}
+
+// Over 100,000 steps in all: nothing is brought twice, out of order, or by two; none waits for ever.
+func TestKeeperUnderAllThatHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "lanes")
+		w := &world{t: t, k: NewKeeper(Usual(n)), owner: map[ConnID]Owner{}, hold: map[ConnID]bool{},
+			said: map[ConnID]int{}, next: map[ConnID]int{}, hand: make([]piece, n), stands: make([]bool, n)}
+		opened := ConnID(0)
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 1<<20), 1100, 1100).Draw(t, "steps") {
+			w.now += time.Duration(step%7) * 7 * time.Millisecond
+			l, conns := LaneID(step>>4)%LaneID(n), w.conns()
+			pick := func() ConnID { return conns[(step>>4)%len(conns)] }
+			switch what := step % 16; {
+			case what < 2 && len(conns) < 12:
+				opened++
+				w.do(w.k.Opened(w.now, opened))
+			case what == 2 && len(conns) > 0 && step>>4%3 == 0:
+				w.shut(pick())
+			case what < 7 && len(conns) > 0:
+				w.said[pick()]++
+			case what < 11:
+				w.work(l)
+			case what == 11:
+				w.stands[l] = w.hand[l].conn != 0
+			case what == 12 && len(w.stale) > 0: // a worker that was given up goes on, late
+				w.bring(w.stale[0])
+				w.stale = w.stale[1:]
+			case what == 13 && w.hand[l].conn != 0 && step>>4%5 == 0:
+				by := w.hand[l].conn
+				w.hand[l] = piece{}
+				w.do(w.k.Failed(w.now, l, by))
+			case what == 14:
+				cores := map[ConnID]float64{}
+				for i, id := range conns {
+					cores[id] = float64((step>>i)&7) / 10
+				}
+				w.do(w.k.Worked(w.now, cores))
+			default:
+				w.look()
+			}
+			for id, o := range w.owner {
+				if got, _ := w.k.Owner(id); got != o {
+					t.Fatalf("connection %d is owned by %+v, and the keeper says %+v", id, o, got)
+				}
+			}
+		}
+		for range 200 { // quiet: all that was said is brought
+			w.now += w.k.t.LookEvery
+			w.look()
+			for l := range w.hand {
+				w.work(LaneID(l))
+			}
+		}
+		for id, said := range w.said {
+			if w.next[id] != said {
+				t.Fatalf("connection %d: %d of %d pieces brought", id, w.next[id], said)
+			}
+		}
+		for i, at := range w.moves {
+			if j := i + w.k.t.MovesMost; j < len(w.moves) && w.moves[j]-at < w.k.t.SwingOver {
+				t.Fatalf("more than %d moves within %v", w.k.t.MovesMost, w.k.t.SwingOver)
+			}
+		}
+		for _, c := range w.k.conns {
+			if c.step != settled {
+				t.Fatalf("connection %d is left in step %d", c.id, c.step)
+			}
+		}
+	})
+}
