Connections are taken in by several cores round the one that decides, under epochs

Change: internal/node/hub.go gives each lane a worker; a connection's bytes, half line and place are its own, and what a piece comes to counts once, under the epoch of its owner (commit). A core that stands still loses its connections and nothing of what they said; one that fails over a line loses that line. Samples wait in a post behind the list, the news and the probes. Off (lanes up to 1) all goes as before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 // Limits are the sizes, counts and times of the network code.
 type Limits struct {
 	Cores   int
+	Lanes   int   // cores that take in beside the one that decides; up to 1: none
 	Memory  int64 // bytes
 	Sockets int
 
@@ -48,11 +49,14 @@
 	LineList    int // a whole list in one line
 	Answer      int // bytes of an answer of relay or server
 	LogWaits    int // lines of the log
+	Piece       int // bytes read at one time where several cores take in
+	Pieces      int // of them that wait of one connection
 
 	IdleMost  int     // messages one after another that report nothing
 	FlowsMost float64 // a second in a report, and held by a server
 
 	Stranger, SilentNamed    time.Duration // from the start of a connection until it reports; then
+	Spoke                    time.Duration // how exactly it is known when a connection last spoke
 	SpanMost                 time.Duration // of a report
 	SilentNews, SilentWatch  time.Duration // past their signs of life
 	Opening                  time.Duration // until a stream begins
@@ -72,13 +76,13 @@
 		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 256,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
 		Words: 64, LineUnnamed: 4 << 10, LineNamed: min(1<<20, int(memoryMB*(1<<20))/512), LineNews: 64 << 10, LineList: 1 << 20, Answer: 64 << 10,
-		IdleMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, SpanMost: time.Minute,
+		IdleMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, Spoke: 50 * time.Millisecond, SpanMost: time.Minute,
 		SilentNews: 1500 * time.Millisecond, SilentWatch: 2600 * time.Millisecond, NewsOpening: 300 * time.Millisecond,
 		Opening: 700 * time.Millisecond,
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
 		RelayAnswer: 60 * time.Millisecond, ProbeAnswer: 600 * time.Millisecond, Look: 20 * time.Millisecond,
 		RelayIdle: 250 * time.Millisecond, Again: 50 * time.Millisecond, AgainMost: 200 * time.Millisecond, LogEvery: time.Second,
-		LogWaits: 1024, LogEnd: 200 * time.Millisecond,
+		LogWaits: 1024, Piece: 16 << 10, Pieces: 4, LogEnd: 200 * time.Millisecond,
 	}
 }
 
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"tamarindshore/choice"
@@ -74,11 +75,13 @@
 	latest    time.Duration
 	longest   time.Duration // span of a report
 	flowsMost float64       // a second, and held
+	fields    sync.Pool     // so that a line's words take no memory of their own
 }
 
 func newWords(t choice.Terms, groups []string, born time.Time, l config.Limits) *words {
 	w := &words{zones: map[string]choice.ZoneID{}, groups: map[string]choice.GroupID{}, born: born, most: l.Words,
 		proxies: mostProxies, longest: l.SpanMost, flowsMost: l.FlowsMost}
+	w.fields.New = func() any { return &fields{} }
 	if t.Proxies > 0 {
 		w.proxies = t.Proxies - 1
 	}
@@ -94,10 +97,19 @@
 
 // fields takes the values of one message; the first thing wrong with them stays in err.
 type fields struct {
-	value func(name string) (string, bool)
+	named [][2]string
 	err   error
 }
 
+func (f *fields) value(name string) (string, bool) {
+	for i := range f.named {
+		if f.named[i][0] == name {
+			return f.named[i][1], true
+		}
+	}
+	return "", false
+}
+
 func (f *fields) fail(name, what string) {
 	if f.err == nil {
 		f.err = fmt.Errorf("%s: %s", name, what)
@@ -185,23 +197,18 @@
 	if kind != "ping" && kind != "collector" && kind != "heard" && kind != "usage" {
 		return "", nil, errors.Join(errUnread, fmt.Errorf("%.40q is no kind of message", kind))
 	}
-	var named [][2]string
+	f := w.fields.Get().(*fields)
+	defer func() {
+		f.named, f.err = f.named[:0], nil
+		w.fields.Put(f)
+	}()
 	for word := range strings.FieldsSeq(rest) {
 		name, v, ok := strings.Cut(word, "=")
-		if !ok || len(named) == w.most {
+		if !ok || len(f.named) == w.most {
 			return kind, nil, fmt.Errorf("%.40q: up to %d words name=value are due", word, w.most)
 		}
-		named = append(named, [2]string{name, v})
+		f.named = append(f.named, [2]string{name, v})
 	}
-	value := func(name string) (string, bool) {
-		for _, one := range named {
-			if one[0] == name {
-				return one[1], true
-			}
-		}
-		return "", false
-	}
-	f := &fields{value: value}
 	switch kind {
 	case "collector":
 		in = collector{f.zone(w, "site")}
@@ -211,13 +218,13 @@
 		if r.Failed > r.Tries {
 			f.fail("fail", "is more than count")
 		}
-		if _, told := value("mean"); told || r.Failed < r.Tries { // where none was good it may be left out
+		if _, told := f.value("mean"); told || r.Failed < r.Tries { // where none was good it may be left out
 			r.Latency = f.millis("mean")
 		}
 		if r.Latency > w.latest || r.Failed < r.Tries && r.Latency == 0 {
 			f.fail("mean", "is no time of an answer")
 		}
-		if util, told := value("util"); told && util != "" {
+		if util, told := f.value("util"); told && util != "" {
 			if r.Load, told = load(util, ",", ":", w.flowsMost); !told {
 				f.fail("util", "is no load report")
 			}
@@ -244,7 +251,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fields{value: func(name string) (string, bool) { return values.Get(name), values.Has(name) }}
+	f := fields{}
+	for name, v := range values {
+		f.named = append(f.named, [2]string{name, v[0]})
+	}
 	proxy := choice.ProxyID(f.whole("id", w.proxies))
 	switch kind {
 	case "joined":
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -53,6 +53,10 @@
 	strangersLate
 	reloads
 	reloadsFaulty
+	laneMoves
+	lanesRenewed
+	linesFatal
+	samplesFolded
 	counters
 )
 
@@ -62,7 +66,7 @@
 	"news_opens", "news_breaks", "watch_opens", "watch_breaks",
 	"calls_sent", "calls_answered", "calls_unknown", "calls_unsent", "calls_busy", "calls_folded", "calls_again",
 	"orders_sent", "orders_refused", "marks_sent", "probes_sent", "probes_answered", "probes_failed", "probes_dropped", "log_dropped",
-	"spoilt", "strangers_late", "reloads", "reloads_faulty",
+	"spoilt", "strangers_late", "reloads", "reloads_faulty", "lane_moves", "lanes_renewed", "lines_fatal", "samples_folded",
 }
 
 type book struct {
@@ -90,6 +94,15 @@
 	}
 }
 
+// tell logs one line of a kind, from pairs of key and value.
+func (b *book) tell(kind string, pairs ...any) {
+	var out strings.Builder
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fmt.Fprintf(&out, " %v=%q", pairs[i], fmt.Sprint(pairs[i+1]))
+	}
+	log.Printf("event=%s%s", kind, out.String())
+}
+
 // line is all counters as key=value.
 func (b *book) line() string {
 	var out strings.Builder
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -22,33 +23,69 @@
 var errUnreached = errors.New("unreached")
 
 // patient is a connection that must deliver by a time. What waits in the kernel when that time has
-// passed is still taken, once: guards against dropping sound peers after this process stood still.
+// passed is still taken, once: guards against dropping sound peers after this process stood still. The
+// time may be moved by another core than the one that reads.
 type patient struct {
 	net.Conn
-	within, look, write time.Duration
-	until               time.Time
-	looked              bool
-	fixed               bool  // until stays as it is
-	failed              error // of a read
+	look, write time.Duration
+	failed      error // of a read
+
+	mu     sync.Mutex
+	within time.Duration
+	until  time.Time
+	looked bool
+	fixed  bool // until stays as it is
 }
 
 // expect sets the time for what is due next, unless that is fixed.
 func (p *patient) expect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if !p.fixed {
 		p.until, p.looked = time.Now().Add(p.within), false
 	}
 }
 
+// grant ends a fixed time: from now on something is due within a span each time.
+func (p *patient) grant(within time.Duration) {
+	p.mu.Lock()
+	p.fixed, p.within = false, within
+	p.mu.Unlock()
+	p.expect()
+}
+
+// lengthen puts off the time until which something is due.
+func (p *patient) lengthen(by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.until = p.until.Add(by)
+}
+
+// due is the time until which a read may wait, and whether a last look after it was taken.
+func (p *patient) due() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.until, p.looked
+}
+
 func (p *patient) Read(b []byte) (int, error) {
-	p.Conn.SetReadDeadline(p.until)
-	n, err := p.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !p.looked {
-		p.looked = true
-		p.Conn.SetReadDeadline(time.Now().Add(p.look))
-		n, err = p.Conn.Read(b)
+	for {
+		until, looked := p.due()
+		p.Conn.SetReadDeadline(until)
+		n, err := p.Conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !looked {
+			if later, _ := p.due(); later.After(until) {
+				continue
+			}
+			p.mu.Lock()
+			p.looked = true
+			p.mu.Unlock()
+			p.Conn.SetReadDeadline(time.Now().Add(p.look))
+			n, err = p.Conn.Read(b)
+		}
+		p.failed = err
+		return n, err
 	}
-	p.failed = err
-	return n, err
 }
 
 func (p *patient) Write(b []byte) (int, error) {
@@ -118,8 +155,7 @@
 	if err := opened(); err != nil {
 		return err
 	}
-	conn.within = silent
-	conn.expect()
+	conn.grant(silent)
 	return lines(resp.BodyStream(), func() int { return longest }, func(line []byte) error {
 		conn.expect()
 		return take(line)
@@ -135,35 +171,44 @@
 	piece := make([]byte, 4096)
 	for {
 		n, err := r.Read(piece)
-		for rest := piece[:n]; len(rest) > 0; {
-			i := bytes.IndexByte(rest, '\n')
-			if i < 0 {
-				held = append(held, rest...)
-				break
-			}
-			line := rest[:i]
-			if len(held) > 0 {
-				held = append(held, line...)
-				line = held
-			}
+		rest, failed := cutLines(held, piece[:n], func(line []byte) error {
 			if len(line) > longest() {
 				return errLong
 			}
-			if err := take(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
-				return err
-			}
-			rest = rest[i+1:]
-			if held = held[:0]; cap(held) > 1<<16 {
-				held = nil
-			}
-		}
-		if len(held) > longest() {
+			return take(line)
+		})
+		if held = rest; failed != nil {
+			return failed
+		} else if len(held) > longest() {
 			return errLong
-		}
-		if err == io.EOF && len(held) > 0 {
+		} else if err == io.EOF && len(held) > 0 {
 			return io.ErrUnexpectedEOF
 		} else if err != nil {
 			return err
 		}
 	}
 }
+
+// cutLines hands on the lines of what was held and a piece behind it, each without its line end, and gives the half
+// line that is left, in the room of what was held.
+func cutLines(held, piece []byte, take func(line []byte) error) (rest []byte, err error) {
+	for len(piece) > 0 {
+		i := bytes.IndexByte(piece, '\n')
+		if i < 0 {
+			return append(held, piece...), nil
+		}
+		line := piece[:i]
+		if len(held) > 0 {
+			held = append(held, line...)
+			line = held
+		}
+		if err := take(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
+			return nil, err
+		}
+		piece = piece[i+1:]
+		if held = held[:0]; cap(held) > 1<<16 {
+			held = nil
+		}
+	}
+	return held, nil
+}
--- /dev/null
+++ b/internal/node/hub_test.go
@@ -0,0 +1,304 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/lanes"
+)
+
+// quick are terms under which a test need not wait for long.
+func quick(n int) lanes.Terms {
+	t := lanes.Usual(n)
+	t.LookEvery, t.StuckAfter, t.HoldMost, t.Window = 5*time.Millisecond, 40*time.Millisecond, 50*time.Millisecond, time.Hour
+	t.RestFor, t.SwingOver, t.MovesMost, t.LaneRest = 0, time.Millisecond, 1000, 100*time.Millisecond
+	return t
+}
+
+// hubbed is an intake of several cores that accepts; what it brings waits in the post.
+func hubbed(t *testing.T, l config.Limits, terms lanes.Terms) (*hub, string) {
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	l.Inputs = either(l.Inputs == limits.Inputs, 1<<16, l.Inputs) // or what waits is folded
+	l.Piece, l.Pieces, l.Named, l.Unnamed, l.IdleMost = 256, 4, 64, 300, 64
+	in := testIntake(stop, l)
+	in.words.proxies = 65535
+	in.hub = newHub(in, newPost(l.Inputs, in.book), terms)
+	go in.hub.oversee()
+	go in.accept(at)
+	t.Cleanup(func() { close(stop); at.Close() })
+	return in.hub, at.Addr().String()
+}
+
+// move makes the keeper spread work as if lane 0's connections, or else another's, took all their time.
+func (h *hub) move(heavy lanes.LaneID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cores := map[lanes.ConnID]float64{}
+	for id := range h.inlets {
+		if o, _ := h.keeper.Owner(id); o.Lane == heavy {
+			cores[id] = 0.3
+		}
+	}
+	h.do(func(now time.Duration) lanes.Acts { return h.keeper.Worked(now, cores) })
+}
+
+// gather takes samples from the post until so many flows have come, by proxy in their order.
+func gather(t *testing.T, p *post, flows int) map[choice.ProxyID][]int {
+	t.Helper()
+	got, n, late := map[choice.ProxyID][]int{}, 0, time.After(5*time.Second)
+	for n < flows {
+		select {
+		case <-p.filled:
+		case <-late:
+			t.Fatalf("%d of %d samples came", n, flows)
+		}
+		for _, s := range p.next(512, nil) {
+			u := s.(choice.Usage)
+			got[u.Proxy] = append(got[u.Proxy], u.Flows)
+			n++
+		}
+	}
+	return got
+}
+
+// say sends a connection's numbered samples, cut anywhere.
+func say(t *testing.T, address string, proxy, n int) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	t.Cleanup(func() { c.Close() })
+	text := "collector site=a\r\n"
+	for i := range n {
+		text += fmt.Sprintf("usage id=%d lane=book count=%d fail=0 over=60000\r\n", proxy, i)
+	}
+	for at := 0; at < len(text); at += 97 {
+		io.WriteString(c, text[at:min(at+97, len(text))])
+	}
+}
+
+func inOrder(t *testing.T, got map[choice.ProxyID][]int, n int, missing map[int]bool) {
+	t.Helper()
+	for p, flows := range got {
+		want := 0
+		for _, f := range flows {
+			for missing[want] {
+				want++
+			}
+			if f != want {
+				t.Fatalf("proxy %d: sample %d where %d is due", p, f, want)
+			}
+			want++
+		}
+		for missing[want] {
+			want++
+		}
+		if want != n {
+			t.Errorf("proxy %d: %d of %d samples", p, want, n)
+		}
+	}
+}
+
+func TestConnectionsMoveBetweenCoresWhileTheySpeak(t *testing.T) {
+	h, address := hubbed(t, limits, quick(4))
+	const conns, n = 12, 400
+	for p := range conns {
+		go say(t, address, p, n)
+	}
+	over := make(chan struct{})
+	var mover sync.WaitGroup
+	mover.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-over:
+				return
+			case <-time.After(time.Millisecond):
+				h.move(lanes.LaneID(i / 8 % 4))
+			}
+		}
+	})
+	got := gather(t, h.post, conns*n)
+	close(over)
+	mover.Wait()
+	inOrder(t, got, n, nil)
+	if moved := h.t.book.counts[laneMoves].Load(); moved < 10 {
+		t.Errorf("%d moves only", moved)
+	}
+}
+
+func TestACoreThatStandsStillLosesNothing(t *testing.T) {
+	h, address := hubbed(t, limits, quick(3))
+	free, decode := make(chan struct{}), h.decode
+	var stuck atomic.Bool
+	h.decode = func(line string) said {
+		if strings.Contains(line, "count=150 ") && strings.Contains(line, "id=2 ") {
+			if stuck.CompareAndSwap(false, true) {
+				<-free
+			}
+		}
+		return decode(line)
+	}
+	for p := range 6 {
+		go say(t, address, p, 300)
+	}
+	got := gather(t, h.post, 6*300)
+	close(free) // it goes on, late, with what another core has brought meanwhile
+	inOrder(t, got, 300, nil)
+	time.Sleep(20 * time.Millisecond)
+	if late := h.post.next(9, nil); len(late) > 0 {
+		t.Errorf("brought twice: %v", late)
+	}
+	if n := h.t.book.counts[lanesRenewed].Load(); n < 1 {
+		t.Errorf("%d lanes renewed", n)
+	}
+}
+
+func TestALineThatBringsACoreDownIsLostAlone(t *testing.T) {
+	h, address := hubbed(t, limits, quick(3))
+	decode := h.decode
+	h.decode = func(line string) said {
+		if strings.Contains(line, "id=1 ") && strings.Contains(line, "count=77 ") {
+			panic("a fault")
+		}
+		return decode(line)
+	}
+	for p := range 4 {
+		go say(t, address, p, 200)
+	}
+	got := gather(t, h.post, 4*200-1)
+	inOrder(t, map[choice.ProxyID][]int{1: got[1]}, 200, map[int]bool{77: true})
+	delete(got, 1)
+	inOrder(t, got, 200, nil)
+	if n := h.t.book.counts[linesFatal].Load(); n != 1 {
+		t.Errorf("%d lines counted as fatal", n)
+	}
+}
+
+func TestAFullPostFoldsAndThenHoldsUpWhoSends(t *testing.T) {
+	l := limits
+	l.Inputs = 8
+	h, address := hubbed(t, l, quick(2))
+	for p := range 4 {
+		go say(t, address, p, 500)
+	}
+	time.Sleep(50 * time.Millisecond)
+	h.post.mu.Lock()
+	waits := h.post.mail.Len()
+	h.post.mu.Unlock()
+	if waits > 8+2*8 {
+		t.Errorf("%d samples wait", waits)
+	}
+	sum, late := 0, time.Now().Add(5*time.Second)
+	for sum < 4*500*499/2 && time.Now().Before(late) {
+		for _, s := range h.post.next(512, nil) {
+			sum += s.(choice.Usage).Flows
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	if sum != 4*500*499/2 {
+		t.Errorf("%d flows of %d", sum, 4*500*499/2)
+	}
+	if h.t.book.counts[samplesFolded].Load() == 0 {
+		t.Error("nothing was folded")
+	}
+}
+
+func TestSpoiltLinesOnOneCoreLeaveOthersAlone(t *testing.T) {
+	h, address := hubbed(t, limits, quick(4))
+	bad := dialled(t, address, "collector site=a\r\n"+report)
+	for p := range 3 {
+		go say(t, address, 100+p, 200)
+	}
+	go func() {
+		for range 60 {
+			io.WriteString(bad, "usage id=-4 lane=book count=x\r\n")
+		}
+		io.WriteString(bad, report+"sing\r\n")
+	}()
+	got := gather(t, h.post, 2+3*200)
+	if len(got[17]) != 2 {
+		t.Errorf("%v of the spoilt connection", got[17])
+	}
+	delete(got, 17)
+	inOrder(t, got, 200, nil)
+	if got := ended(bad); got != "" {
+		t.Errorf("%q", got)
+	}
+}
+
+func TestStrangersOnEachCoreAreLetGoInTheirTime(t *testing.T) {
+	l := limits
+	l.Stranger = 100 * time.Millisecond
+	h, address := hubbed(t, l, quick(4))
+	var strangers []net.Conn
+	for i := range 200 {
+		strangers = append(strangers, dialled(t, address, []string{"", "GET / HTTP/1.1\r\n", "ping\r\n", "half"}[i%4]))
+	}
+	go say(t, address, 1, 100)
+	inOrder(t, gather(t, h.post, 100), 100, nil)
+	for i, c := range strangers {
+		if got := ended(c); got != map[bool]string{true: "pong\r\n", false: ""}[i%4 == 2] {
+			t.Fatalf("stranger %d: %q", i, got)
+		}
+	}
+	known := 0
+	for range 500 {
+		h.mu.Lock()
+		known = len(h.inlets)
+		h.mu.Unlock()
+		if known <= 1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Errorf("%d connections are still known", known)
+}
+
+// BenchmarkIntake is what a line costs from the connection to the post, with one core or lanes.
+func BenchmarkIntake(b *testing.B) {
+	for _, n := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprint("lanes=", n), func(b *testing.B) {
+			l := limits
+			l.Inputs, l.Piece, l.Pieces, l.IdleMost = 1<<16, 16<<10, 4, 1<<30
+			in := testIntake(make(chan struct{}), l)
+			in.hub = newHub(in, newPost(l.Inputs, in.book), lanes.Usual(n))
+			defer func() { in.hub = nil }()
+			text := []byte(strings.Repeat(report, 300))
+			var all sync.WaitGroup
+			for i := range 16 {
+				ours, theirs := net.Pipe()
+				g := &guest{named: true, useful: true, zone: "a"}
+				g.Conn, g.until, g.spokeAt = ours, time.Now().Add(time.Hour), time.Now()
+				in.guests = append(in.guests, g)
+				go in.hub.attend(g)
+				all.Go(func() {
+					for at := i; at < b.N; at += 16 * 300 {
+						theirs.Write(text)
+					}
+					theirs.Close()
+				})
+			}
+			b.ResetTimer()
+			for got := 0; got < b.N; {
+				<-in.hub.post.filled
+				for s := in.hub.post.next(512, nil); len(s) > 0; s = in.hub.post.next(512, s) {
+					got += len(s)
+				}
+			}
+			all.Wait()
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
+	"tamarindshore/internal/lanes"
 )
 
 // Node is one manager; it serves once it is run.
@@ -77,6 +78,11 @@
 	n.router.opened = func() { fit.Store(true) }
 	t := &intake{limits: l, words: n.words, inputs: n.router.inputs, stop: n.life.Done(), book: n.book, fit: fit.Load,
 		chance: rand.New(rand.NewPCG(n.start.Seed, uint64(len(n.start.Name))))}
+	if l.Lanes > 1 {
+		n.router.post = newPost(l.Inputs, n.book)
+		t.hub = newHub(t, n.router.post, lanes.Usual(l.Lanes))
+		go t.hub.oversee()
+	}
 	n.known.whole = true
 	n.router.inputs <- n.known
 	go n.router.run(n.life.Done())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -77,7 +77,7 @@
 func TestLineHasEveryCounter(t *testing.T) {
 	b := newBook(0)
 	b.add(reloadsFaulty, 3)
-	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "reloads_faulty=3") {
+	if line := b.line(); strings.Count(line, "=") != int(counters) || !strings.HasSuffix(line, "reloads_faulty=3 lane_moves=0 lanes_renewed=0 lines_fatal=0 samples_folded=0") {
 		t.Error(line)
 	}
 }
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -23,6 +23,7 @@
 	born    time.Time
 	manager *choice.Manager
 	inputs  chan any
+	post    *post // samples that several cores took in; nil: they come with the inputs
 	backlog *backlog
 	probes  chan probe
 	listen  chan struct{} // the list is asked for
@@ -35,6 +36,7 @@
 	proxies   map[choice.ProxyID]bool
 	unseen    map[choice.ProxyID]bool // known before the gap in the news, and not told since
 	servers   map[choice.ServerID]string
+	samples   []any
 	decisions []choice.Orders // of now
 }
 
@@ -49,6 +51,10 @@
 		}
 	}()
 	timer := time.NewTimer(time.Hour)
+	var posted <-chan struct{}
+	if r.post != nil {
+		posted = r.post.filled
+	}
 	for {
 		wait := time.Hour
 		if r.wake > 0 {
@@ -61,6 +67,8 @@
 		case in := <-r.inputs:
 			r.tick()
 			r.take(in)
+		case <-posted:
+			r.tick()
 		case <-timer.C:
 			r.tick()
 		}
@@ -73,6 +81,12 @@
 			}
 			break
 		}
+		if r.post != nil { // behind the list, the news and the probes: a drain waits for no sample
+			r.samples = r.post.next(r.limits.Together, r.samples)
+			for _, in := range r.samples {
+				r.take(in)
+			}
+		}
 		if r.wake > 0 && r.now >= r.wake {
 			r.wake = 0
 			r.decided(r.manager.Woke(r.now))
@@ -88,17 +102,13 @@
 	m := r.manager
 	switch in := in.(type) {
 	case heard:
-		if _, known := r.servers[in.Server]; !known {
-			r.book.add(unknownNames, 1)
-			return
-		}
-		r.decided(m.Heard(r.now, in.Report))
+		r.heard(in.Report)
 	case used:
-		if !r.proxies[in.Proxy] {
-			r.book.add(unknownNames, 1)
-			return
-		}
-		r.decided(m.Used(r.now, in.Usage))
+		r.used(in.Usage)
+	case choice.Report:
+		r.heard(in)
+	case choice.Usage:
+		r.used(in)
 	case newsOpened:
 		r.unseen = maps.Clone(r.proxies)
 		r.opened()
@@ -144,6 +154,22 @@
 	}
 }
 
+func (r *router) heard(in choice.Report) {
+	if _, known := r.servers[in.Server]; !known {
+		r.book.add(unknownNames, 1)
+		return
+	}
+	r.decided(r.manager.Heard(r.now, in))
+}
+
+func (r *router) used(in choice.Usage) {
+	if !r.proxies[in.Proxy] {
+		r.book.add(unknownNames, 1)
+		return
+	}
+	r.decided(r.manager.Used(r.now, in))
+}
+
 func (r *router) decided(o choice.Orders) {
 	for _, n := range o.Notes {
 		log.Printf("stage=route at=%.3f note=%q", r.now.Seconds(), n)
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -36,6 +36,7 @@
 	chance *rand.Rand  // of waits; used under mu
 	mu     sync.Mutex
 	guests []*guest // connections to the manager's address
+	hub    *hub     // of several cores; nil: each connection is read by itself
 }
 
 // give hands an input to the module's owner; false once the manager ends.
@@ -77,14 +78,19 @@
 				continue
 			}
 		}
-		g := &guest{patient: patient{Conn: c, look: t.limits.Look, write: t.limits.Write}, spokeAt: time.Now()}
+		g := &guest{spokeAt: time.Now()}
+		g.Conn, g.look, g.write = c, t.limits.Look, t.limits.Write
 		g.until, g.fixed = g.spokeAt.Add(t.limits.Stranger), true
 		t.book.add(connections, 1)
 		t.mu.Lock()
 		t.guests = append(t.guests, g)
 		t.makeRoom(false, t.limits.Unnamed)
 		t.mu.Unlock()
-		go t.attend(g)
+		if t.hub != nil {
+			go t.hub.attend(g)
+		} else {
+			go t.attend(g)
+		}
 		runtime.Gosched() // guards against a collector in a flood that gives way before its name is read
 	}
 }
@@ -117,19 +123,42 @@
 
 // attend reads one guest's lines until it ends, says what can't be read, or is silent for too long.
 func (t *intake) attend(g *guest) {
-	defer func() {
-		g.Close()
-		t.mu.Lock()
-		t.forget(g)
-		t.mu.Unlock()
-	}()
-	longest := func() int {
-		if g.useful {
-			return t.limits.LineNamed
+	err := lines(g, func() int { return t.longest(g) }, func(line []byte) error {
+		text := string(line)
+		kind, in, err := t.words.line(text)
+		in, ping, err := t.heed(g, text, kind, in, err)
+		switch {
+		case err != nil:
+			return err
+		case ping:
+			return t.pong(g, 1)
+		case in != nil && !t.give(in):
+			return errStop
 		}
-		return t.limits.LineUnnamed
+		return nil
+	})
+	t.part(g, err)
+}
+
+// longest is the most bytes of a guest's line.
+func (t *intake) longest(g *guest) int {
+	if g.useful {
+		return t.limits.LineNamed
+	}
+	return t.limits.LineUnnamed
+}
+
+// pong answers signs of life that were asked for.
+func (t *intake) pong(g *guest, n int) error {
+	if !t.fit() {
+		return nil
 	}
-	err := lines(g, longest, func(line []byte) error { return t.hear(g, string(line)) })
+	_, err := g.Write(bytes.Repeat([]byte("pong\r\n"), n))
+	return err
+}
+
+// part ends a guest, for a reason that is counted.
+func (t *intake) part(g *guest, err error) {
 	switch {
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		t.book.add(halfLines, 1)
@@ -139,44 +168,47 @@
 		t.book.add(linesUnread, 1)
 		t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
 	}
+	g.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(g)
 }
 
-// hear takes one line of a guest; an error ends the connection. A spoilt message is dropped alone, but many one
-// after another that report nothing end it too: the rest can't be read either, or it asks for signs of life
-// without end and takes the time that decisions need.
-func (t *intake) hear(g *guest, line string) error {
-	kind, in, err := t.words.line(line)
+// heed takes one line of a guest as it was decoded, and gives what is to be handed on and whether an answer to a
+// ping is due; an error ends the connection. A spoilt message is dropped alone, but many one after another that
+// report nothing end it too: the rest can't be read either, or it asks for signs of life without end and takes the
+// time that decisions need.
+func (t *intake) heed(g *guest, line, kind string, in any, err error) (on any, ping bool, end error) {
 	switch name, naming := in.(collector); {
 	case errors.Is(err, errUnread):
-		return err
+		return nil, false, err
 	case g.idle >= t.limits.IdleMost && (err != nil || naming || kind == "ping"):
-		return errors.Join(errUnread, errors.New("reports nothing"))
+		return nil, false, errors.Join(errUnread, errors.New("reports nothing"))
 	case kind == "ping":
 		g.idle++
 		t.book.add(pings, 1)
-		if t.fit() {
-			_, err = g.Write([]byte("pong\r\n"))
-		}
-		return err
+		return nil, true, nil
 	case !g.named && !naming:
-		return errors.Join(errUnread, errors.New("a collector names its zone first"))
+		return nil, false, errors.Join(errUnread, errors.New("a collector names its zone first"))
 	case err != nil:
 		t.book.add(either(err == errUnknown, unknownNames, spoilt), 1)
 		t.book.say("spoilt", "from=%s line=%.200q error=%q", g.RemoteAddr(), line, err)
 		if g.idle++; !g.named {
-			return errors.Join(errUnread, err)
+			return nil, false, errors.Join(errUnread, err)
 		}
-		return nil
+		return nil, false, nil
 	case naming:
 		g.idle++
 		t.name(g, name.zone)
-		return nil
+		return nil, false, nil
+	}
+	g.idle = 0
+	if now := time.Now(); !g.useful || now.Sub(g.spokeAt) > t.limits.Spoke {
+		t.mu.Lock()
+		g.spokeAt, g.useful = now, true
+		t.mu.Unlock()
+		g.grant(t.limits.SilentNamed)
 	}
-	t.mu.Lock()
-	g.spokeAt, g.useful, g.idle = time.Now(), true, 0
-	t.mu.Unlock()
-	g.fixed, g.within = false, t.limits.SilentNamed
-	g.expect()
 	switch in := in.(type) {
 	case heard:
 		t.book.add(reportsIn, 1)
@@ -186,10 +218,7 @@
 	case used:
 		t.book.add(usagesIn, 1)
 	}
-	if !t.give(in) {
-		return errStop
-	}
-	return nil
+	return in, false, nil
 }
 
 // name notes whose collector a guest is. Where no other of its zone reports, it may have nothing to report for
@@ -207,7 +236,7 @@
 			return
 		}
 	}
-	g.until = g.until.Add(t.limits.SilentNamed)
+	g.lengthen(t.limits.SilentNamed)
 }
 
 func either[T any](first bool, a, b T) T {
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -155,7 +155,8 @@
 	good := &guest{named: true, useful: true, zone: "a", spokeAt: now}
 	in.guests = []*guest{good}
 	for zone, more := range map[choice.ZoneID]bool{"a": false, "b": true} {
-		g := &guest{patient: patient{until: now}}
+		g := &guest{}
+		g.until = now
 		if in.name(g, zone); !g.named || g.until.After(now) != more {
 			t.Errorf("%s: until %v later", zone, g.until.Sub(now))
 		}
