Test of moves: the mover and the speakers take turns, so that moves happen at any speed

Cause: on a fast run all was said before five moves were made and the test failed. Change: ten rounds of speech with four moves each.

--- a/internal/node/hub_test.go
+++ b/internal/node/hub_test.go
@@ -75,14 +75,16 @@
 
 // say sends a connection's numbered samples, cut anywhere.
 func say(t *testing.T, address string, proxy, n int) {
-	c, err := net.Dial("tcp", address)
-	if err != nil {
+	if c, err := net.Dial("tcp", address); err != nil {
 		t.Error(err)
-		return
+	} else {
+		t.Cleanup(func() { c.Close() })
+		sayOn(c, "collector site=a\r\n", proxy, 0, n)
 	}
-	t.Cleanup(func() { c.Close() })
-	text := "collector site=a\r\n"
-	for i := range n {
+}
+
+func sayOn(c net.Conn, text string, proxy, from, to int) {
+	for i := from; i < to; i++ {
 		text += fmt.Sprintf("usage id=%d lane=book count=%d fail=0 over=60000\r\n", proxy, i)
 	}
 	for at := 0; at < len(text); at += 97 {
@@ -114,26 +116,25 @@
 
 func TestConnectionsMoveBetweenCoresWhileTheySpeak(t *testing.T) {
 	h, address := hubbed(t, limits, quick(4))
-	const conns, n = 12, 400
-	for p := range conns {
-		go say(t, address, p, n)
+	const conns, rounds, n = 12, 10, 40
+	var all []net.Conn
+	for range conns {
+		all = append(all, dialled(t, address, "collector site=a\r\n"))
 	}
-	over := make(chan struct{})
-	var mover sync.WaitGroup
-	mover.Go(func() {
-		for i := 0; ; i++ {
-			select {
-			case <-over:
-				return
-			case <-time.After(time.Millisecond):
-				h.move(lanes.LaneID(i / 8 % 4))
-			}
+	got := map[choice.ProxyID][]int{}
+	for round := range rounds {
+		for p, c := range all {
+			go sayOn(c, "", p, round*n, (round+1)*n)
 		}
-	})
-	got := gather(t, h.post, conns*n)
-	close(over)
-	mover.Wait()
-	inOrder(t, got, n, nil)
+		for i := range 4 {
+			h.move(lanes.LaneID((round + i) % 4))
+			time.Sleep(time.Millisecond)
+		}
+		for p, flows := range gather(t, h.post, conns*n) {
+			got[p] = append(got[p], flows...)
+		}
+	}
+	inOrder(t, got, rounds*n, nil)
 	if moved := h.t.book.counts[laneMoves].Load(); moved < 10 {
 		t.Errorf("%d moves only", moved)
 	}
