Commands on kong, settings as S-expressions, zerolog lines, a load tool with stand-ins and rules

Need: several cores want settings, a command line and a rig that measures them.

Change: tamarindshore serve | check | load | version (serve is what no command means); internal/sexp (participle) and the operator's file, checked whole with file, line and key; internal/logs (zerolog, key=value or JSON, an outlet that never waits); internal/stand: discovery, relay with channel and proxies, servers, and the five rules judged at the relay; internal/load: an open loop, HDR histograms, a search for the top rate.

--- a/cmd/tamarindshore/main.go
+++ b/cmd/tamarindshore/main.go
@@ -1,30 +1,48 @@
-// Tamarindshore is the real manager: it reads its start and runs until SIGTERM. It prints its
-// counters at the end and on SIGUSR1, and takes its file anew on SIGHUP.
+// Tamarindshore assigns servers to proxies. Its commands stand in a file each; this one says which there are, what
+// they share and how they end. It must hold nothing that a test would want to call.
 package main
 
 import (
-	"log"
+	"errors"
+	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"tamarindshore/internal/config"
-	"tamarindshore/internal/node"
+	"github.com/alecthomas/kong"
 )
 
+// Exit codes: 0, all went well; 1, the command failed, in one line on standard error; 2, the command line can't be
+// read; 3, what was tried came to a verdict that is not good.
+const (
+	failed  = 1
+	unread  = 2
+	notGood = 3
+)
+
+// errNotGood ends a command whose verdict is printed already.
+var errNotGood = errors.New("the verdict is not good")
+
+type commands struct {
+	Serve   serve   `cmd:"" default:"withargs" help:"Run the manager until SIGTERM. What no command means."`
+	Check   check   `cmd:"" help:"Check files: the platform's JSON, or operator's settings as S-expressions."`
+	Load    loads   `cmd:"" help:"Load a manager with stand-ins on loopback and judge it by the five rules."`
+	Version version `cmd:"" help:"Say which version this is."`
+}
+
 func main() {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
-	signals := make(chan os.Signal, 64)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	start, err := config.Read(os.Getenv)
-	if err == nil {
-		var n *node.Node
-		if n, err = node.New(start); err == nil {
-			err = n.Run(signals, func() (config.Start, error) { return config.Reread(os.Getenv) })
-		}
-	}
+	parser := kong.Must(&commands{}, kong.Name("tamarindshore"),
+		kong.Description("A table manager: it assigns servers to proxies. Exit codes: 0 well, 1 failed, 2 the command line "+
+			"can't be read, 3 the verdict is not good."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.UsageOnError())
+	run, err := parser.Parse(os.Args[1:])
 	if err != nil {
-		log.Print(err)
-		os.Exit(1)
+		fmt.Fprintf(os.Stderr, "tamarindshore: %v; see tamarindshore --help\n", err)
+		os.Exit(unread)
+	}
+	switch err := run.Run(); {
+	case errors.Is(err, errNotGood):
+		os.Exit(notGood)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "tamarindshore:", err)
+		os.Exit(failed)
 	}
 }
--- /dev/null
+++ b/deploy/operator.sexp
@@ -0,0 +1,9 @@
+; The operator's own settings, beside what the platform tells. Each key may be left out; what stands here are the
+; defaults, under which the manager is as without this file. `tamarindshore check deploy/operator.sexp` checks it.
+
+(tamarindshore
+  (cores 1)                ; that take in, beside the one that decides; 1: one does all
+  (log
+    (level info)           ; debug, info, warn, error
+    (form text)))          ; text: key=value; json: one object a line
+  ; (listen (status "127.0.0.1:9801"))   ; GET /status, on loopback only
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,8 @@
 	Groups                         []string        // names of the traffic groups in their order
 	Loads                          bool            // servers tell their load when probed
 	Known                          json.RawMessage // the list as last held, in discovery's form
+	LogLevel, LogForm, Status      string          // by the operator's settings
+	coresTold                      bool
 }
 
 // Limits are the sizes, counts and times of the network code.
@@ -154,7 +156,7 @@
 	}
 	cores, memory, sockets := 1.0, 192.0, 1024
 	if v := in.Limits.Cores; v != nil {
-		cores = *v
+		cores, s.coresTold = *v, true
 	}
 	if v := in.Limits.MemoryMB; v != nil {
 		memory = *v
--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,40 @@
+package config
+
+import (
+	"testing"
+
+	"tamarindshore/internal/logs"
+)
+
+func TestOperatorsSettingsAreTakenWholeWithDefaults(t *testing.T) {
+	o, err := ParseOperator("f", []byte(`(tamarindshore (cores 4) (log (form json)) (listen (status "127.0.0.1:9801")))`))
+	if err != nil || o.Lanes != 4 || o.LogForm != logs.JSON || o.LogLevel != "info" || o.Status != "127.0.0.1:9801" {
+		t.Errorf("%+v %v", o, err)
+	}
+	s, err := parse(none, []byte(told), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = s.With(o); err == nil || err.Error() != "f:1: cores: 4 is more than the platform's limits.cores, 1" {
+		t.Error(err)
+	}
+	s.coresTold = false
+	if s, err = s.With(o); err != nil || s.Limits.Lanes != 4 || s.Limits.Cores != 4 {
+		t.Errorf("%+v %v", s.Limits, err)
+	}
+}
+
+func TestFaultyOperatorsSettingsNameTheirKey(t *testing.T) {
+	for text, want := range map[string]string{
+		"(tamarindshore\n (cores 0))":                         "f:2: cores: 0 is no whole number from 1 to 64",
+		"(tamarindshore\n (log (level loud)))":                "f:2: level: loud is none of debug, info, warn, error",
+		"(tamarindshore\n (listen (status \"10.0.0.1:80\")))": "f:2: status: 10.0.0.1:80 is not on loopback: it tells of the fleet without asking who reads",
+		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen",
+		"(other)":                                             "f:1: one form (tamarindshore ...) is due",
+		"(tamarindshore) (tamarindshore)":                     "f:1: one form (tamarindshore ...) is due",
+	} {
+		if _, err := ParseOperator("f", []byte(text)); err == nil || err.Error() != want {
+			t.Errorf("%q: %v, not %s", text, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/plan_test.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestScheduleCountsFromWhenAMessageIsDue(t *testing.T) {
+	s := Schedule{Rate: 1000}
+	if n, last := s.Due(10 * time.Millisecond); n != 10 || last != 10*time.Millisecond {
+		t.Errorf("%d, the last at %v", n, last)
+	}
+	if n, _ := s.Due(10 * time.Millisecond); n != 0 {
+		t.Errorf("%d more at once", n)
+	}
+	if n, last := s.Due(time.Second); n != 990 || last != time.Second { // after a stall all are still due
+		t.Errorf("%d, the last at %v", n, last)
+	}
+}
+
+func TestRampFindsTheTop(t *testing.T) {
+	for _, top := range []float64{3000, 47_000, 900_000} {
+		r, steps := NewRamp(20_000), 1
+		for r.Step(min(1, top/r.Rate()), 0) {
+			if steps++; steps > 30 {
+				t.Fatal("no end")
+			}
+		}
+		if got := r.Top(); math.Abs(got-top) > 0.13*top {
+			t.Errorf("%.0f for %.0f", got, top)
+		}
+	}
+}
+
+func TestRampTakesALateStepForTooMuch(t *testing.T) {
+	r := NewRamp(1000)
+	r.Step(1, time.Second)
+	if r.Top() != 0 || r.Rate() >= 1000 {
+		t.Errorf("top %.0f, next %.0f", r.Top(), r.Rate())
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Table writes results for people.
+func Table(out io.Writer, all []Result) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "cores\ttop/s\tx one\theld/s\ttaken\ttake in 50/99/99.9%\tjoin to bind 50/99/99.9%\tdrain to withdrawal 50/99/99.9%\tCPU\tMB\trules")
+	for _, r := range all {
+		rules := "kept"
+		for _, rule := range r.Rules {
+			if !rule.OK() {
+				rules = "BROKEN: " + rule.Name
+			}
+		}
+		top, times := "-", "-"
+		if r.Top > 0 {
+			top, times = fmt.Sprintf("%.0f", r.Top), fmt.Sprintf("%.2f", r.Top/all[0].Top)
+		}
+		note := ""
+		if r.Cores > r.Real {
+			note = fmt.Sprintf(" (on %d)", r.Real)
+		}
+		fmt.Fprintf(w, "%d%s\t%s\t%s\t%.0f\t%.2f%%\t%s\t%s\t%s\t%.2f\t%.0f\t%s\n", r.Cores, note, top, times, r.Rate,
+			100*float64(r.Taken)/float64(max(1, r.Sent)), r.TakeIn, r.Bind, r.Drain, r.CPU, r.MemoryMB, rules)
+	}
+	w.Flush()
+	for _, r := range all {
+		fmt.Fprintf(out, "\n%d cores: all bound in %.2fs, %d calls, %d orders, %d refused, %d effects, faults %v, %.1f%% of samples folded, %d connections broken\n",
+			r.Cores, r.Joined.Seconds(), r.Relay.Calls, r.Relay.Taken, r.Relay.Refused, r.Relay.Effects, r.Relay.Faults, 100*r.Folded, r.Broken)
+		for _, rule := range r.Rules {
+			verdict := "kept"
+			if !rule.OK() {
+				verdict = fmt.Sprintf("BROKEN %d times", rule.Broken)
+			}
+			fmt.Fprintf(out, "  %-28s %-10s worst %.3f %s of %.3f, %d looked at %s\n", rule.Name, verdict, rule.Worst, rule.Unit, rule.Bound, rule.Seen, rule.Whom)
+		}
+	}
+}
+
+// String gives the three figures in milliseconds.
+func (s Spread) String() string {
+	if s.N == 0 {
+		return "-"
+	}
+	ms := func(x float64) string { return fmt.Sprintf("%.1f", x/1e6) }
+	return ms(float64(s.P50)) + "/" + ms(float64(s.P99)) + "/" + ms(float64(s.P999)) + " ms"
+}
+
+// JSON writes results for machines.
+func JSON(out io.Writer, all []Result) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(all)
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,320 @@
+package load
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+
+	"tamarindshore/internal/stand"
+)
+
+// Plan is what a run of the tool does. All counts and times are bounded by it.
+type Plan struct {
+	Cores            []int // one manager after another, with so many each
+	Servers, Proxies int
+	Collectors       int           // connections of each zone
+	Rate             float64       // messages a second; 0: the top is searched for, and 80% of it is held
+	For              time.Duration // that a rate is held
+	Step             time.Duration // of the search
+	First            float64       // rate of the search
+	Seed             uint64
+	MemoryMB         float64
+	Sockets          int
+	Faults           float64 // part of the relay's calls that go wrong
+}
+
+// Usual is a plan that ends within about half a minute for each number of cores.
+func Usual() Plan {
+	return Plan{Cores: []int{1}, Servers: 60, Proxies: 600, Collectors: 4, For: 8 * time.Second, Step: 1500 * time.Millisecond,
+		First: 20_000, Seed: 1, MemoryMB: 512, Sockets: 4096}
+}
+
+// Result is what one manager came to.
+type Result struct {
+	Cores    int              `json:"cores"`
+	Real     int              `json:"real_cores"` // of the machine, which the tool shares
+	Top      float64          `json:"top_per_s,omitempty"`
+	Rate     float64          `json:"rate_per_s"` // that was held
+	Sent     int64            `json:"sent"`
+	Taken    int64            `json:"taken"`   // of them, by the manager's counters
+	TakeIn   Spread           `json:"take_in"` // from a message's time until all before it is taken in
+	Late     Spread           `json:"late"`    // from a message's time until it is written
+	Bind     Spread           `json:"bind"`    // from a proxy's joining told to the order that binds it
+	Drain    Spread           `json:"drain"`   // from a drain told to the order that withdraws
+	Joined   time.Duration    `json:"all_bound_ns"`
+	CPU      float64          `json:"cpu_s_per_s"`
+	MemoryMB float64          `json:"memory_mb"`
+	Rules    []stand.Rule     `json:"rules"`
+	Relay    stand.Counts     `json:"relay"`
+	Broken   int64            `json:"connections_broken"`
+	Extra    map[string]int64 `json:"counters"`
+	Steps    []map[string]any `json:"steps,omitempty"`
+	Folded   float64          `json:"folded_part"`
+}
+
+// OK tells whether each rule was kept and each message was taken.
+func (r Result) OK() bool {
+	for _, rule := range r.Rules {
+		if !rule.OK() {
+			return false
+		}
+	}
+	return r.Broken == 0 && r.Taken >= r.Sent
+}
+
+// Run loads one manager after another and tells how it goes on.
+func Run(p Plan, begin stand.Begin, progress io.Writer) (all []Result, err error) {
+	for _, cores := range p.Cores {
+		r, err := one(p, cores, begin, progress)
+		if err != nil {
+			return all, fmt.Errorf("%d cores: %w", cores, err)
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+// mishaps are what the relay's calls come to, by chance from the seed.
+func mishaps(part float64, seed uint64) func(int) stand.Fault {
+	chance := rand.New(rand.NewPCG(seed, 3))
+	return func(call int) stand.Fault {
+		if call < 3 || chance.Float64() >= part {
+			return stand.None
+		}
+		return []stand.Fault{stand.Lost, stand.Undone, stand.Mute, stand.Garbled, stand.Busy}[chance.IntN(5)]
+	}
+}
+
+func one(p Plan, cores int, begin stand.Begin, progress io.Writer) (Result, error) {
+	site := stand.Usual(p.Servers, p.Proxies)
+	res := Result{Cores: cores, Real: runtime.NumCPU()}
+	fmt.Fprintf(progress, "%d cores: %d servers, %d proxies, a manager\n", cores, p.Servers, p.Proxies)
+	rig, err := stand.Raise(site, stand.How{Cores: cores, MemoryMB: p.MemoryMB, Sockets: p.Sockets, Seed: p.Seed}, begin)
+	if err != nil {
+		return res, err
+	}
+	defer rig.Close()
+	w := &watch{rig: rig, binds: newMeter(), drains: newMeter(), joined: map[string]time.Time{}, drained: map[string]time.Time{}, stop: make(chan struct{})}
+	rig.Relay.Ordered = w.ordered
+	began := time.Now()
+	w.join(p.Proxies)
+	if err := w.allBound(p.Proxies, 60*time.Second); err != nil {
+		return res, err
+	}
+	res.Joined = time.Since(began)
+	fmt.Fprintf(progress, "%d cores: all bound after %.2fs\n", cores, res.Joined.Seconds())
+	rig.Relay.Fault = mishaps(p.Faults, p.Seed)
+	f := newFeed(rig.Manager, site, p.Collectors)
+	defer f.end()
+	res.Rate = p.Rate
+	if p.Rate == 0 {
+		ramp := NewRamp(p.First)
+		for more := true; more; {
+			s, err := w.step(f, ramp.Rate(), p.Step)
+			if err != nil {
+				return res, err
+			}
+			rate := ramp.Rate()
+			more = ramp.Step(s.accepted, s.late.P99)
+			fmt.Fprintf(progress, "%d cores: %8.0f messages/s: %5.1f%% taken in, 99%% within %v\n", cores, rate, 100*s.accepted, s.late.P99)
+			res.Steps = append(res.Steps, map[string]any{"rate": rate, "accepted": s.accepted, "p99_ns": s.late.P99})
+			if more && s.accepted < acceptLeast {
+				w.settle(f)
+			}
+		}
+		if res.Top = ramp.Top(); res.Top == 0 {
+			return res, errors.New("no rate was taken in")
+		}
+		w.settle(f)
+		res.Rate = 0.8 * res.Top
+	}
+	fmt.Fprintf(progress, "%d cores: %.0f messages/s for %v, with drains and joins\n", cores, res.Rate, p.For)
+	if err := w.hold(f, &res, p.For); err != nil {
+		return res, err
+	}
+	return res, nil
+}
+
+// watch sees what a relay is ordered, and makes what is waited for.
+type watch struct {
+	rig           *stand.Rig
+	binds, drains *meter
+	mu            sync.Mutex
+	joined        map[string]time.Time // when a proxy's joining was told, by its number
+	drained       map[string]time.Time // when a drain was told, by server
+	stop          chan struct{}
+	all           sync.WaitGroup
+}
+
+func (w *watch) ordered(at time.Time, kind, about string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	of, m := w.joined, w.binds
+	switch kind {
+	case "bind":
+	case "withdraw":
+		of, m = w.drained, w.drains
+	default:
+		return
+	}
+	if since, due := of[about]; due {
+		m.add(at.Sub(since), 1)
+		delete(of, about)
+	}
+}
+
+func (w *watch) join(n int) {
+	ids := make([]int, n)
+	for i := range ids {
+		ids[i] = i
+	}
+	w.rig.Relay.Join(ids...)
+}
+
+func (w *watch) allBound(n int, within time.Duration) error {
+	for late := time.Now().Add(within); time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
+		if w.rig.Relay.Counts().Bound >= n {
+			return nil
+		}
+	}
+	return fmt.Errorf("%d of %d proxies bound within %v", w.rig.Relay.Counts().Bound, n, within)
+}
+
+type step struct {
+	accepted float64
+	late     Spread
+}
+
+// step holds a rate and tells which part of what was due was taken in.
+func (w *watch) step(f *feed, rate float64, span time.Duration) (step, error) {
+	before, err := w.taken()
+	if err != nil {
+		return step{}, err
+	}
+	f.measure()
+	f.rate.Store(int64(rate))
+	began := time.Now()
+	time.Sleep(span)
+	after, err := w.taken()
+	if err != nil {
+		return step{}, err
+	}
+	took := time.Since(began).Seconds()
+	return step{float64(after-before) / (rate * took), f.pings.Load().spread()}, nil
+}
+
+func (w *watch) taken() (int64, error) {
+	c, err := w.rig.Counters()
+	return c["reports_in"] + c["usages_in"], err
+}
+
+// settle stops the load until all that was sent is taken in, for a while at most.
+func (w *watch) settle(f *feed) {
+	f.rate.Store(1)
+	for range 100 {
+		if n, err := w.taken(); err != nil || n >= f.sent.Load() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// hold holds a rate while servers drain and come back, and proxies leave and join.
+func (w *watch) hold(f *feed, res *Result, span time.Duration) error {
+	before, err := w.taken()
+	if err != nil {
+		return err
+	}
+	sent := f.sent.Load()
+	cpu, _ := stand.Use(w.rig.Daemon)
+	f.measure()
+	f.rate.Store(int64(res.Rate))
+	w.all.Go(w.drain)
+	w.all.Go(w.rejoin)
+	w.all.Go(w.look)
+	began := time.Now()
+	select {
+	case <-time.After(span):
+	case <-w.rig.Daemon.Ended():
+		err = errors.New("the manager ended under load; its log says why")
+	}
+	took := time.Since(began).Seconds()
+	close(w.stop)
+	w.all.Wait()
+	if err != nil {
+		return err
+	}
+	used, memory := stand.Use(w.rig.Daemon)
+	res.CPU, res.MemoryMB = (used-cpu)/took, memory
+	res.TakeIn, res.Late = f.pings.Load().spread(), f.late.Load().spread()
+	w.settle(f)
+	time.Sleep(200 * time.Millisecond) // what is under way ends
+	w.rig.Relay.Look()
+	counters, err := w.rig.Counters()
+	if err != nil {
+		return err
+	}
+	res.Sent, res.Taken = f.sent.Load()-sent, counters["reports_in"]+counters["usages_in"]-before
+	res.Extra, res.Folded = counters, float64(counters["samples_folded"])/float64(max(1, counters["reports_in"]+counters["usages_in"]))
+	res.Bind, res.Drain = w.binds.spread(), w.drains.spread()
+	res.Rules, res.Relay, res.Broken = w.rig.Relay.Rules.Verdict(), w.rig.Relay.Counts(), f.broken.Load()
+	return nil
+}
+
+func (w *watch) every(span time.Duration, do func(n int)) {
+	tick := time.NewTicker(span)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-w.stop:
+			return
+		case <-tick.C:
+			do(n)
+		}
+	}
+}
+
+// drain drains one server after another, for a second each.
+func (w *watch) drain() {
+	w.every(100*time.Millisecond, func(n int) {
+		s := w.rig.Servers[n*7%len(w.rig.Servers)]
+		back := w.rig.Servers[(n+len(w.rig.Servers)-10)*7%len(w.rig.Servers)]
+		w.mu.Lock()
+		if !w.rig.Relay.Pulled(s.ID) {
+			w.drained[s.ID] = time.Now()
+		}
+		w.mu.Unlock()
+		entries := []stand.Entry{s.Entry("draining")}
+		if n >= 10 && back != s {
+			entries = append(entries, back.Entry("up"))
+		}
+		w.rig.Discovery.Change(entries...)
+	})
+}
+
+// rejoin lets proxies leave and join again, one after another.
+func (w *watch) rejoin() {
+	w.every(20*time.Millisecond, func(n int) {
+		id := n * 13 % w.rig.Site.Proxies
+		w.rig.Relay.Leave(id)
+		w.mu.Lock()
+		w.joined[fmt.Sprint(id)] = time.Now()
+		w.mu.Unlock()
+		w.rig.Relay.Join(id)
+	})
+}
+
+func (w *watch) look() {
+	w.every(100*time.Millisecond, func(int) {
+		w.rig.Relay.Look()
+		w.rig.Relay.Rules.Drains(time.Now(), func(s string) bool { return w.rig.Relay.Flows(s) > 0 })
+	})
+}
+
+// Program is this program, to be started once more as the manager.
+func Program() (string, error) { return os.Executable() }
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -4,13 +4,11 @@
 // logs what repeats at a bounded rate. It must never change what the other stages do.
 
 import (
-	"fmt"
-	"io"
-	"log"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 type counter int
@@ -72,16 +70,19 @@
 type book struct {
 	counts [counters]atomic.Int64
 	every  time.Duration
+	log    zerolog.Logger
 	mu     sync.Mutex
 	logged map[string]time.Time
 }
 
-func newBook(every time.Duration) *book { return &book{every: every, logged: map[string]time.Time{}} }
+func newBook(every time.Duration, log zerolog.Logger) *book {
+	return &book{every: every, log: log, logged: map[string]time.Time{}}
+}
 
 func (b *book) add(c counter, n int64) { b.counts[c].Add(n) }
 
-// say logs a line of a kind, at most one within `every`.
-func (b *book) say(kind, format string, values ...any) {
+// say logs a line of a kind, from pairs of key and value, at most one within `every`.
+func (b *book) say(kind string, pairs ...any) {
 	b.mu.Lock()
 	now := time.Now()
 	due := now.Sub(b.logged[kind]) >= b.every
@@ -90,69 +91,20 @@
 	}
 	b.mu.Unlock()
 	if due {
-		log.Printf("event=%s "+format, append([]any{kind}, values...)...)
+		b.tell(kind, pairs...)
 	}
 }
 
 // tell logs one line of a kind, from pairs of key and value.
 func (b *book) tell(kind string, pairs ...any) {
-	var out strings.Builder
-	for i := 0; i+1 < len(pairs); i += 2 {
-		fmt.Fprintf(&out, " %v=%q", pairs[i], fmt.Sprint(pairs[i+1]))
-	}
-	log.Printf("event=%s%s", kind, out.String())
+	b.log.Info().Str("event", kind).Fields(pairs).Send()
 }
 
-// line is all counters as key=value.
-func (b *book) line() string {
-	var out strings.Builder
+// count logs all counters.
+func (b *book) count(kind string) {
+	e := b.log.Info().Str("event", kind)
 	for c, name := range counterNames {
-		fmt.Fprintf(&out, " %s=%d", name, b.counts[c].Load())
-	}
-	return out.String()[1:]
-}
-
-// outlet writes the log without holding up who logs: guards against a reader of the log that stands
-// still, which would otherwise stop the module. What finds no room is dropped and counted.
-type outlet struct {
-	waits chan []byte
-	ended chan struct{}
-	book  *book
-}
-
-func newOutlet(to io.Writer, most int, b *book) *outlet {
-	o := &outlet{waits: make(chan []byte, most), ended: make(chan struct{}), book: b}
-	go func() {
-		defer close(o.ended)
-		for line := range o.waits {
-			if line == nil {
-				return
-			}
-			to.Write(line)
-		}
-	}()
-	return o
-}
-
-func (o *outlet) Write(line []byte) (int, error) {
-	select {
-	case o.waits <- append([]byte{}, line...):
-	default:
-		o.book.add(logDropped, 1)
-	}
-	return len(line), nil
-}
-
-// end writes what waits, for a limited time.
-func (o *outlet) end(within time.Duration) {
-	late := time.After(within)
-	select {
-	case o.waits <- nil:
-	case <-late:
-		return
-	}
-	select {
-	case <-o.ended:
-	case <-late:
+		e.Int64(name, b.counts[c].Load())
 	}
+	e.Send()
 }
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -349,12 +349,12 @@
 	if piece == nil {
 		return
 	}
-	start := h.now()
-	w.since.Store(int64(start))
+	from := h.now()
+	w.since.Store(int64(from))
 	all, rest := h.cut(half, piece, careful)
 	again := h.bring(w, c, epoch, all, rest)
 	w.since.Store(0)
-	c.work.Add(int64(h.now() - start))
+	c.work.Add(int64(h.now() - from))
 	if again {
 		h.wake(c)
 	}
@@ -379,7 +379,7 @@
 			defer func() {
 				if cause := recover(); cause != nil {
 					h.t.book.add(linesFatal, 1)
-					h.t.book.say("line_fatal", "line=%.200q cause=%q", text, fmt.Sprint(cause))
+					h.t.book.say("line_fatal", "line", start(text), "cause", fmt.Sprint(cause))
 				}
 			}()
 			all = append(all, h.decode(text))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -19,14 +19,18 @@
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
 	"tamarindshore/internal/lanes"
+	"tamarindshore/internal/logs"
 )
 
 // Node is one manager; it serves once it is run.
 type Node struct {
 	start  config.Start
 	known  listed
+	born   time.Time
+	hub    *hub
 	words  *words
 	book   *book
+	out    *logs.Outlet
 	router *router
 	relay  *relay
 	life   context.Context
@@ -36,9 +40,11 @@
 	watch  *way
 }
 
-// New checks what is left to check and makes the manager; nothing listens yet.
-func New(s config.Start) (*Node, error) {
-	n := &Node{start: s, book: newBook(s.Limits.LogEvery)}
+// New checks what is left to check and makes the manager, which logs to a writer; nothing listens yet.
+func New(s config.Start, log io.Writer) (*Node, error) {
+	n := &Node{start: s}
+	n.out = logs.NewOutlet(logs.Written(s.LogForm, log), s.Limits.LogWaits, func() { n.book.add(logDropped, 1) })
+	n.book = newBook(s.Limits.LogEvery, logs.New(n.out, s.LogLevel))
 	n.life, n.end = context.WithCancel(context.Background())
 	born := time.Now()
 	n.words = newWords(s.Terms, s.Groups, born, s.Limits)
@@ -46,7 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("known: %v", err)
 	}
-	n.known, n.held = known, &lists{held: known.version, lowest: -1}
+	n.born, n.known, n.held = born, known, &lists{held: known.version, lowest: -1}
 	n.router = &router{
 		limits: s.Limits, born: born, manager: choice.New(s.Seed, s.Terms), inputs: make(chan any, s.Limits.Inputs),
 		backlog: newBacklog(s.Limits.CallsWait, n.book), probes: make(chan probe, s.Limits.ProbesWait),
@@ -61,13 +67,7 @@
 func (n *Node) Run(signals <-chan os.Signal, reread func() (config.Start, error)) error {
 	l := n.start.Limits
 	runtime.GOMAXPROCS(l.Cores)
-	to := log.Writer()
-	out := newOutlet(to, l.LogWaits, n.book)
-	log.SetOutput(out)
-	n.router.last = func() {
-		out.end(l.LogEnd)
-		log.SetOutput(to)
-	}
+	n.router.last = func() { n.out.End(l.LogEnd) }
 	defer n.router.last()
 	debug.SetMemoryLimit(l.Memory / 2) // the runtime goes over it by what it collects late
 	at, err := net.Listen("tcp", n.start.Listen)
@@ -81,6 +81,7 @@
 	if l.Lanes > 1 {
 		n.router.post = newPost(l.Inputs, n.book)
 		t.hub = newHub(t, n.router.post, lanes.Usual(l.Lanes))
+		n.hub = t.hub
 		go t.hub.oversee()
 	}
 	n.known.whole = true
@@ -99,8 +100,13 @@
 		go t.prober(n.router.probes, path)
 	}
 	go t.accept(at)
-	log.Printf("event=start name=%s listen=%s version=%d servers=%d", n.start.Name, n.start.Listen,
-		n.known.version, len(n.known.entries))
+	if n.start.Status != "" {
+		if err := n.status(n.start.Status); err != nil {
+			return fmt.Errorf("status: %v", err)
+		}
+	}
+	n.book.tell("start", "name", n.start.Name, "listen", n.start.Listen, "version", n.known.version,
+		"servers", len(n.known.entries), "lanes", l.Lanes)
 	for s := range signals {
 		if s == syscall.SIGHUP {
 			n.reload(t, reread)
@@ -108,11 +114,11 @@
 		} else if s != syscall.SIGUSR1 {
 			break
 		}
-		log.Print("event=counters ", n.book.line())
+		n.book.count("counters")
 	}
 	n.end()
 	at.Close()
-	log.Print("event=end ", n.book.line())
+	n.book.count("end")
 	return nil
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -75,7 +75,7 @@
 			return true
 		}
 		if end != done {
-			r.book.say("relay", "outcome=%s orders=%d", end, rest.Count())
+			r.book.say("relay", "outcome", string(end), "orders", rest.Count())
 		}
 		if (end != unknown || tries > 0) && !r.intake.rest(r.intake.stop) {
 			return false
@@ -121,7 +121,7 @@
 			taken = 0
 		case err != nil:
 			r.book.add(callsUnknown, 1)
-			r.book.say("call", "error=%q", err)
+			r.book.say("call", "error", err)
 			return o, unknown
 		}
 		r.book.add(callsAnswered, 1)
@@ -130,7 +130,7 @@
 			r.book.add(marksSent, 1)
 		}
 		if taken < len(text) {
-			r.book.say("refused", "order=%q", text[taken])
+			r.book.say("refused", "order", text[taken])
 			r.book.add(ordersRefused, 1)
 			taken++
 		}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"reflect"
 	"strings"
 
@@ -61,7 +60,7 @@
 	}
 	if err != nil {
 		n.book.add(reloadsFaulty, 1)
-		log.Printf("event=reload_faulty error=%q", err)
+		n.book.tell("reload_faulty", "error", err)
 		return
 	}
 	n.book.add(reloads, 1)
@@ -78,7 +77,7 @@
 			left = append(left, one.key)
 		}
 	}
-	log.Printf("event=reload discovery=%s relay=%s left_out=%q", next.Discovery, next.Relay, strings.Join(left, ","))
+	n.book.tell("reload", "discovery", next.Discovery, "relay", next.Relay, "left_out", strings.Join(left, ","))
 	if next.Relay != s.Relay {
 		n.relay.moveTo(next.Relay)
 		n.news = n.news.next(n.life, next.Relay)
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -7,7 +7,6 @@
 
 import (
 	"fmt"
-	"log"
 	"maps"
 	"os"
 	"runtime/debug"
@@ -45,7 +44,8 @@
 func (r *router) run(stop <-chan struct{}) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			log.Printf("event=panic at=%.3f cause=%q stack=%q", r.now.Seconds(), fmt.Sprint(cause), debug.Stack())
+			r.book.log.Error().Str("event", "panic").Float64("at", millis(r.now)).Str("cause", fmt.Sprint(cause)).
+				Str("stack", string(debug.Stack())).Send()
 			r.last()
 			os.Exit(1)
 		}
@@ -172,7 +172,7 @@
 
 func (r *router) decided(o choice.Orders) {
 	for _, n := range o.Notes {
-		log.Printf("stage=route at=%.3f note=%q", r.now.Seconds(), n)
+		r.book.log.Info().Str("event", "note").Str("stage", "route").Float64("at", millis(r.now)).Str("note", n).Send()
 	}
 	for _, s := range o.Probe {
 		select {
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,89 @@
+package node
+
+// Status answers staff at a listener of their own, off unless the operator's settings name its address: what the
+// manager is, its counters and its lanes. It must never change anything, and never hold up another stage.
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Lane is one lane as staff see it.
+type Lane struct {
+	Cores       float64 `json:"cores"`
+	Connections int     `json:"connections"`
+	Busy        float64 `json:"busy_s"` // at the piece in hand; 0: it waits
+}
+
+// Status is what a manager tells of itself.
+type Status struct {
+	Name     string           `json:"name"`
+	Uptime   float64          `json:"uptime_s"`
+	Fit      bool             `json:"fit"`
+	Lanes    []Lane           `json:"lanes"`
+	Waits    int              `json:"samples_waiting"`
+	Counters map[string]int64 `json:"counters"`
+}
+
+func (n *Node) tellStatus() Status {
+	s := Status{Name: n.start.Name, Uptime: millis(time.Since(n.born)), Counters: map[string]int64{}}
+	for c, name := range counterNames {
+		s.Counters[name] = n.book.counts[c].Load()
+	}
+	s.Fit = s.Counters["news_opens"] > 0
+	if h := n.hub; h != nil {
+		h.mu.Lock()
+		cores, conns := h.keeper.Spread()
+		for i, w := range h.workers {
+			l := Lane{Cores: cores[i], Connections: conns[i]}
+			if since := w.since.Load(); since > 0 {
+				l.Busy = millis(h.now() - time.Duration(since))
+			}
+			s.Lanes = append(s.Lanes, l)
+		}
+		h.mu.Unlock()
+		h.post.mu.Lock()
+		s.Waits = h.post.mail.Len()
+		h.post.mu.Unlock()
+	}
+	return s
+}
+
+// status listens at an address until the manager ends.
+func (n *Node) status(address string) error {
+	at, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &fasthttp.Server{
+		Concurrency: 8, ReadTimeout: time.Second, WriteTimeout: time.Second, IdleTimeout: 5 * time.Second,
+		MaxRequestBodySize: 1 << 10, NoDefaultServerHeader: true, GetOnly: true, Logger: silent{},
+		Handler: func(c *fasthttp.RequestCtx) {
+			if string(c.Path()) != "/status" {
+				c.Error("known is /status", fasthttp.StatusNotFound)
+				return
+			}
+			text, err := json.MarshalIndent(n.tellStatus(), "", "  ")
+			if err != nil {
+				c.Error(err.Error(), fasthttp.StatusInternalServerError)
+				return
+			}
+			c.SetContentType("application/json")
+			c.Write(append(text, '\n'))
+		},
+	}
+	go server.Serve(at)
+	go func() {
+		<-n.life.Done()
+		at.Close()
+	}()
+	return nil
+}
+
+// silent drops what the HTTP library says of single connections.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -74,7 +74,7 @@
 			case <-t.stop:
 				return
 			case <-time.After(t.limits.Look):
-				t.book.say("accept", "error=%q", err)
+				t.book.say("accept", "error", err)
 				continue
 			}
 		}
@@ -140,6 +140,12 @@
 	t.part(g, err)
 }
 
+// start is what a log line shows of a message.
+func start(line string) string { return line[:min(len(line), 200)] }
+
+// millis is a time in seconds, to the millisecond.
+func millis(d time.Duration) float64 { return float64(d.Milliseconds()) / 1000 }
+
 // longest is the most bytes of a guest's line.
 func (t *intake) longest(g *guest) int {
 	if g.useful {
@@ -166,7 +172,7 @@
 		t.book.add(strangersLate, 1)
 	case errors.Is(err, errUnread), errors.Is(err, errLong):
 		t.book.add(linesUnread, 1)
-		t.book.say("line", "from=%s error=%q", g.RemoteAddr(), err)
+		t.book.say("line", "from", g.RemoteAddr().String(), "error", err)
 	}
 	g.Close()
 	t.mu.Lock()
@@ -192,7 +198,7 @@
 		return nil, false, errors.Join(errUnread, errors.New("a collector names its zone first"))
 	case err != nil:
 		t.book.add(either(err == errUnknown, unknownNames, spoilt), 1)
-		t.book.say("spoilt", "from=%s line=%.200q error=%q", g.RemoteAddr(), line, err)
+		t.book.say("spoilt", "from", g.RemoteAddr().String(), "line", start(line), "error", err)
 		if g.idle++; !g.named {
 			return nil, false, errors.Join(errUnread, err)
 		}
@@ -257,7 +263,7 @@
 			return
 		}
 		t.book.add(breaks, 1)
-		t.book.say(what, "lasted=%.3f opened=%v error=%q", time.Since(began).Seconds(), opened, err)
+		t.book.say(what, "lasted", millis(time.Since(began)), "opened", opened, "error", err)
 		if opened && time.Since(began) > t.limits.AgainMost {
 			tries = 0
 		}
@@ -377,7 +383,7 @@
 		first = false
 		if !held.admits(in, opening) {
 			t.book.add(listsOld, 1)
-			t.book.say("old_list", "version=%d held=%d", in.version, held.version())
+			t.book.say("old_list", "version", in.version, "held", held.version())
 			if opening && in.whole {
 				return errors.New("an older list than the one held")
 			}
--- /dev/null
+++ b/internal/sexp/sexp_test.go
@@ -0,0 +1,66 @@
+package sexp
+
+import (
+	"testing"
+	"time"
+)
+
+func TestReadTakesTypedValues(t *testing.T) {
+	nodes, err := Parse("f", []byte("; a remark\n(fleet (cores 4) (part 12%) (wait 1m30s)\n (at \"127.0.0.1:80\") (form text))"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cores int
+	var part float64
+	var wait time.Duration
+	var at, form string
+	err = Read(nodes[0], nodes[0].Args(),
+		Key{Name: "cores", Read: func(n *Node) error { return n.Whole(&cores, 1, 8) }},
+		Key{Name: "part", Read: func(n *Node) error { return n.Number(&part, 0, 1) }},
+		Key{Name: "wait", Read: func(n *Node) error { return n.Span(&wait, 0, time.Hour) }},
+		Key{Name: "at", Read: func(n *Node) error { return n.Address(&at) }},
+		Key{Name: "form", Read: func(n *Node) error { return n.OneOf(&form, "text", "json") }})
+	if err != nil || cores != 4 || part != 0.12 || wait != 90*time.Second || at != "127.0.0.1:80" || form != "text" {
+		t.Errorf("%v: %d %v %v %s %s", err, cores, part, wait, at, form)
+	}
+}
+
+func TestErrorsNameFileLineAndWord(t *testing.T) {
+	var n int
+	keys := []Key{{Name: "cores", Must: true, Read: func(l *Node) error { return l.Whole(&n, 1, 8) }}}
+	for text, want := range map[string]string{
+		"(a\n (cores 9))":             `f:2: cores: 9 is no whole number from 1 to 8`,
+		"(a\n (cores))":               `f:2: cores: one value is due`,
+		"(a (cores 1)\n (cores 2))":   `f:2: cores: stands twice`,
+		"(a\n (core 1))":              `f:2: core: is no key here; known are cores`,
+		"(a\n cores)":                 `f:2: cores stands where (key value ...) is due`,
+		"\n(a)":                       `f:2: cores: is missing`,
+		"(a\n (cores 1)":              `f:2: a bracket is not closed`,
+		"(a (cores 1))\n)":            `f:2: unexpected token ")"`,
+		"(a (cores \"1))\n(cores 2))": `f:1: a quote is not closed`,
+	} {
+		nodes, err := Parse("f", []byte(text))
+		if err == nil {
+			err = Read(nodes[0], nodes[0].Args(), keys...)
+		}
+		if err == nil || err.Error() != want {
+			t.Errorf("%q: %v, not %s", text, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("(a (b 1) \"c\" ; d\n)"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		nodes, err := Parse("f", text)
+		if err != nil {
+			return
+		}
+		for _, n := range nodes {
+			if n.List == nil && n.Word == nil && n.String == nil {
+				t.Error("a node that is nothing")
+			}
+			Read(n, n.Args(), Key{Name: "b", Read: func(n *Node) error { var x int; return n.Whole(&x, 0, 9) }})
+		}
+	})
+}
--- /dev/null
+++ b/internal/stand/servers.go
@@ -0,0 +1,114 @@
+package stand
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mood is how a stand-in server answers.
+type Mood int32
+
+const (
+	Well   Mood = iota
+	Full        // answers 503
+	Silent      // takes connections and says nothing
+	Down        // refuses connections
+)
+
+// Server answers probes at an address of its own.
+type Server struct {
+	ID, Zone, Address string
+	Probes            atomic.Int64
+	Held              atomic.Int64 // flows that it says it holds
+
+	mood    atomic.Int32
+	mu      sync.Mutex
+	at      net.Listener
+	started time.Time // zero: long ago
+}
+
+// NewServers raises so many servers, each with a port of its own.
+func NewServers(site Site) ([]*Server, error) {
+	var all []*Server
+	for n := range site.Servers {
+		s := &Server{ID: ServerID(n), Zone: site.Zone(n)}
+		if err := s.listen("127.0.0.1:0"); err != nil {
+			return all, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+func (s *Server) listen(address string) error {
+	at, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.at, s.Address = at, at.Addr().String()
+	s.mu.Unlock()
+	server := &http.Server{Handler: http.HandlerFunc(s.answer), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Second}
+	go func() {
+		server.Serve(at)
+		server.Close()
+	}()
+	return nil
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
+	s.Probes.Add(1)
+	switch Mood(s.mood.Load()) {
+	case Full:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Silent:
+		<-r.Context().Done()
+		return
+	}
+	if r.URL.Path == "/metrics/load" {
+		fmt.Fprintf(w, "TEXT inflight=%d, queue=0, util=0.50", s.Held.Load())
+	}
+}
+
+// Mood tells how it answers.
+func (s *Server) Mood() Mood { return Mood(s.mood.Load()) }
+
+// Turn changes how it answers. One that comes up from Down is a fresh process.
+func (s *Server) Turn(m Mood) error {
+	was := Mood(s.mood.Swap(int32(m)))
+	s.mu.Lock()
+	at, address := s.at, s.Address
+	s.mu.Unlock()
+	switch {
+	case m == Down && was != Down:
+		return at.Close()
+	case m != Down && was == Down:
+		s.mu.Lock()
+		s.started = time.Now()
+		s.mu.Unlock()
+		return s.listen(address)
+	}
+	return nil
+}
+
+// Entry is its line of the list in a state.
+func (s *Server) Entry(lifecycle string) Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := Entry{ID: s.ID, HostPort: s.Address, Zone: s.Zone, Lifecycle: lifecycle, Weight: 1}
+	if !s.started.IsZero() {
+		e.Started = s.started.UnixMilli()
+	}
+	return e
+}
+
+// Close ends it.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at.Close()
+}
