--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tamarindshore/choice"
+	"tamarindshore/internal/lanes"
 	"tamarindshore/internal/terms"
 )
 
@@ -33,6 +34,7 @@
 type Limits struct {
 	Cores   int
 	Lanes   int   // cores that take in beside the one that decides; up to 1: none
+	Keeper  lanes.Terms
 	Memory  int64 // bytes
 	Sockets int
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 
+	"tamarindshore/internal/lanes"
 	"tamarindshore/internal/logs"
 	"tamarindshore/internal/sexp"
 )
@@ -84,7 +85,7 @@
 	if s.coresTold && o.Lanes > s.Limits.Cores {
 		return s, o.fail("cores", "%d is more than the platform's limits.cores, %d", o.Lanes, s.Limits.Cores)
 	}
-	s.Limits.Lanes = o.Lanes
+	s.Limits.Lanes, s.Limits.Keeper = o.Lanes, lanes.Usual(o.Lanes)
 	s.Limits.Cores = max(s.Limits.Cores, o.Lanes)
 	s.LogLevel, s.LogForm, s.Status = o.LogLevel, o.LogForm, o.Status
 	return s, nil
--- /dev/null
+++ b/internal/load/run_test.go
@@ -0,0 +1,260 @@
+package load
+
+import (
+	"io"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/node"
+	"tamarindshore/internal/stand"
+)
+
+// inside is a manager in this process, so that the race detector sees it.
+type inside struct {
+	signals chan os.Signal
+	ended   chan struct{}
+	err     error
+}
+
+func (d *inside) Ended() <-chan struct{}   { return d.ended }
+func (d *inside) Signal(s os.Signal) error { d.signals <- s; return nil }
+func (d *inside) Stop(bool) error {
+	select {
+	case d.signals <- syscall.SIGTERM:
+	case <-d.ended:
+	}
+	<-d.ended
+	return d.err
+}
+
+func begin(log io.Writer) stand.Begin {
+	return func(start, settings string) (stand.Daemon, error) {
+		o, err := config.ReadOperator(settings)
+		if err != nil {
+			return nil, err
+		}
+		read := func() (config.Start, error) {
+			s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
+			if err != nil {
+				return s, err
+			}
+			return s.With(o)
+		}
+		s, err := read()
+		if err != nil {
+			return nil, err
+		}
+		n, err := node.New(s, log)
+		if err != nil {
+			return nil, err
+		}
+		d := &inside{signals: make(chan os.Signal, 8), ended: make(chan struct{})}
+		go func() {
+			defer close(d.ended)
+			d.err = n.Run(d.signals, read)
+		}()
+		return d, nil
+	}
+}
+
+func small(cores int) Plan {
+	p := Usual()
+	p.Cores, p.Servers, p.Proxies, p.Collectors, p.Rate, p.For = []int{cores}, 12, 60, 2, 5000, 2*time.Second
+	return p
+}
+
+func kept(t *testing.T, r Result) {
+	t.Helper()
+	for _, rule := range r.Rules {
+		if !rule.OK() {
+			t.Errorf("%+v", rule)
+		}
+	}
+	if r.Taken != r.Sent || r.Broken != 0 {
+		t.Errorf("%d of %d messages taken in, %d connections broken", r.Taken, r.Sent, r.Broken)
+	}
+	if r.Drain.N == 0 || r.Bind.N < 20 || r.Relay.Bound < r.Relay.Joined-2 {
+		t.Errorf("%d drains, %d binds, %+v", r.Drain.N, r.Bind.N, r.Relay)
+	}
+}
+
+func TestLoadIsTakenInWithTheRulesKept(t *testing.T) {
+	for _, cores := range []int{1, 4} {
+		all, err := Run(small(cores), begin(io.Discard), io.Discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kept(t, all[0])
+	}
+}
+
+// The relay's answers are lost, come late or can't be read while servers drain, proxies join and connections move.
+func TestLostAnswersRepeatNoEffectOnSeveralCores(t *testing.T) {
+	p := small(4)
+	p.Faults = 0.3
+	all, err := Run(p, begin(io.Discard), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := all[0]
+	kept(t, r)
+	if twice := r.Rules[1]; twice.Seen == 0 || len(r.Relay.Faults) < 3 {
+		t.Errorf("nothing was repeated: %+v, faults %v", twice, r.Relay.Faults)
+	}
+}
+
+// rig is a small deployment with a manager of several cores, all proxies bound.
+func rig(t *testing.T, site stand.Site, log io.Writer) (*stand.Rig, *watch) {
+	t.Helper()
+	r, err := stand.Raise(site, stand.How{Cores: 3, MemoryMB: 512, Sockets: 1024, Seed: 1}, begin(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	w := &watch{rig: r, binds: newMeter(), drains: newMeter(), joined: map[string]time.Time{}, drained: map[string]time.Time{}, stop: make(chan struct{})}
+	r.Relay.Ordered = w.ordered
+	w.join(site.Proxies)
+	if err := w.allBound(site.Proxies, 30*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return r, w
+}
+
+func within(t *testing.T, span time.Duration, what string, is func() bool) {
+	t.Helper()
+	for late := time.Now().Add(span); time.Now().Before(late); time.Sleep(10 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	t.Errorf("%s: not within %v", what, span)
+}
+
+func rulesKept(t *testing.T, r *stand.Rig) {
+	t.Helper()
+	r.Relay.Look()
+	for _, rule := range r.Relay.Rules.Verdict() {
+		if !rule.OK() {
+			t.Errorf("%+v", rule)
+		}
+	}
+}
+
+func TestAListThatReplacesAllServersLeavesNoProxyWithout(t *testing.T) {
+	site := stand.Usual(12, 40)
+	r, _ := rig(t, site, io.Discard)
+	f := newFeed(r.Manager, site, 2)
+	defer f.end()
+	f.rate.Store(3000)
+	time.Sleep(time.Second)
+	more := site
+	more.Servers = 24
+	fresh, err := stand.NewServers(more)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var entries []stand.Entry
+	for i, s := range fresh {
+		defer s.Close()
+		if i >= 12 {
+			entries = append(entries, s.Entry("up"))
+		}
+	}
+	r.Relay.Knows(entries...)
+	for _, s := range r.Servers {
+		entries = append(entries, s.Entry("removed"))
+	}
+	r.Discovery.Change(entries...)
+	within(t, 5*time.Second, "all old servers withdrawn, new ones in the tables", func() bool {
+		flows := 0.0
+		for _, s := range fresh[12:] {
+			flows += r.Relay.Flows(s.ID)
+		}
+		old := 0.0
+		for _, s := range r.Servers {
+			old += r.Relay.Flows(s.ID)
+		}
+		return old == 0 && flows > 0.9*site.Rate*float64(site.Proxies)
+	})
+	rulesKept(t, r)
+}
+
+func TestAllProxiesLeaveAndJoinAtOnce(t *testing.T) {
+	site := stand.Usual(12, 300)
+	r, w := rig(t, site, io.Discard)
+	ids := make([]int, site.Proxies)
+	for i := range ids {
+		ids[i] = i
+	}
+	for range 5 {
+		r.Relay.Leave(ids...)
+		r.Relay.Join(ids...)
+	}
+	if err := w.allBound(site.Proxies, 20*time.Second); err != nil {
+		t.Error(err)
+	}
+	rulesKept(t, r)
+}
+
+func TestAServerThatDrainsAndRestartsWhileConnectionsMove(t *testing.T) {
+	site := stand.Usual(12, 60)
+	r, w := rig(t, site, io.Discard)
+	f := newFeed(r.Manager, site, 3)
+	defer f.end()
+	f.rate.Store(20_000)
+	w.all.Go(w.look)
+	for _, s := range r.Servers[:3] {
+		r.Discovery.Change(s.Entry("draining"))
+		within(t, 2*time.Second, "withdrawn", func() bool { return r.Relay.Flows(s.ID) == 0 })
+		s.Turn(stand.Down)
+		r.Discovery.Change(s.Entry("removed"))
+		time.Sleep(100 * time.Millisecond)
+		if err := s.Turn(stand.Well); err != nil {
+			t.Fatal(err)
+		}
+		r.Discovery.Change(s.Entry("up"))
+	}
+	within(t, 8*time.Second, "fresh servers get a small part", func() bool {
+		for _, s := range r.Servers[:3] {
+			if x := r.Relay.Flows(s.ID); x <= 0 || x > site.Capacity {
+				return false
+			}
+		}
+		return true
+	})
+	close(w.stop)
+	w.all.Wait()
+	rulesKept(t, r)
+}
+
+func TestReloadAndEndUnderLoad(t *testing.T) {
+	site := stand.Usual(12, 60)
+	var log lines
+	r, _ := rig(t, site, &log)
+	f := newFeed(r.Manager, site, 3)
+	f.rate.Store(20_000)
+	for range 5 {
+		r.Daemon.Signal(syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err := r.Daemon.Stop(false); err != nil {
+		t.Error(err)
+	}
+	f.end()
+	rulesKept(t, r)
+	if n := log.reloads.Load(); n != 5 {
+		t.Errorf("%d reloads in the log", n)
+	}
+}
+
+type lines struct{ reloads atomic.Int64 }
+
+func (l *lines) Write(text []byte) (int, error) {
+	l.reloads.Add(int64(strings.Count(string(text), "event=reload ")))
+	return len(text), nil
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -22,9 +22,11 @@
 
 const stamp = "2006-01-02T15:04:05.000000Z07:00"
 
+// All loggers of a process share this; it is settled before the first begins.
+func init() { zerolog.TimeFieldFormat = stamp }
+
 // New is a logger that writes JSON lines to out, from a level on; an unknown level is info.
 func New(out io.Writer, level string) zerolog.Logger {
-	zerolog.TimeFieldFormat = stamp
 	at, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		at = zerolog.InfoLevel
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -110,6 +110,29 @@
 	return "", false
 }
 
+// split takes words name=value apart, up to so many; it gives the one at fault.
+func (f *fields) split(rest string, most int) (word string, ok bool) {
+	from, equals := 0, -1
+	for i := 0; i <= len(rest); i++ {
+		switch {
+		case i < len(rest) && rest[i] == '=':
+			if equals < 0 {
+				equals = i
+			}
+		case i < len(rest) && rest[i] != ' ' && rest[i] != '\t':
+		case i > from:
+			if equals < 0 || len(f.named) == most {
+				return rest[from:i], false
+			}
+			f.named = append(f.named, [2]string{rest[from:equals], rest[equals+1 : i]})
+			from, equals = i+1, -1
+		default:
+			from = i + 1
+		}
+	}
+	return "", true
+}
+
 func (f *fields) fail(name, what string) {
 	if f.err == nil {
 		f.err = fmt.Errorf("%s: %s", name, what)
@@ -202,12 +225,8 @@
 		f.named, f.err = f.named[:0], nil
 		w.fields.Put(f)
 	}()
-	for word := range strings.FieldsSeq(rest) {
-		name, v, ok := strings.Cut(word, "=")
-		if !ok || len(f.named) == w.most {
-			return kind, nil, fmt.Errorf("%.40q: up to %d words name=value are due", word, w.most)
-		}
-		f.named = append(f.named, [2]string{name, v})
+	if word, ok := f.split(rest, w.most); !ok {
+		return kind, nil, fmt.Errorf("%.40q: up to %d words name=value are due", word, w.most)
 	}
 	switch kind {
 	case "collector":
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -436,13 +436,14 @@
 	if full = h.post.put(nil); full != nil {
 		return full, 0, false, nil
 	}
-	g, batch := c.guest, make([]any, 0, len(all))
+	g, batch, now := c.guest, make([]any, 0, len(all)), time.Now()
+	var reports, loads, usages int64
 	for _, s := range all {
 		if len(s.line) > h.t.longest(g) {
 			end = errLong
 			break
 		}
-		in, ping, err := h.t.heed(g, s.line, s.kind, s.in, s.err)
+		in, ping, err := h.t.heed(g, now, s.line, s.kind, s.in, s.err)
 		if end = err; err != nil {
 			break
 		}
@@ -451,11 +452,20 @@
 		}
 		switch in := in.(type) {
 		case heard:
+			reports++
+			if in.Load >= 0 {
+				loads++
+			}
 			batch = append(batch, in.Report)
 		case used:
+			usages++
 			batch = append(batch, in.Usage)
 		}
 	}
+	// once for a piece: cores that write one counter for each line hold one another up
+	h.t.book.add(reportsIn, reports)
+	h.t.book.add(loadsIn, loads)
+	h.t.book.add(usagesIn, usages)
 	if end == nil && len(rest) > h.t.longest(g) {
 		end = errLong
 	}
--- /dev/null
+++ b/internal/node/moves_test.go
@@ -0,0 +1,224 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/lanes"
+	"tamarindshore/internal/stand"
+)
+
+// ours is a manager in this process whose lanes a test can move.
+type ours struct {
+	*Node
+	signals chan os.Signal
+	ended   chan struct{}
+}
+
+func (d *ours) Ended() <-chan struct{}   { return d.ended }
+func (d *ours) Signal(s os.Signal) error { d.signals <- s; return nil }
+func (d *ours) Stop(bool) error {
+	select {
+	case d.signals <- syscall.SIGTERM:
+	case <-d.ended:
+	}
+	<-d.ended
+	return nil
+}
+
+// moving is a rig whose manager's connections move between four cores all the time, until the test ends.
+func moving(t *testing.T, site stand.Site) (*stand.Rig, *ours) {
+	t.Helper()
+	var d *ours
+	r, err := stand.Raise(site, stand.How{Cores: 4, MemoryMB: 512, Sockets: 1024, Seed: 1}, func(start, settings string) (stand.Daemon, error) {
+		read := func() (config.Start, error) {
+			s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
+			o := config.Defaults()
+			o.Lanes = 4
+			if err == nil {
+				s, err = s.With(o)
+				s.Limits.Keeper = quick(4)
+			}
+			return s, err
+		}
+		s, err := read()
+		if err != nil {
+			return nil, err
+		}
+		n, err := New(s, io.Discard)
+		if err != nil {
+			return nil, err
+		}
+		d = &ours{n, make(chan os.Signal, 8), make(chan struct{})}
+		go func() {
+			defer close(d.ended)
+			d.Run(d.signals, read)
+		}()
+		return d, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	over, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			select {
+			case <-over:
+				return
+			case <-time.After(2 * time.Millisecond):
+				d.hub.move(lanes.LaneID(i / 4 % 4))
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(over)
+		<-done
+		r.Close()
+	})
+	return r, d
+}
+
+// speakers report for all proxies and servers until the test ends, some of them spoilt.
+func speakers(t *testing.T, r *stand.Rig, n int) {
+	for i := range n {
+		c, err := net.Dial("tcp", r.Manager)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		zone := r.Site.Zone(i)
+		fmt.Fprintf(c, "collector site=%s\r\n", zone)
+		go func() {
+			for round := 0; ; round++ {
+				for s := range r.Site.Servers {
+					if _, err := fmt.Fprintf(c, "heard site=%s target=%s count=20 fail=0 mean=100 over=1000\r\n", zone, stand.ServerID(s)); err != nil {
+						return
+					}
+				}
+				for p := range r.Site.Proxies {
+					fmt.Fprintf(c, "usage id=%d lane=quote count=4 fail=0 over=1000\r\n", p)
+				}
+				if i == 0 {
+					fmt.Fprint(c, "usage id=1 lane=quote count=-9\r\nheard site=nowhere target=x count=1 fail=0 mean=1 over=1\r\n")
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		}()
+	}
+}
+
+func soon(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for late := time.Now().Add(8 * time.Second); time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	t.Errorf("%s: not within 8 s", what)
+}
+
+func allRules(t *testing.T, r *stand.Rig) {
+	t.Helper()
+	r.Relay.Look()
+	r.Relay.Rules.Drains(time.Now(), func(s string) bool { return r.Relay.Flows(s) > 0 })
+	for _, rule := range r.Relay.Rules.Verdict() {
+		if !rule.OK() {
+			t.Errorf("%+v", rule)
+		}
+	}
+}
+
+// Drains, restarts, lost answers, a reload and news that break, all while connections move.
+func TestMovesLoseNoDrainAndRepeatNoEffect(t *testing.T) {
+	site := stand.Usual(12, 60)
+	r, d := moving(t, site)
+	all := make([]int, site.Proxies)
+	for i := range all {
+		all[i] = i
+	}
+	r.Relay.Join(all...)
+	soon(t, "all bound", func() bool { return r.Relay.Counts().Bound == site.Proxies })
+	speakers(t, r, 6)
+	call := 0
+	r.Relay.Fault = func(int) stand.Fault {
+		call++
+		return []stand.Fault{stand.None, stand.Lost, stand.None, stand.Undone, stand.None, stand.Garbled, stand.None}[call%7]
+	}
+	for round, s := range r.Servers[:6] {
+		r.Discovery.Change(s.Entry("draining"))
+		if round%3 == 1 {
+			d.signals <- syscall.SIGHUP
+		}
+		if round%3 == 2 {
+			r.Relay.Away(true)
+			time.Sleep(30 * time.Millisecond)
+			r.Relay.Away(false)
+		}
+		soon(t, "withdrawn", func() bool { return r.Relay.Flows(s.ID) == 0 })
+		s.Turn(stand.Down)
+		r.Discovery.Change(s.Entry("removed"))
+		r.Relay.Leave(round, round+10)
+		r.Relay.Join(round, round+10)
+		if err := s.Turn(stand.Well); err != nil {
+			t.Fatal(err)
+		}
+		r.Discovery.Change(s.Entry("up"))
+	}
+	soon(t, "all bound again", func() bool { return r.Relay.Counts().Bound == site.Proxies })
+	allRules(t, r)
+	if n := d.book.counts[laneMoves].Load(); n < 50 {
+		t.Errorf("%d moves only", n)
+	}
+	if n := d.book.counts[callsUnknown].Load(); n == 0 {
+		t.Error("no answer was lost")
+	}
+	if n := d.book.counts[spoilt].Load() + d.book.counts[unknownNames].Load(); n == 0 {
+		t.Error("nothing spoilt was counted")
+	}
+}
+
+// Guards against a burst that overruns the channel: 10,000 proxies join within a second while connections move.
+func TestTenThousandJoinsInASecond(t *testing.T) {
+	site := stand.Usual(40, 10_000)
+	r, d := moving(t, site)
+	began := time.Now()
+	for at := 0; at < site.Proxies; at += 100 {
+		ids := make([]int, 100)
+		for i := range ids {
+			ids[i] = at + i
+		}
+		r.Relay.Join(ids...)
+		time.Sleep(max(0, time.Duration(at)*time.Second/time.Duration(site.Proxies)-time.Since(began)))
+	}
+	took := time.Since(began)
+	soon(t, "all joins taken", func() bool { return d.book.counts[joinsIn].Load() >= int64(site.Proxies) })
+	soon(t, "half of all bound", func() bool { return r.Relay.Counts().Bound >= site.Proxies/2 })
+	if took > 2*time.Second {
+		t.Logf("the joins took %v on this machine", took)
+	}
+	for _, rule := range r.Relay.Rules.Verdict() {
+		if rule.Name == "queue and messages short" && !rule.OK() {
+			t.Errorf("%+v", rule)
+		}
+	}
+}
+
+func TestEndDuringMoves(t *testing.T) {
+	r, d := moving(t, stand.Usual(6, 20))
+	speakers(t, r, 4)
+	time.Sleep(100 * time.Millisecond)
+	d.signals <- syscall.SIGUSR1
+	d.signals <- syscall.SIGTERM
+	select {
+	case <-d.ended:
+	case <-time.After(5 * time.Second):
+		t.Error("no end within 5 s")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,6 @@
 
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
-	"tamarindshore/internal/lanes"
 	"tamarindshore/internal/logs"
 )
 
@@ -80,7 +79,7 @@
 		chance: rand.New(rand.NewPCG(n.start.Seed, uint64(len(n.start.Name))))}
 	if l.Lanes > 1 {
 		n.router.post = newPost(l.Inputs, n.book)
-		t.hub = newHub(t, n.router.post, lanes.Usual(l.Lanes))
+		t.hub = newHub(t, n.router.post, l.Keeper)
 		n.hub = t.hub
 		go t.hub.oversee()
 	}
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -126,7 +126,8 @@
 	err := lines(g, func() int { return t.longest(g) }, func(line []byte) error {
 		text := string(line)
 		kind, in, err := t.words.line(text)
-		in, ping, err := t.heed(g, text, kind, in, err)
+		in, ping, err := t.heed(g, time.Now(), text, kind, in, err)
+		t.count(in, 1)
 		switch {
 		case err != nil:
 			return err
@@ -184,7 +185,7 @@
 // ping is due; an error ends the connection. A spoilt message is dropped alone, but many one after another that
 // report nothing end it too: the rest can't be read either, or it asks for signs of life without end and takes the
 // time that decisions need.
-func (t *intake) heed(g *guest, line, kind string, in any, err error) (on any, ping bool, end error) {
+func (t *intake) heed(g *guest, now time.Time, line, kind string, in any, err error) (on any, ping bool, end error) {
 	switch name, naming := in.(collector); {
 	case errors.Is(err, errUnread):
 		return nil, false, err
@@ -209,22 +210,26 @@
 		return nil, false, nil
 	}
 	g.idle = 0
-	if now := time.Now(); !g.useful || now.Sub(g.spokeAt) > t.limits.Spoke {
+	if !g.useful || now.Sub(g.spokeAt) > t.limits.Spoke {
 		t.mu.Lock()
 		g.spokeAt, g.useful = now, true
 		t.mu.Unlock()
 		g.grant(t.limits.SilentNamed)
 	}
+	return in, false, nil
+}
+
+// count notes that samples were taken in.
+func (t *intake) count(in any, n int64) {
 	switch in := in.(type) {
 	case heard:
-		t.book.add(reportsIn, 1)
+		t.book.add(reportsIn, n)
 		if in.Load >= 0 {
-			t.book.add(loadsIn, 1)
+			t.book.add(loadsIn, n)
 		}
 	case used:
-		t.book.add(usagesIn, 1)
+		t.book.add(usagesIn, n)
 	}
-	return in, false, nil
 }
 
 // name notes whose collector a guest is. Where no other of its zone reports, it may have nothing to report for
