--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,7 +33,7 @@
 // Limits are the sizes, counts and times of the network code.
 type Limits struct {
 	Cores   int
-	Lanes   int   // cores that take in beside the one that decides; up to 1: none
+	Lanes   int // cores that take in beside the one that decides; up to 1: none
 	Keeper  lanes.Terms
 	Memory  int64 // bytes
 	Sockets int
--- /dev/null
+++ b/internal/stand/rules_test.go
@@ -0,0 +1,123 @@
+package stand
+
+import (
+	"testing"
+	"time"
+)
+
+// relay is one with 4 servers and 3 bound proxies on table 0, without sockets.
+func relay(t *testing.T) *Relay {
+	r, err := NewRelay("127.0.0.1:0", Usual(4, 3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	for n := range 4 {
+		r.Knows(Entry{ID: ServerID(n)})
+	}
+	r.Join(0, 1, 2)
+	r.do(t, "share,0,"+ServerID(0)+",1", "share,0,"+ServerID(1)+",1", "bind,0,0,*", "bind,1,0,*", "bind,2,0,*", "mark,1,0")
+	return r
+}
+
+func (r *Relay) do(t *testing.T, orders ...string) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.carryOut(orders, false); n != len(orders) {
+		t.Fatalf("%d of %d orders taken", n, len(orders))
+	}
+}
+
+// settle lets all messages reach the proxies.
+func (r *Relay) settle() {
+	for r.Counts().Bound < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	for {
+		r.mu.Lock()
+		n := len(r.queue)
+		r.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func broken(r *Relay) (names []string) {
+	for _, rule := range r.Rules.Verdict() {
+		if !rule.OK() {
+			names = append(names, rule.Name)
+		}
+	}
+	return names
+}
+
+// Each rule can be broken: a verdict that can't fail says nothing.
+func TestEachRuleIsSeenBroken(t *testing.T) {
+	for name, breaks := range map[string]func(r *Relay){
+		"no proxy without a server": func(r *Relay) {
+			r.do(t, "withdraw,"+ServerID(0), "withdraw,"+ServerID(1))
+			for _, p := range r.proxies {
+				p.bareAt = p.bareAt.Add(-time.Minute)
+			}
+		},
+		"no effect twice": func(r *Relay) {
+			r.carryOut([]string{"share,0," + ServerID(2) + ",5"}, true)
+			r.tables[0].lines[ServerID(2)] = 1 // as if the first had been undone by a later one
+			r.do(t, "share,0,"+ServerID(2)+",5")
+		},
+		"drains kept": func(r *Relay) {
+			r.Rules.Told(time.Now().Add(-time.Minute), Entry{ID: ServerID(0), Lifecycle: "draining"})
+			r.Rules.Drains(time.Now(), func(s string) bool { return r.flows(s) > 0 })
+		},
+		"no cold server pushed over": func(r *Relay) {
+			now := time.Now()
+			r.Rules.Told(now, Entry{ID: ServerID(0), Lifecycle: "up", Started: now.UnixMilli()})
+			r.site.Capacity = 1
+			r.Rules.site.Capacity = 1
+			r.Rules.cold(now, r.flows)
+			r.Rules.cold(now.Add(2500*time.Millisecond), r.flows)
+		},
+		"queue and messages short": func(r *Relay) {
+			r.Pace(0)
+			r.Rules.site.QueueLines = 10
+			r.do(t, "share,0,"+ServerID(2)+",1", "share,0,"+ServerID(3)+",1", "mark,2,0")
+		},
+	} {
+		r := relay(t)
+		r.settle()
+		if got := broken(r); len(got) > 0 {
+			t.Fatalf("broken at rest: %v", got)
+		}
+		breaks(r)
+		r.Look()
+		if got := broken(r); len(got) != 1 || got[0] != name {
+			t.Errorf("%s: %v seen broken", name, got)
+		}
+	}
+}
+
+func TestANonRetriableGroupIsGivenNoFurtherTries(t *testing.T) {
+	r := relay(t)
+	r.do(t, "admit,0,quote,1,3", "admit,0,book,1,1")
+	if got := broken(r); len(got) > 0 {
+		t.Errorf("%v", got)
+	}
+	r.do(t, "admit,0,book,1,2")
+	if got := broken(r); len(got) != 1 || got[0] != "no effect twice" {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestTheRelayStopsAtTheFirstOrderThatItCantUse(t *testing.T) {
+	r := relay(t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, bad := range []string{"bind,9,0,*", "share,0,nobody,1", "share,0," + ServerID(0) + ",-1", "sing", "withdraw,nobody", "admit,0,quote,1"} {
+		if n := r.carryOut([]string{"share,0," + ServerID(2) + ",1", bad, "share,0," + ServerID(3) + ",1"}, false); n != 1 {
+			t.Errorf("%s: %d taken", bad, n)
+		}
+	}
+}
