internal/versions: checks before use, the way back, holds; the module holds and glides

Need: a bad table must not go out, and staff want a way back that keeps today's truth.

Change: a chain of versions with digests; an ordered list of checks (finite, known, closed, bare, cold, size), steps where a table would move too much; what must go out at once is never held up.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,7 @@
 	nearlyAll, fewDrops         = 0.9, 0.03     // quick answers, and drops, for further tries
 	heldLeast                   = 0.3           // tries a second for told load to say something
 	probesAtOnce, probePart     = 4, 0.3        // probes that take less than flows find idle servers
+	glideStep                   = 0.1           // of a table's weight, or a share let in, a second after a hold
 	rateOpen                    = 1e6
 )
 
@@ -412,6 +413,9 @@
 
 // levels are what must change in what a table lets in: the groups by utility, each what those above it left.
 func (m *Manager) levels(z int, sums []float64) (levels []Level) {
+	if m.pins != nil {
+		return m.pinnedLevels(TableID(z))
+	}
 	left, tries := m.line, m.usual
 	if !math.IsInf(m.line, 1) {
 		tries = TryOnce // under overload each further try takes room from a first one
@@ -427,6 +431,9 @@
 		if !stands {
 			was = Level{Amount: m.amount(1, z, g), Tries: m.usual}
 		}
+		if m.gliding && m.admit == AdmitShare {
+			l.Amount = min(max(l.Amount, was.Amount-glideStep), was.Amount+glideStep)
+		}
 		moved := math.Abs(l.Amount-was.Amount) > levelStep*max(l.Amount, was.Amount)
 		if moved || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
 			levels = append(levels, l)
@@ -516,7 +523,42 @@
 		clear(t.wanted)
 		least := leastLine * m.solved[z]
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
+		m.keepPinned(TableID(z), t, anyIn)
+	}
+}
+
+// keepPinned wants what staff hold a table at, of the servers that may get flows; a cold one gets its part by
+// its climb. Guards against a hold that leaves proxies without a server: a table without a line is solved as ever.
+func (m *Manager) keepPinned(id TableID, t *table, anyIn bool) {
+	lines, all := map[ServerID]float64{}, 0.0
+	for _, s := range m.pinnedAt(id) {
+		if m.open(s) && !(s.out && anyIn) && !s.withdrawn {
+			lines[s.id] = m.pins.lines[id][s.id] * m.climbed(s)
+			all += lines[s.id]
+		}
+	}
+	if t.held = all; all == 0 {
+		return
+	}
+	clear(t.wanted)
+	for s, w := range lines {
+		t.wanted[s] = w / all
+	}
+}
+
+// glide shortens a table's moves after a hold: guards against a jump to what was decided meanwhile. What guards
+// a rule goes whole. It tells whether more is to come.
+func (m *Manager) glide(t *table, moves []move) (more bool) {
+	moved, scale := 0.0, 2*t.scale()
+	for _, l := range moves {
+		moved += math.Abs(l.Weight-t.standing[l.Server]) / scale
+	}
+	for i, l := range moves {
+		if was := t.standing[l.Server]; moved > glideStep && !math.IsInf(l.flows, 1) {
+			moves[i].Weight, more = math.Round((was+(l.Weight-was)*glideStep/moved)*1000)/1000, true
+		}
 	}
+	return more
 }
 
 // counts is what a proxy's flows count for in the split. Guards, while servers climb, against tables full of
@@ -598,7 +640,7 @@
 	m.batch, m.heldBy = false, 0
 	need, rest := either(m.urgent, pressing, calm), false
 	users, moves, sums := make([][]*proxy, len(m.tables)), []move{}, m.demands()
-	late := false // some wait for messages, not for room
+	late, glides := false, false // some wait for messages, not for room; some come by steps
 	book := func(t TableID) bool {
 		fits := m.room(users[t], 1, need)
 		if fits {
@@ -616,8 +658,11 @@
 				m.setLevel(t, l)
 			}
 		}
-		moves = append(moves, m.differences(TableID(z))...)
+		some := m.differences(TableID(z))
+		glides = m.gliding && m.glide(t, some) || glides
+		moves = append(moves, some...)
 	}
+	m.gliding = glides
 	for _, s := range m.servers {
 		s.unlaid = false
 	}
@@ -632,7 +677,7 @@
 	}
 	if rest && m.urgent {
 		m.batch, m.heldAt = true, m.now
-	} else if rest {
+	} else if rest || glides {
 		m.cause = "rest"
 	}
 	m.urgent = m.urgent && m.batch
@@ -641,7 +686,7 @@
 // A server that returned is readmitted where it stands in tables, once no line of more than it should get
 // is left there: one that waits behind others for the queue would be picked at its old weight.
 func (m *Manager) returned() *server {
-	if m.batch || m.relisted {
+	if m.batch || m.relisted || m.pins != nil && !m.bareWaits {
 		return nil
 	}
 	need := either(m.bareWaits, draining, pressing)
@@ -672,7 +717,8 @@
 			continue // its line does no harm
 		}
 		was, weight := t.standing[s.id], math.Round(t.wanted[s.id]*scale*1000)/1000
-		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > m.lineDiffers*max(weight, was)
+		differs := either(t.held > 0, 0, m.lineDiffers)
+		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > differs*max(weight, was)
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
 			if bare || weight < was && (s.climbing || weight == 0) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -729,3 +730,87 @@
 		t.Error("a withdrawn server's line is not counted")
 	}
 }
+
+// pinned holds the tables of two zones at these weights of zone a's servers, and zone b's as they stand.
+func (m *Manager) holdAt(a ...float64) Orders {
+	lines := map[TableID]map[ServerID]float64{0: {}, 1: {}}
+	for i, w := range a {
+		lines[0][ServerID(fmt.Sprint("a", i))] = w
+		lines[1][ServerID(fmt.Sprint("b", i))] = 100
+	}
+	return m.Pinned(m.now, lines, map[TableID]map[uint]Level{0: {2: {Table: 0, Groups: 2, Amount: 0.5, Tries: TryUnrun}}})
+}
+
+func TestPinnedBringsTablesToWhatIsGivenAndHoldsThem(t *testing.T) {
+	m := manager(3)
+	m.now = time.Second
+	o := m.holdAt(10, 20.5, 30)
+	if len(o.Lines) != 3 || len(o.Levels) != 1 || o.Levels[0].Amount != 0.5 {
+		t.Fatalf("%+v", o)
+	}
+	if s := m.tables[0].standing; s["a0"] != 10 || s["a1"] != 20.5 || s["a2"] != 30 {
+		t.Errorf("%v", s)
+	}
+	m.servers[1].health, m.proxies[0].flows[0][0].value, m.due = 0.1, 90, 2*time.Second
+	if o := m.Woke(2 * time.Second); o.Count() > 0 {
+		t.Errorf("changed while held: %+v", o)
+	}
+}
+
+func TestWhatIsHeldGivesWayToTheRules(t *testing.T) {
+	m := manager(3)
+	m.now = time.Second
+	m.holdAt(10, 20, 30)
+	o := m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if !slices.Equal(o.Withdraw, []ServerID{"a0"}) {
+		t.Errorf("a drain waits: %+v", o)
+	}
+	m.Listed(3*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1}})
+	if m.due = 4 * time.Second; len(m.Woke(4*time.Second).Readmit) > 0 {
+		t.Error("one that drained meanwhile gets flows back")
+	}
+	o = m.Listed(5*time.Second, false, []Entry{{Server: "a1", Zone: "a", Weight: 1, Started: 5 * time.Second, Fresh: true}})
+	if i := slices.IndexFunc(o.Lines, func(l Line) bool { return l.Server == "a1" }); i < 0 || o.Lines[i].Weight > 5 {
+		t.Errorf("a cold server keeps its weight: %+v", o)
+	}
+	o = m.Listed(6*time.Second, false, []Entry{{Server: "a1", Zone: "a", State: Gone}, {Server: "a2", Zone: "a", State: Gone}})
+	if m.bare(m.tables[0]) {
+		t.Errorf("a table is held without a line: %+v", o)
+	}
+}
+
+func TestAfterAHoldTablesGoBySteps(t *testing.T) {
+	m := manager(2)
+	m.now = time.Second
+	m.holdAt(180, 20)
+	m.Pinned(m.now, nil, nil)
+	last, steps := 180.0, 0
+	for s := 2; s < 20; s++ {
+		m.due = time.Duration(s) * time.Second
+		m.Woke(m.due)
+		now := m.tables[0].standing
+		part := now["a0"] / (now["a0"] + now["a1"])
+		if was := last / 200; was-part > glideStep+0.02 {
+			t.Fatalf("second %d: from %.2f to %.2f at once", s, was, part)
+		}
+		if part*200 < last {
+			steps++
+		}
+		last = part * 200
+	}
+	if math.Abs(last-100) > 15 || steps < 3 {
+		t.Errorf("at %.0f after %d steps", last, steps)
+	}
+}
+
+func TestStandsTakesOverWhatWasHeldBack(t *testing.T) {
+	m := manager(2)
+	m.now = time.Second
+	m.Stands(m.now, map[TableID]map[ServerID]float64{0: {"a0": 7}}, nil, func(s ServerID) bool { return s == "a1" })
+	if m.tables[0].standing["a0"] != 7 || len(m.tables[1].standing) != 0 || !m.servers[1].withdrawn || m.servers[0].withdrawn {
+		t.Errorf("%v %v", m.tables[0].standing, m.tables[1].standing)
+	}
+	if got := m.holders(m.servers[0]); len(got) != 1 || got[0].id != 0 {
+		t.Errorf("%d holders", len(got))
+	}
+}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -376,6 +376,9 @@
 
 // scale is what most standing lines weigh for a part of their table.
 func (t *table) scale() float64 {
+	if t.held > 0 {
+		return t.held
+	}
 	scales := []float64{}
 	for s, w := range t.wanted {
 		if t.standing[s] > 0 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -61,6 +62,7 @@
 type table struct {
 	wanted, standing map[ServerID]float64
 	levels           map[uint]Level // standing, by mask of groups
+	held             float64        // weight that staff hold it at; 0: none
 	cost             float64        // lines that a proxy put on it gets; 0: to be counted anew
 	dealt            []*proxy       // its block's, bound or not, by number
 	load             float64        // flows a second that those told
@@ -151,9 +153,17 @@
 	answers    []figure // seconds that probes took, lately
 	loadTold   bool
 	wakeAt     time.Duration
+	pins       *pins // what staff hold the tables at
+	gliding    bool  // after a hold, tables go by steps
 	index
 }
 
+// pins are the lines and levels that tables are held at.
+type pins struct {
+	lines  map[TableID]map[ServerID]float64
+	levels map[TableID]map[uint]Level
+}
+
 // stated takes over what the site states as it is.
 func stated(t Terms) (b bounds) {
 	b.usual, b.admit, b.asks, b.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
@@ -201,6 +211,87 @@
 // Knows tells whether a server is remembered.
 func (m *Manager) Knows(id ServerID) bool { return m.server(id) != nil }
 
+// Sees tells what is known of a server: whether it is, whether it may get flows, and what part of its climb is over.
+func (m *Manager) Sees(id ServerID) (known, open bool, climbed float64) {
+	if s := m.server(id); s != nil {
+		return true, m.open(s) && !s.out, m.climbed(s)
+	}
+	return false, false, 0
+}
+
+// Flows are those that come to a table's proxies a second, as the tables were solved with.
+func (m *Manager) Flows(id TableID) float64 {
+	if int(id) < len(m.solved) {
+		return m.solved[id]
+	}
+	return 0
+}
+
+// Ready is how many servers may get flows, and how many of them are warm.
+func (m *Manager) Ready() (all, warm int) {
+	for _, s := range m.servers {
+		if m.open(s) && !s.out {
+			if all++; !s.climbing {
+				warm++
+			}
+		}
+	}
+	return all, warm
+}
+
+// Layout tells what the tables' numbers mean.
+func (m *Manager) Layout() string { return fmt.Sprint(m.zones, " in ", m.blocks) }
+
+// Pinned holds the tables at what is given, or lets them go where that is nil. While they are held, only what the
+// rules demand changes them: withdrawals, cold servers' parts, proxies without a server. Afterwards they go by steps.
+func (m *Manager) Pinned(now time.Duration, lines map[TableID]map[ServerID]float64, levels map[TableID]map[uint]Level) Orders {
+	m.now = now
+	m.gliding, m.cause, m.urgent = m.pins != nil && lines == nil, "pin", m.urgent || lines != nil
+	if m.pins = nil; lines != nil {
+		m.pins = &pins{lines, levels}
+	}
+	return m.decide()
+}
+
+// Stands takes over what the tables hold, where that is not what was ordered: orders were held back on their way.
+func (m *Manager) Stands(now time.Duration, lines map[TableID]map[ServerID]float64, levels map[TableID]map[uint]Level, pulled func(ServerID) bool) {
+	m.now = now
+	for z, t := range m.tables {
+		clear(t.standing)
+		clear(t.levels)
+		maps.Copy(t.standing, lines[TableID(z)])
+		maps.Copy(t.levels, levels[TableID(z)])
+	}
+	for _, s := range m.servers {
+		s.withdrawn = pulled(s.id)
+	}
+	m.placed, m.sorted, m.drains, m.cause = false, false, true, "stands"
+}
+
+// pinnedAt are the servers that a table is held at, by id.
+func (m *Manager) pinnedAt(id TableID) (all []*server) {
+	if m.pins == nil {
+		return nil
+	}
+	for s := range m.pins.lines[id] {
+		if one := m.server(s); one != nil {
+			all = append(all, one)
+		}
+	}
+	slices.SortFunc(all, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+	return all
+}
+
+// pinnedLevels are those that a table must be brought to.
+func (m *Manager) pinnedLevels(id TableID) (levels []Level) {
+	for _, mask := range slices.Sorted(maps.Keys(m.pins.levels[id])) {
+		if l := m.pins.levels[id][mask]; m.tables[id].levels[mask] != l {
+			levels = append(levels, l)
+		}
+	}
+	return levels
+}
+
 // ListFailed keeps the list and asks again with the next second.
 func (m *Manager) ListFailed(now time.Duration) Orders {
 	m.now, m.asked, m.askFrom = now, false, now+batchEvery
--- /dev/null
+++ b/internal/versions/chain.go
@@ -0,0 +1,215 @@
+// How to call: New makes a chain from its terms; Propose is asked before orders go out, and Outcome told what became of
+// them; RollBack, Hold and Resume are staff's commands, and Looked is called once a second. Pinned says what the
+// module is to hold the tables at. All take the time since the manager's start.
+
+package versions
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/client/tables"
+)
+
+// Chain keeps the versions that were sent, and what is held.
+type Chain struct {
+	t        Terms
+	now      time.Duration
+	versions []*Version // by number, oldest first; the last is the head
+	size     int
+	layout   string
+	refused  string // the rule that held the last version back
+	hold     *hold
+	done     []Done
+}
+
+// New begins with nothing sent.
+func New(t Terms) *Chain { return &Chain{t: t} }
+
+// Laid tells what the tables' numbers mean from now on.
+func (c *Chain) Laid(layout string) { c.layout = layout }
+
+// Head is the newest version; nil before the first.
+func (c *Chain) Head() *Version {
+	if len(c.versions) == 0 {
+		return nil
+	}
+	return c.versions[len(c.versions)-1]
+}
+
+// State is what stands by the newest version.
+func (c *Chain) State() *tables.State {
+	if v := c.Head(); v != nil {
+		return v.State
+	}
+	return tables.Empty()
+}
+
+// Versions are those that are kept, oldest first.
+func (c *Chain) Versions() []*Version { return c.versions }
+
+// Find gives a version that is kept.
+func (c *Chain) Find(id tables.ID) (*Version, error) {
+	for _, v := range c.versions {
+		if v.ID == id {
+			return v, nil
+		}
+	}
+	if len(c.versions) == 0 {
+		return nil, errors.New("no version was sent yet")
+	}
+	return nil, fmt.Errorf("version %v is not kept: %v to %v are", id, c.versions[0].ID, c.Head().ID)
+}
+
+// ops are a call's orders as changes of a state. Bindings are no part of it.
+func ops(o choice.Orders) (all []tables.Op) {
+	for _, s := range o.Withdraw {
+		all = append(all, tables.Op{Kind: tables.Withdraw, Server: string(s)})
+	}
+	for _, l := range o.Lines {
+		all = append(all, tables.Op{Kind: tables.SetLine, Table: uint32(l.Table), Server: string(l.Server), Weight: l.Weight})
+	}
+	for _, l := range o.Levels {
+		all = append(all, tables.Op{Kind: tables.SetLevel, Table: uint32(l.Table), Mask: uint64(l.Groups),
+			Level: tables.Level{Amount: l.Amount, Tries: uint8(l.Tries)}})
+	}
+	for _, s := range o.Readmit {
+		all = append(all, tables.Op{Kind: tables.Readmit, Server: string(s)})
+	}
+	return all
+}
+
+// Propose looks at orders before they go out, and makes a version of what may. What must go out at once goes whatever
+// else is wrong: drains, lines that take weight from who may get no flows, lines for a table without any, bindings.
+func (c *Chain) Propose(now time.Duration, o choice.Orders, cause string, see Seer) (r Result) {
+	c.now = now
+	r.Orders = o
+	r.Orders.Lines = slices.Clone(o.Lines)
+	if len(o.Withdraw)+len(o.Lines)+len(o.Levels)+len(o.Readmit) == 0 {
+		return r
+	}
+	p := &proposal{now: c.State(), orders: &r.Orders, see: see}
+	if next, err := p.now.Apply(ops(o)); err != nil {
+		p.next = p.now
+	} else {
+		p.next = next
+		if steps := c.step(p); len(steps) > 0 {
+			r.Changed, r.Notes = true, append(r.Notes, steps...)
+			p.next, _ = p.now.Apply(ops(r.Orders))
+		}
+	}
+	if rule, what := c.look(p); rule != "" {
+		if c.refused != rule {
+			r.Notes = append(r.Notes, fmt.Sprintf("version held back by %s: %s", rule, what))
+		}
+		c.refused, r.Changed = rule, true
+		c.onlyUrgent(p)
+		next, err := p.now.Apply(ops(r.Orders))
+		if err != nil { // what is urgent was looked at; this would be a fault of this package
+			panic(fmt.Sprintf("the urgent part of a version can't be applied: %v", err))
+		}
+		p.next = next
+	} else if c.refused != "" {
+		r.Notes = append(r.Notes, "versions are sent again after "+c.refused)
+		c.refused = ""
+	}
+	if r.Orders.Count() == 0 {
+		r.Orders.Mark = 0
+	}
+	if p.next.Digest() == p.now.Digest() {
+		return r
+	}
+	r.Version = c.add(p.next, cause, r.Orders.Mark, ops(r.Orders))
+	return r
+}
+
+func (c *Chain) look(p *proposal) (rule, what string) {
+	for _, one := range checks {
+		if what := one.find(c, p); what != "" {
+			return one.name, what
+		}
+	}
+	return "", ""
+}
+
+// onlyUrgent leaves of a version that is held back what must go out all the same.
+func (c *Chain) onlyUrgent(p *proposal) {
+	p.orders.Lines = slices.DeleteFunc(p.orders.Lines, func(l choice.Line) bool { return !p.urgent(l) })
+	p.orders.Levels, p.orders.Readmit = nil, nil
+}
+
+// add appends a version, and drops the oldest beyond what is kept.
+func (c *Chain) add(s *tables.State, cause string, mark choice.MarkID, by []tables.Op) *Version {
+	v := &Version{ID: tables.ID{Epoch: c.t.Epoch, Number: 1}, Digest: s.Digest(), At: c.t.Began.Add(c.now), Cause: cause, Layout: c.layout, Ops: by, State: s, Mark: mark}
+	if h := c.Head(); h != nil {
+		v.Parent = h.Digest
+		if h.ID.Epoch == c.t.Epoch {
+			v.ID.Number = h.ID.Number + 1
+		}
+	} else {
+		v.Parent = tables.Empty().Digest()
+	}
+	if c.hold != nil {
+		v.Key = c.hold.key
+	}
+	changed := map[uint32]bool{}
+	for _, o := range by {
+		changed[o.Table] = true
+	}
+	v.size = 200 + 64*len(by)
+	for id := range changed {
+		v.size += 48 * len(s.Table(id).Lines)
+	}
+	c.versions, c.size = append(c.versions, v), c.size+v.size
+	for len(c.versions) > 1 && (len(c.versions) > c.t.KeepMost || c.size > c.t.KeepBytes) {
+		c.size -= c.versions[0].size
+		c.versions[0] = nil
+		c.versions = c.versions[1:]
+	}
+	return v
+}
+
+// Outcome tells that the orders under a mark, and all before them, were carried out.
+func (c *Chain) Outcome(now time.Duration, mark choice.MarkID) {
+	c.now = now
+	for i := len(c.versions) - 1; i >= 0; i-- {
+		if c.versions[i].Mark == mark && mark != 0 {
+			for ; i >= 0 && !c.versions[i].Settled; i-- {
+				c.versions[i].Settled = true
+			}
+			return
+		}
+	}
+}
+
+// Bases are the versions that may stand at the proxies: the newest, and those before it of which no one knows yet
+// whether they were carried out, back to the last that was.
+func (c *Chain) Bases() (may []tables.ID) {
+	for i := len(c.versions) - 1; i >= 0; i-- {
+		if may = append(may, c.versions[i].ID); c.versions[i].Settled {
+			break
+		}
+	}
+	return may
+}
+
+// Standing is the newest state as the module takes it.
+func (c *Chain) Standing() Pin { return pinned(c.State()) }
+
+func pinned(s *tables.State) Pin {
+	p := Pin{Tables: map[choice.TableID]map[choice.ServerID]float64{}, Levels: map[choice.TableID]map[uint]choice.Level{}}
+	for _, id := range s.IDs() {
+		t, lines, levels := s.Table(id), map[choice.ServerID]float64{}, map[uint]choice.Level{}
+		for server, w := range t.Lines {
+			lines[choice.ServerID(server)] = w
+		}
+		for mask, l := range t.Levels {
+			levels[uint(mask)] = choice.Level{Table: choice.TableID(id), Groups: uint(mask), Amount: l.Amount, Tries: choice.Tries(l.Tries)}
+		}
+		p.Tables[choice.TableID(id)], p.Levels[choice.TableID(id)] = lines, levels
+	}
+	return p
+}
--- /dev/null
+++ b/internal/versions/chain_test.go
@@ -0,0 +1,273 @@
+package versions
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/client/tables"
+)
+
+// fleet is what a test says of servers; those it does not name are open and warm.
+type fleet map[choice.ServerID]Sight
+
+func (f fleet) Sees(s choice.ServerID) Sight {
+	if sight, told := f[s]; told {
+		return sight
+	}
+	return Sight{Known: true, Open: true, Climbed: 1}
+}
+func (f fleet) Flows(choice.TableID) float64 { return 40 }
+func (f fleet) Ready() (all, warm int)       { return 4, 3 }
+
+var all = fleet{}
+
+func line(t int, s string, w float64) choice.Line {
+	return choice.Line{Table: choice.TableID(t), Server: choice.ServerID(s), Weight: w}
+}
+
+// chain stands at two tables with two servers each, in its first version.
+func chain(t *testing.T) *Chain {
+	c := New(Usual(7))
+	r := c.Propose(time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 100), line(0, "a1", 100), line(1, "b0", 100), line(1, "b1", 100)},
+		Mark: 1}, "list", all)
+	if r.Changed || r.Version == nil || r.Version.ID != (tables.ID{Epoch: 7, Number: 1}) {
+		t.Fatalf("%+v", r)
+	}
+	return c
+}
+
+func TestAVersionThatFailsACheckIsNotSentAndTheLastStands(t *testing.T) {
+	nan := math.NaN()
+	for rule, one := range map[string]struct {
+		o   choice.Orders
+		see fleet
+	}{
+		"finite": {choice.Orders{Lines: []choice.Line{line(0, "a0", nan)}}, all},
+		"known":  {choice.Orders{Lines: []choice.Line{line(0, "ghost", 5)}}, fleet{"ghost": {}}},
+		"closed": {choice.Orders{Lines: []choice.Line{line(0, "a0", 150)}}, fleet{"a0": {Known: true}}},
+		"bare":   {choice.Orders{Lines: []choice.Line{line(0, "a0", 0), line(0, "a1", 0)}}, all},
+		"cold":   {choice.Orders{Lines: []choice.Line{line(0, "a0", 400)}}, fleet{"a0": {Known: true, Open: true, Climbed: 0.1}}},
+	} {
+		c := chain(t)
+		before := c.State().Digest()
+		one.o.Levels, one.o.Bind, one.o.Mark = []choice.Level{{Table: 1, Groups: 1, Amount: 0.5}}, []choice.Place{{Proxy: 3, Table: 0}}, 2
+		r := c.Propose(2*time.Second, one.o, "health", one.see)
+		if r.Version != nil || !r.Changed || c.State().Digest() != before || len(r.Orders.Lines)+len(r.Orders.Levels) > 0 {
+			t.Errorf("%s: %+v", rule, r)
+		}
+		if len(r.Notes) != 1 || !strings.HasPrefix(r.Notes[0], "version held back by "+rule+": ") {
+			t.Errorf("%s: %q", rule, r.Notes)
+		}
+		if len(r.Orders.Bind) != 1 || r.Orders.Mark != 2 {
+			t.Errorf("%s: a proxy waits for a server: %+v", rule, r.Orders)
+		}
+		if again := c.Propose(3*time.Second, one.o, "health", one.see); len(again.Notes) > 0 {
+			t.Errorf("%s: told again: %q", rule, again.Notes)
+		}
+	}
+}
+
+func TestADrainIsNotHeldUpByAFailedCheckOfSomethingElse(t *testing.T) {
+	c := chain(t)
+	r := c.Propose(2*time.Second, choice.Orders{Withdraw: []choice.ServerID{"a0"}, Lines: []choice.Line{line(0, "a0", 1), line(1, "b0", math.Inf(1))}},
+		"list", fleet{"a0": {Known: true}})
+	if r.Version == nil || !slices.Equal(r.Orders.Withdraw, []choice.ServerID{"a0"}) || len(r.Orders.Lines) != 1 || !c.State().Withdrawn("a0") {
+		t.Errorf("%+v", r)
+	}
+	if c.State().Table(1).Lines["b0"] != 100 {
+		t.Error("the faulty line stands")
+	}
+}
+
+func TestATableWithoutALineIsLaidAtOnce(t *testing.T) {
+	c := chain(t)
+	gone := fleet{"a0": {Known: true}, "a1": {Known: true}}
+	r := c.Propose(2*time.Second, choice.Orders{Withdraw: []choice.ServerID{"a0", "a1"}, Lines: []choice.Line{line(0, "b0", 100), line(1, "b1", math.NaN())}}, "list", gone)
+	if len(r.Orders.Lines) != 1 || c.State().Table(0).Lines["b0"] != 100 {
+		t.Errorf("%+v", r.Orders)
+	}
+}
+
+func TestAVersionThatMovesTooMuchGoesInSteps(t *testing.T) {
+	c := chain(t)
+	c.t.MovedMost = 0.2
+	want := []choice.Line{line(0, "a0", 10), line(0, "a1", 190)}
+	steps := 0
+	for s := 2; s < 20 && c.State().Table(0).Lines["a0"] > 10.5; s++ {
+		before := c.State()
+		r := c.Propose(time.Duration(s)*time.Second, choice.Orders{Lines: slices.Clone(want)}, "health", all)
+		moved := (&proposal{now: before, next: c.State(), see: all}).moved(0)
+		if r.Version == nil || moved > 0.21 {
+			t.Fatalf("%.2f moved at once", moved)
+		}
+		steps++
+	}
+	if steps < 3 || steps > 6 {
+		t.Errorf("%d steps", steps)
+	}
+	// what a closed server leaves is no move
+	c = chain(t)
+	c.t.MovedMost = 0.2
+	if r := c.Propose(2*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 0)}}, "silence", fleet{"a0": {Known: true}}); r.Changed {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestAWayBackTakesEffectOnceAndKeepsTodaysTruth(t *testing.T) {
+	c := chain(t)
+	first := c.Head().ID
+	c.Propose(2*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 20), line(1, "b0", 20)}, Mark: 2}, "health", all)
+	today := fleet{"b0": {Known: true}, "b1": {Known: true, Open: true, Climbed: 0.25}}
+	d, fresh, err := c.RollBack(3*time.Second, first, "k1", 0, today)
+	pin, held := c.Pinned()
+	if err != nil || !fresh || !held || d.Key != "k1" {
+		t.Fatal(d, fresh, err)
+	}
+	if pin.Tables[0]["a0"] != 100 || pin.Tables[1]["b0"] != 0 || pin.Tables[1]["b1"] != 25 {
+		t.Errorf("%v", pin.Tables)
+	}
+	c.Propose(4*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 100)}}, "pin", today)
+	if v := c.Head(); v.Key != "k1" || v.ID.Number != 3 {
+		t.Errorf("%+v", v)
+	}
+	if again, fresh, err := c.RollBack(9*time.Second, first, "k1", 0, today); fresh || err != nil || again != d {
+		t.Errorf("%+v %v %v", again, fresh, err)
+	}
+	if _, _, err := c.RollBack(9*time.Second, c.Head().ID, "k1", 0, today); !errors.Is(err, ErrRefused) {
+		t.Errorf("a key serves for two: %v", err)
+	}
+}
+
+func TestOfTwoWaysBackTheLaterHolds(t *testing.T) {
+	c := chain(t)
+	first := c.Head().ID
+	c.Propose(2*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 20)}}, "health", all)
+	second := c.Head().ID
+	c.RollBack(3*time.Second, first, "x", 0, all)
+	c.RollBack(3*time.Second, second, "y", 0, all)
+	if h, _ := c.Holding(all); h.Key != "y" || h.To != second || len(c.Commands()) != 2 {
+		t.Errorf("%+v %v", h, c.Commands())
+	}
+	if _, fresh, err := c.RollBack(4*time.Second, first, "x", 0, all); fresh || err != nil {
+		t.Errorf("the first takes effect again: %v", err)
+	}
+}
+
+func TestRefusedWaysBack(t *testing.T) {
+	c := chain(t)
+	first := c.Head().ID
+	none := fleet{"a0": {Known: true}, "a1": {}}
+	for want, do := range map[string]func() error{
+		"all 2 that it named then are gone": func() error { _, _, err := c.RollBack(0, first, "k", 0, none); return err },
+		"is not kept":                       func() error { _, _, err := c.RollBack(0, tables.ID{Epoch: 1, Number: 1}, "k", 0, all); return err },
+		"a key of 1 to 64":                  func() error { _, _, err := c.RollBack(0, first, "", 0, all); return err },
+		"a hold lasts from":                 func() error { _, _, err := c.RollBack(0, first, "k", time.Millisecond, all); return err },
+		"nothing is held":                   func() error { _, _, err := c.Resume(0, "k"); return err },
+		"laid out otherwise": func() error {
+			other := chain(t)
+			other.Laid("3 blocks")
+			_, _, err := other.RollBack(0, first, "k", 0, all)
+			return err
+		},
+	} {
+		if err := do(); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	if _, held := c.Pinned(); held || len(c.Commands()) != 0 {
+		t.Error("something was done")
+	}
+}
+
+func TestAHoldEndsByTimeCommandOrItsHollowing(t *testing.T) {
+	c := chain(t)
+	c.Hold(0, "h1", time.Minute, all)
+	if ended, _ := c.Looked(59*time.Second, all); ended {
+		t.Error("ended early")
+	}
+	if ended, notes := c.Looked(time.Minute, all); !ended || len(notes) != 1 {
+		t.Errorf("%v", notes)
+	}
+	c.Hold(0, "h2", time.Minute, all)
+	most := fleet{"a0": {Known: true}, "a1": {Known: true}, "b0": {Known: true}}
+	if ended, notes := c.Looked(time.Second, most); !ended || !strings.Contains(notes[0], "0.25 of its weight") {
+		t.Errorf("%v", notes)
+	}
+	c.Hold(0, "h3", time.Minute, all)
+	if _, fresh, err := c.Resume(0, "r"); !fresh || err != nil {
+		t.Error(err)
+	}
+	if _, held := c.Pinned(); held {
+		t.Error("still held")
+	}
+}
+
+func TestAnUnknownOutcomeLeavesEitherBase(t *testing.T) {
+	c := chain(t)
+	c.Outcome(time.Second, 1)
+	c.Propose(2*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 20)}, Mark: 2}, "health", all)
+	c.Propose(3*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 30)}, Mark: 3}, "health", all)
+	id := func(n uint64) tables.ID { return tables.ID{Epoch: 7, Number: n} }
+	if got := c.Bases(); !slices.Equal(got, []tables.ID{id(3), id(2), id(1)}) {
+		t.Errorf("%v", got)
+	}
+	c.Outcome(4*time.Second, 3)
+	if got := c.Bases(); !slices.Equal(got, []tables.ID{id(3)}) {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestWhatIsKeptIsBounded(t *testing.T) {
+	c := chain(t)
+	c.t.KeepMost, c.t.KeepBytes = 50, 1<<14
+	for i := range 500 {
+		c.Propose(time.Duration(i)*time.Second, choice.Orders{Lines: []choice.Line{line(i%2, "a0", float64(100+i))}}, "health", all)
+	}
+	if n := len(c.Versions()); n > 50 || n < 10 || c.size > 1<<14 {
+		t.Errorf("%d versions in %d bytes", n, c.size)
+	}
+	sum := 0
+	for _, v := range c.Versions() {
+		sum += v.size
+	}
+	if sum != c.size || c.Head().ID.Number != 500 {
+		t.Errorf("%d counted as %d, head %v", sum, c.size, c.Head().ID)
+	}
+}
+
+func TestNothingNewIsNoVersion(t *testing.T) {
+	c := chain(t)
+	if r := c.Propose(2*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 100)}, Bind: []choice.Place{{}}, Mark: 4}, "x", all); r.Version != nil || r.Changed {
+		t.Errorf("%+v", r)
+	}
+}
+
+func BenchmarkPropose(b *testing.B) {
+	for _, lines := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(lines), func(b *testing.B) {
+			c := New(Usual(1))
+			var o choice.Orders
+			for i := range lines {
+				o.Lines = append(o.Lines, line(i/50, fmt.Sprintf("s-%05d", i), 100))
+			}
+			c.Propose(0, o, "list", all)
+			i := 0
+			for b.Loop() {
+				i++
+				o := choice.Orders{}
+				for j := range max(1, lines/100) {
+					o.Lines = append(o.Lines, line(j*2, fmt.Sprintf("s-%05d", j*100), float64(100+i%7)))
+				}
+				if r := c.Propose(0, o, "health", all); r.Version == nil && i%7 != 0 {
+					b.Fatalf("%+v", r)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/versions/check.go
@@ -0,0 +1,202 @@
+package versions
+
+import (
+	"fmt"
+	"math"
+
+	"tamarindshore/choice"
+	"tamarindshore/client/tables"
+)
+
+// proposal is one version before it is used.
+type proposal struct {
+	now, next *tables.State // what stands, and what it would come to
+	orders    *choice.Orders
+	see       Seer
+}
+
+// check is a rule and what it finds wrong; empty where nothing is.
+type check struct {
+	name string
+	find func(c *Chain, p *proposal) string
+}
+
+// checks are gone through in this order; the first that finds something holds the version back.
+var checks = []check{
+	{"finite", (*Chain).notFinite},
+	{"known", (*Chain).notKnown},
+	{"closed", (*Chain).toClosed},
+	{"bare", (*Chain).leavesBare},
+	{"cold", (*Chain).tooMuchCold},
+	{"size", (*Chain).tooMany},
+}
+
+// urgent tells whether a line must go out whatever else is wrong: it takes weight from a server that may get no
+// flows or is cold, or it is for a table none of whose lines can be picked.
+func (p *proposal) urgent(l choice.Line) bool {
+	if math.IsNaN(l.Weight) || math.IsInf(l.Weight, 0) || l.Weight < 0 {
+		return false
+	}
+	t, s := p.now.Table(uint32(l.Table)), p.see.Sees(l.Server)
+	lower := l.Weight < t.Lines[string(l.Server)]
+	return lower && (!s.Open || s.Climbed < 1) || s.Open && s.Known && !p.usable(p.now, uint32(l.Table))
+}
+
+// usable tells whether some line of a table can be picked.
+func (p *proposal) usable(of *tables.State, id uint32) bool {
+	for s, w := range of.Table(id).Lines {
+		if w > 0 && !of.Withdrawn(s) && p.see.Sees(choice.ServerID(s)).Open {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Chain) notFinite(p *proposal) string {
+	for _, l := range p.orders.Lines {
+		if !(l.Weight >= 0) || math.IsInf(l.Weight, 1) {
+			return fmt.Sprintf("weight %v of %s in table %d", l.Weight, l.Server, l.Table)
+		}
+	}
+	for _, l := range p.orders.Levels {
+		if !(l.Amount >= 0) || math.IsInf(l.Amount, 1) {
+			return fmt.Sprintf("level %v in table %d", l.Amount, l.Table)
+		}
+	}
+	return ""
+}
+
+func (c *Chain) notKnown(p *proposal) string {
+	for _, l := range p.orders.Lines {
+		if l.Weight > 0 && !p.see.Sees(l.Server).Known {
+			return fmt.Sprintf("%s in table %d is not known", l.Server, l.Table)
+		}
+	}
+	return ""
+}
+
+// toClosed guards against a line that is laid or raised for a server that drains, is gone or does not answer, and
+// against letting such a one back in.
+func (c *Chain) toClosed(p *proposal) string {
+	for _, l := range p.orders.Lines {
+		was := p.now.Table(uint32(l.Table)).Lines[string(l.Server)]
+		if l.Weight > was && !p.see.Sees(l.Server).Open {
+			return fmt.Sprintf("%s in table %d gets %v after %v, and may get no flows", l.Server, l.Table, l.Weight, was)
+		}
+	}
+	for _, s := range p.orders.Readmit {
+		if !p.see.Sees(s).Open {
+			return fmt.Sprintf("%s is let back in, and may get no flows", s)
+		}
+	}
+	return ""
+}
+
+// leavesBare guards against a table that loses its last line while servers are open.
+func (c *Chain) leavesBare(p *proposal) string {
+	if all, _ := p.see.Ready(); all == 0 {
+		return ""
+	}
+	for _, l := range p.orders.Lines {
+		if id := uint32(l.Table); l.Weight == 0 && p.usable(p.now, id) && !p.usable(p.next, id) {
+			return fmt.Sprintf("table %d loses %s and has no line left", id, l.Server)
+		}
+	}
+	return ""
+}
+
+// tooMuchCold guards against a climbing server that gets far more than its climbing part of all flows, while others
+// are warm.
+func (c *Chain) tooMuchCold(p *proposal) string {
+	all, warm := p.see.Ready()
+	if warm == 0 {
+		return ""
+	}
+	total := 0.0
+	for _, id := range p.next.IDs() {
+		total += p.see.Flows(choice.TableID(id))
+	}
+	seen := map[choice.ServerID]bool{}
+	for _, l := range p.orders.Lines {
+		s := p.see.Sees(l.Server)
+		if s.Climbed >= 1 || seen[l.Server] || l.Weight <= p.now.Table(uint32(l.Table)).Lines[string(l.Server)] {
+			continue
+		}
+		seen[l.Server] = true
+		gets := 0.0
+		for _, id := range p.next.IDs() {
+			t := p.next.Table(id)
+			if w := t.Lines[string(l.Server)]; w > 0 {
+				gets += p.see.Flows(choice.TableID(id)) * w / weight(t)
+			}
+		}
+		if part := total / float64(all); gets > c.t.ColdMost*s.Climbed*part && total > 0 {
+			return fmt.Sprintf("%s has climbed %.2f and gets %.1f of %.1f flows/s, with %d servers", l.Server, s.Climbed, gets, total, all)
+		}
+	}
+	return ""
+}
+
+func (c *Chain) tooMany(p *proposal) string {
+	if n := p.orders.Count(); n > c.t.LinesMost {
+		return fmt.Sprintf("%d orders, %d at most", n, c.t.LinesMost)
+	}
+	return ""
+}
+
+func weight(t *tables.Table) (sum float64) {
+	for _, w := range t.Lines {
+		sum += w
+	}
+	return sum
+}
+
+// moved is the part of a table's weight that goes from server to server, but for what closed servers leave.
+func (p *proposal) moved(id uint32) float64 {
+	a, b := p.now.Table(id), p.next.Table(id)
+	left, sumA, sumB := 0.0, 0.0, 0.0
+	for s, w := range a.Lines {
+		if p.see.Sees(choice.ServerID(s)).Open && !p.now.Withdrawn(s) {
+			sumA += w
+		}
+	}
+	for s, w := range b.Lines {
+		if p.see.Sees(choice.ServerID(s)).Open && !p.next.Withdrawn(s) {
+			sumB += w
+		}
+	}
+	if sumA == 0 || sumB == 0 {
+		return 0
+	}
+	for s, w := range a.Lines {
+		if p.see.Sees(choice.ServerID(s)).Open && !p.now.Withdrawn(s) {
+			left += max(0, w/sumA-b.Lines[s]/sumB)
+		}
+	}
+	return left
+}
+
+// step goes part of the way where a table would move by more than a version may: guards against one version that
+// turns a zone over. The rest follows with later versions. It tells the tables that it held up.
+func (c *Chain) step(p *proposal) (notes []string) {
+	moves := map[uint32]float64{}
+	for _, l := range p.orders.Lines {
+		if id := uint32(l.Table); moves[id] == 0 {
+			moves[id] = p.moved(id)
+		}
+	}
+	told := map[uint32]bool{}
+	for i, l := range p.orders.Lines {
+		id := uint32(l.Table)
+		if moves[id] <= c.t.MovedMost || p.urgent(l) {
+			continue
+		}
+		was := p.now.Table(id).Lines[string(l.Server)]
+		p.orders.Lines[i].Weight = math.Round((was+(l.Weight-was)*c.t.MovedMost/moves[id])*1000) / 1000
+		if !told[id] {
+			told[id] = true
+			notes = append(notes, fmt.Sprintf("table %d would move %.2f of its weight at once, %.2f at most: in steps", id, moves[id], c.t.MovedMost))
+		}
+	}
+	return notes
+}
--- /dev/null
+++ b/internal/versions/types.go
@@ -0,0 +1,78 @@
+// Package versions decides what becomes of the tables as versions: which may be sent, how far one may move them, what
+// a way back comes to, how long it is held, and what a holder is sent. It is free of I/O and clocks: chain.go keeps
+// the versions, check.go looks at each before it is used, hold.go decides ways back and holds, peer.go what a holder
+// gets. It must never choose a server or a weight of its own: it lets through, holds back, or goes part of the way.
+package versions
+
+import (
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/client/tables"
+)
+
+// Terms are the bounds that a chain keeps.
+type Terms struct {
+	Epoch      uint64
+	Began      time.Time     // of the manager's clock: version times are told by it
+	MovedMost  float64       // part of a table's weight that one version may move, what closed servers leave not counted
+	ColdMost   float64       // times its climbing part that a cold server may get of all flows
+	LinesMost  int           // orders of one version
+	KeepMost   int           // versions kept,
+	KeepBytes  int           // and what they take, about
+	HoldUsual  time.Duration // of a way back that names no time
+	HoldMost   time.Duration
+	HollowPart float64 // of the weight that is held: below it what is held is of no use any more
+	KeysMost   int     // of ways back done that are remembered
+}
+
+// Usual are the terms of a manager whose epoch is its start.
+func Usual(epoch uint64) Terms {
+	return Terms{Epoch: epoch, MovedMost: 0.9, ColdMost: 3, LinesMost: 1 << 20, KeepMost: 256, KeepBytes: 1 << 20,
+		HoldUsual: 30 * time.Minute, HoldMost: 24 * time.Hour, HollowPart: 0.5, KeysMost: 1024}
+}
+
+// Sight is what the manager knows of a server now.
+type Sight struct {
+	Known   bool
+	Open    bool    // it may get flows: it neither drains nor is gone, and it answers
+	Climbed float64 // part of its climb; 1 where it is warm
+}
+
+// Seer is who knows the fleet now.
+type Seer interface {
+	Sees(choice.ServerID) Sight
+	Flows(choice.TableID) float64 // a second, that come to a table's proxies
+	Ready() (all, warm int)       // servers that may get flows
+}
+
+// Version is one state of all tables that was sent.
+type Version struct {
+	ID     tables.ID
+	Parent tables.Digest
+	Digest tables.Digest
+	At     time.Time
+	Cause  string
+	Layout string // what its tables' numbers mean
+	Key    string // of the way back that made it
+	Ops    []tables.Op
+	State  *tables.State
+	Mark   choice.MarkID // of the orders that carried it
+
+	Settled bool // it was carried out; until then the one before may still stand
+	size    int
+}
+
+// Result is what became of a proposal.
+type Result struct {
+	Orders  choice.Orders // that may go out
+	Changed bool          // they are not those proposed: the module must hear what stands
+	Version *Version      // nil where nothing changed
+	Notes   []string
+}
+
+// Pin is what tables are brought to and held at.
+type Pin struct {
+	Tables map[choice.TableID]map[choice.ServerID]float64
+	Levels map[choice.TableID]map[uint]choice.Level
+}
