--- /dev/null
+++ b/internal/versions/peer.go
@@ -0,0 +1,120 @@
+package versions
+
+import (
+	"time"
+
+	"tamarindshore/client/tables"
+)
+
+// Trying says how often something is sent to a holder that does not answer or refuses.
+type Trying struct {
+	AckWait     time.Duration // from a version sent until it counts as lost
+	First, Most time.Duration // between two tries; doubled each time, spread by chance between a half and all of it
+}
+
+// UsualTrying is that of holders on a network of ours.
+func UsualTrying() Trying {
+	return Trying{AckWait: 2 * time.Second, First: 250 * time.Millisecond, Most: 30 * time.Second}
+}
+
+// Peer decides what one holder is sent: the newest version, as a delta where what it holds is kept, else whole; one at
+// a time; again with growing waits where it refuses or does not answer; nothing more where another writer has taken
+// over.
+type Peer struct {
+	t      Trying
+	chance uint64
+	held   tables.Held
+	sent   *Version // that waits for its answer
+	sentAt time.Duration
+	again  time.Duration // nothing is sent before
+	tries  int           // without success
+	whole  bool          // it asked for a whole one, or refused a delta
+	over   bool          // another writer has taken over
+	reason tables.Outcome
+}
+
+// NewPeer begins with what a holder says it holds.
+func NewPeer(t Trying, held tables.Held, seed uint64) *Peer {
+	return &Peer{t: t, held: held, chance: seed*2862933555777941757 + 3037000493}
+}
+
+// Held is what it last said it holds.
+func (p *Peer) Held() tables.Held { return p.held }
+
+// Over tells that another writer has taken over its holder.
+func (p *Peer) Over() bool { return p.over }
+
+// Tries is how often it was tried since the last success, and the last refusal.
+func (p *Peer) Tries() (int, tables.Outcome) { return p.tries, p.reason }
+
+// Next gives what is to be sent now, or else when to ask again; 0 means once there is a newer version or an answer.
+func (p *Peer) Next(now time.Duration, c *Chain) (d *tables.Delta, wake time.Duration) {
+	head := c.Head()
+	switch {
+	case head == nil || p.over || p.held == (tables.Held{ID: head.ID, Digest: head.Digest}):
+		return nil, 0
+	case p.sent != nil && now-p.sentAt < p.t.AckWait:
+		return nil, p.sentAt + p.t.AckWait
+	case p.sent != nil: // lost on its way, or the answer was
+		p.fail(now)
+		p.whole = true
+	}
+	if now < p.again {
+		return nil, p.again
+	}
+	p.sent, p.sentAt = head, now
+	return c.lead(p.held, p.whole), now + p.t.AckWait
+}
+
+// lead makes what brings a holder to the newest version: from what it holds if that is kept, else from nothing.
+func (c *Chain) lead(held tables.Held, whole bool) *tables.Delta {
+	head := c.Head()
+	d := &tables.Delta{ID: head.ID, From: tables.Empty().Digest(), To: head.Digest, At: uint64(head.At.UnixMilli()), Cause: head.Cause}
+	from := tables.Empty()
+	for _, v := range c.versions {
+		if !whole && v.ID == held.ID && v.Digest == held.Digest {
+			d.Base, d.From, from = v.ID, v.Digest, v.State
+		}
+	}
+	d.Ops = tables.Diff(from, head.State)
+	return d
+}
+
+// fail puts off the next try.
+func (p *Peer) fail(now time.Duration) {
+	p.sent, p.tries = nil, p.tries+1
+	wait := p.t.First << min(p.tries-1, 20)
+	if wait <= 0 || wait > p.t.Most {
+		wait = p.t.Most
+	}
+	p.chance = p.chance*6364136223846793005 + 1442695040888963407
+	p.again = now + wait/2 + time.Duration(float64(wait/2)*float64(p.chance>>11)/(1<<53))
+}
+
+// Acked says that the holder runs a version.
+func (p *Peer) Acked(held tables.Held) {
+	p.held, p.reason = held, tables.Applied
+	if p.sent != nil && held.ID == p.sent.ID {
+		p.sent, p.tries, p.whole, p.again = nil, 0, false, 0
+	}
+}
+
+// Refused says that the holder refused what it was sent, and what it runs.
+func (p *Peer) Refused(now time.Duration, why tables.Outcome, held tables.Held) {
+	p.held, p.reason = held, why
+	switch why {
+	case tables.Again:
+		p.sent = nil
+		return
+	case tables.OlderEpoch:
+		p.over = true
+	case tables.Gap, tables.UnknownBase, tables.WrongDigest, tables.Conflict:
+		p.whole = true
+	}
+	p.fail(now)
+}
+
+// AskedWhole says that the holder wants a whole table. What is under way is given up.
+func (p *Peer) AskedWhole(held tables.Held) {
+	p.held, p.whole, p.sent = held, true, nil
+}
