Every order passes a chain of versions; the module hears what stands where one is held back

Need: on the platform the relay takes plain orders, so versions are kept behind them.

Change: the router asks the chain before orders go out, tells the module what stands where some were held back, hears of answered marks (either base until then), looks once a second whether a hold is over.

--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -55,7 +55,9 @@
 		carried bool // the first of it may have been carried out
 		reply   chan<- later
 	}
-	later struct{ now, rest choice.Orders }
+	later   struct{ now, rest choice.Orders }
+	settled struct{ mark choice.MarkID } // the orders under it, and all before, were carried out
+	command func(r *router)              // of staff, done by the owner of the module
 )
 
 // errUnknown is what a message that names an unknown zone or traffic group gives. It is dropped like
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
 	"tamarindshore/internal/logs"
+	"tamarindshore/internal/versions"
 )
 
 // Node is one manager; it serves once it is run.
@@ -56,8 +57,11 @@
 		limits: s.Limits, born: born, manager: choice.New(s.Seed, s.Terms), inputs: make(chan any, s.Limits.Inputs),
 		backlog: newBacklog(s.Limits.CallsWait, n.book), probes: make(chan probe, s.Limits.ProbesWait),
 		listen: make(chan struct{}, 1), book: n.book, proxies: map[choice.ProxyID]bool{},
-		unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{},
+		unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{}, keep: func(*versions.Version) {},
 	}
+	terms := versions.Usual(uint64(born.UnixMilli()))
+	terms.Began, terms.LinesMost = born, max(1, int(s.Terms.QueueLines))
+	n.router.chain = versions.New(terms)
 	return n, nil
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -128,6 +128,7 @@
 		r.book.add(ordersSent, int64(min(taken, len(text))))
 		if o.Mark > 0 && taken > o.Count() {
 			r.book.add(marksSent, 1)
+			r.intake.give(settled{o.Mark})
 		}
 		if taken < len(text) {
 			r.book.say("refused", "order", text[taken])
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -15,6 +15,7 @@
 
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
+	"tamarindshore/internal/versions"
 )
 
 type router struct {
@@ -22,6 +23,9 @@
 	born    time.Time
 	manager *choice.Manager
 	inputs  chan any
+	chain   *versions.Chain           // behind all orders; nil: they go as they are
+	keep    func(v *versions.Version) // each new version
+	lookAt  time.Duration
 	post    *post // samples that several cores took in; nil: they come with the inputs
 	backlog *backlog
 	probes  chan probe
@@ -91,6 +95,7 @@
 			r.wake = 0
 			r.decided(r.manager.Woke(r.now))
 		}
+		r.lookAtHold()
 		r.carry()
 	}
 }
@@ -143,6 +148,12 @@
 		r.decided(m.ListFailed(r.now))
 	case probed:
 		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
+	case settled:
+		if r.chain != nil {
+			r.chain.Outcome(r.now, in.mark)
+		}
+	case command:
+		in(r)
 	case again:
 		r.carry() // what is decided so far waits behind
 		r.tick()
@@ -195,10 +206,76 @@
 	}
 }
 
-// carry hands what was decided at one time to the relay stage.
+// carry hands what was decided at one time to the relay stage, as far as it may go out as a version.
 func (r *router) carry() {
-	if len(r.decisions) > 0 {
-		r.backlog.push(fold(r.decisions...))
-		r.decisions = nil
+	if len(r.decisions) == 0 {
+		return
+	}
+	o := fold(r.decisions...)
+	r.decisions = nil
+	if r.chain != nil {
+		o = r.version(o)
+	}
+	if !empty(o) {
+		r.backlog.push(o)
+	}
+}
+
+// version asks the chain what of some orders may go out. Where that is not all, the module hears what stands.
+func (r *router) version(o choice.Orders) choice.Orders {
+	r.chain.Laid(r.manager.Layout())
+	res := r.chain.Propose(r.now, o, cause(o), sight{r.manager})
+	for _, n := range res.Notes {
+		r.book.tell("version", "note", n)
+	}
+	if res.Changed {
+		r.book.add(versionsHeld, 1)
+		pin, state := r.chain.Standing(), r.chain.State()
+		r.manager.Stands(r.now, pin.Tables, pin.Levels, func(s choice.ServerID) bool { return state.Withdrawn(string(s)) })
+	}
+	if res.Version != nil {
+		r.book.add(versionsMade, 1)
+		r.keep(res.Version)
+	}
+	return res.Orders
+}
+
+// cause says in a few words what a version changes.
+func cause(o choice.Orders) string {
+	return fmt.Sprintf("%d withdrawn, %d lines, %d levels, %d let back in", len(o.Withdraw), len(o.Lines), len(o.Levels), len(o.Readmit))
+}
+
+// lookAtHold lets a hold end that is over.
+func (r *router) lookAtHold() {
+	if r.chain == nil || r.now < r.lookAt {
+		return
+	}
+	r.lookAt = r.now + time.Second
+	ended, notes := r.chain.Looked(r.now, sight{r.manager})
+	for _, n := range notes {
+		r.book.tell("version", "note", n)
+	}
+	if ended {
+		r.pin()
 	}
 }
+
+// pin hands the module what the chain holds the tables at, or that it lets them go.
+func (r *router) pin() {
+	r.tick()
+	pin, held := r.chain.Pinned()
+	if !held {
+		pin = versions.Pin{}
+	}
+	r.decided(r.manager.Pinned(r.now, pin.Tables, pin.Levels))
+}
+
+// sight is the module's view of the fleet, as the chain asks for it.
+type sight struct{ m *choice.Manager }
+
+func (s sight) Sees(id choice.ServerID) versions.Sight {
+	known, open, climbed := s.m.Sees(id)
+	return versions.Sight{Known: known, Open: open, Climbed: climbed}
+}
+func (s sight) Flows(id choice.TableID) float64 { return s.m.Flows(id) }
+func (s sight) Ready() (all, warm int)          { return s.m.Ready() }
