The way back over an admin socket, a store that survives crashes, holders on a feed

Need: staff go back to a good version by one command that takes effect once; versions, drains and keys survive a crash; relays of the users' own hold versioned tables.

--- a/client/tables/delta.go
+++ b/client/tables/delta.go
@@ -240,3 +240,12 @@
 	}
 	return diff == 0
 }
+
+// Sum proves that this key was at hand: BLAKE3 keyed over what is given.
+func (k Key) Sum(b []byte) [32]byte { return k.mac(append([]byte("TSSum1"), b...)) }
+
+// Check tells whether a sum is that of the key named, if it is valid.
+func (k Keys) Check(id KeyID, b []byte, sum [32]byte) bool {
+	key, known := k.find(id)
+	return known && equal(key.Sum(b), sum)
+}
--- a/client/tables/holder.go
+++ b/client/tables/holder.go
@@ -137,7 +137,7 @@
 	switch {
 	case !h.asking:
 		return false, 0
-	case now < h.askAt:
+	case now < 0 || now < h.askAt: // below 0: it is only asked when
 		return false, h.askAt
 	}
 	h.asking = false
--- a/cmd/tamarindshore/main.go
+++ b/cmd/tamarindshore/main.go
@@ -22,14 +22,17 @@
 var errNotGood = errors.New("the verdict is not good")
 
 type commands struct {
-	Serve   serve   `cmd:"" default:"withargs" help:"Run the manager until SIGTERM. What no command means."`
-	Check   check   `cmd:"" help:"Check files: the platform's JSON, or operator's settings as S-expressions."`
-	Load    loads   `cmd:"" help:"Load a manager with stand-ins on loopback and judge it by the five rules."`
-	Version version `cmd:"" help:"Say which version this is."`
+	Serve   serve     `cmd:"" default:"withargs" help:"Run the manager until SIGTERM. What no command means."`
+	Check   check     `cmd:"" help:"Check files: the platform's JSON, or operator's settings as S-expressions."`
+	Load    loads     `cmd:"" help:"Load a manager with stand-ins on loopback and judge it by the five rules."`
+	Tables  tablesCmd `cmd:"" help:"Versions of the tables: what was sent, and the way back."`
+	Store   storeCmd  `cmd:"" help:"The file in which versions survive a crash."`
+	Version version   `cmd:"" help:"Say which version this is."`
 }
 
 func main() {
-	parser := kong.Must(&commands{}, kong.Name("tamarindshore"),
+	all := &commands{}
+	parser := kong.Must(all, kong.Name("tamarindshore"),
 		kong.Description("A table manager: it assigns servers to proxies. Exit codes: 0 well, 1 failed, 2 the command line "+
 			"can't be read, 3 the verdict is not good."),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.UsageOnError())
@@ -38,7 +41,7 @@
 		fmt.Fprintf(os.Stderr, "tamarindshore: %v; see tamarindshore --help\n", err)
 		os.Exit(unread)
 	}
-	switch err := run.Run(); {
+	switch err := run.Run(all); {
 	case errors.Is(err, errNotGood):
 		os.Exit(notGood)
 	case err != nil:
--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -6,4 +6,7 @@
   (log
     (level info)           ; debug, info, warn, error
     (form text)))          ; text: key=value; json: one object a line
+  ; (admin (socket "/run/tamarindshore/n1.sock"))     ; tables log, rollback, hold ...
+  ; (store (path "/var/lib/tamarindshore/n1.db"))      ; versions survive a crash
+  ; (tables (listen "127.0.0.1:9802") (keys "/etc/tamarindshore/keys"))   ; holders of versioned tables
   ; (listen (status "127.0.0.1:9801"))   ; GET /status, on loopback only
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,15 +19,15 @@
 
 // Start is all that a manager is told at its start.
 type Start struct {
-	Name, Listen, Discovery, Relay string
-	Seed                           uint64
-	Limits                         Limits
-	Terms                          choice.Terms
-	Groups                         []string        // names of the traffic groups in their order
-	Loads                          bool            // servers tell their load when probed
-	Known                          json.RawMessage // the list as last held, in discovery's form
-	LogLevel, LogForm, Status      string          // by the operator's settings
-	coresTold                      bool
+	Name, Listen, Discovery, Relay                        string
+	Seed                                                  uint64
+	Limits                                                Limits
+	Terms                                                 choice.Terms
+	Groups                                                []string        // names of the traffic groups in their order
+	Loads                                                 bool            // servers tell their load when probed
+	Known                                                 json.RawMessage // the list as last held, in discovery's form
+	LogLevel, LogForm, Status, Admin, Store, Tables, Keys string          // by the operator's settings
+	coresTold                                             bool
 }
 
 // Limits are the sizes, counts and times of the network code.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -19,6 +19,10 @@
 	LogLevel string
 	LogForm  string
 	Status   string // address of the status listener; empty: none
+	Admin    string // socket in the file system for staff's commands; empty: none
+	Tables   string // address at which holders of versioned tables connect; empty: none
+	Keys     string // file of the keys that sign versions
+	Store    string // file that survives a crash; empty: none
 	line     map[string]*sexp.Node
 }
 
@@ -61,10 +65,29 @@
 		note("listen", func(n *sexp.Node) error {
 			return sexp.Read(n, n.Args(),
 				note("status", func(n *sexp.Node) error { return n.Address(&o.Status) }))
+		}),
+		note("admin", func(n *sexp.Node) error {
+			return sexp.Read(n, n.Args(), note("socket", func(n *sexp.Node) error { return n.Text(&o.Admin) }))
+		}),
+		note("tables", func(n *sexp.Node) error {
+			return sexp.Read(n, n.Args(),
+				note("listen", func(n *sexp.Node) error { return n.Address(&o.Tables) }),
+				note("keys", func(n *sexp.Node) error { return n.Text(&o.Keys) }))
+		}),
+		note("store", func(n *sexp.Node) error {
+			return sexp.Read(n, n.Args(), note("path", func(n *sexp.Node) error { return n.Text(&o.Store) }))
 		}))
 	if err != nil {
 		return o, err
 	}
+	for key, path := range map[string]string{"socket": o.Admin, "path": o.Store, "keys": o.Keys} {
+		if path != "" && !filepath.IsAbs(path) {
+			return o, o.fail(key, "%q is no path from the root", path)
+		}
+	}
+	if o.Tables != "" && o.Keys == "" {
+		return o, o.fail("tables", "keys: is missing: versions are signed")
+	}
 	if o.Status != "" && !loopback(o.Status) {
 		return o, o.fail("status", "%s is not on loopback: it tells of the fleet without asking who reads", o.Status)
 	}
@@ -87,6 +110,7 @@
 	}
 	s.Limits.Lanes, s.Limits.Keeper = o.Lanes, lanes.Usual(o.Lanes)
 	s.Limits.Cores = max(s.Limits.Cores, o.Lanes)
-	s.LogLevel, s.LogForm, s.Status = o.LogLevel, o.LogForm, o.Status
+	s.LogLevel, s.LogForm, s.Status, s.Admin, s.Store = o.LogLevel, o.LogForm, o.Status, o.Admin, o.Store
+	s.Tables, s.Keys = o.Tables, o.Keys
 	return s, nil
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -29,7 +29,7 @@
 		"(tamarindshore\n (cores 0))":                         "f:2: cores: 0 is no whole number from 1 to 64",
 		"(tamarindshore\n (log (level loud)))":                "f:2: level: loud is none of debug, info, warn, error",
 		"(tamarindshore\n (listen (status \"10.0.0.1:80\")))": "f:2: status: 10.0.0.1:80 is not on loopback: it tells of the fleet without asking who reads",
-		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen",
+		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen, admin, tables, store",
 		"(other)":                                             "f:1: one form (tamarindshore ...) is due",
 		"(tamarindshore) (tamarindshore)":                     "f:1: one form (tamarindshore ...) is due",
 	} {
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,231 @@
+package node
+
+// Admin answers staff's commands on a socket in the file system, off unless the operator's settings name it. It turns
+// a line of JSON into one call by the module's owner and its result into a line; it must never decide what becomes of
+// a command, nor answer anyone but who may open the socket.
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tamarindshore/client/tables"
+	"tamarindshore/internal/versions"
+)
+
+// Ask is one command of staff.
+type Ask struct {
+	Do      string        `json:"do"` // log, show, diff, verify, rollback, hold or resume
+	Version string        `json:"version,omitempty"`
+	Other   string        `json:"other,omitempty"`
+	Key     string        `json:"key,omitempty"`
+	For     time.Duration `json:"for_ns,omitempty"`
+}
+
+// Told is what came of it.
+type Told struct {
+	Lines []string `json:"lines,omitempty"`
+	Error string   `json:"error,omitempty"`
+}
+
+const longestAsk = 4 << 10
+
+// admin listens at a socket until the manager ends. One that is left of a manager that ended is removed.
+func (n *Node) admin(path string) error {
+	if c, err := net.Dial("unix", path); err == nil {
+		c.Close()
+		return fmt.Errorf("%s: another process listens there", path)
+	}
+	if info, err := os.Lstat(path); err == nil && info.Mode()&os.ModeSocket != 0 {
+		os.Remove(path)
+	}
+	at, err := net.Listen("unix", path)
+	if err != nil {
+		return err
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		at.Close()
+		return err
+	}
+	go func() {
+		<-n.life.Done()
+		at.Close()
+	}()
+	go func() {
+		for {
+			c, err := at.Accept()
+			if err != nil {
+				return
+			}
+			n.answer(c) // one at a time: commands take effect one after another
+		}
+	}()
+	return nil
+}
+
+func (n *Node) answer(c net.Conn) {
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	line, err := bufio.NewReader(io.LimitReader(c, longestAsk)).ReadBytes('\n')
+	if err != nil {
+		return
+	}
+	var a Ask
+	var told Told
+	if err := json.Unmarshal(line, &a); err != nil {
+		told.Error = "unreadable: " + err.Error()
+	} else if told.Lines, err = n.staff(a); err != nil {
+		told.Error = err.Error()
+	}
+	if a.Do == "rollback" || a.Do == "hold" || a.Do == "resume" {
+		n.book.tell("command", "do", a.Do, "version", a.Version, "key", a.Key, "lines", strings.Join(told.Lines, "; "), "error", told.Error)
+	}
+	json.NewEncoder(c).Encode(told)
+}
+
+// owner runs something as the module's owner and waits for it.
+func (n *Node) owner(do func(r *router)) error {
+	done := make(chan struct{})
+	if !give(command(func(r *router) { do(r); close(done) }), n.router.inputs, n.life.Done()) {
+		return errStop
+	}
+	select {
+	case <-done:
+		return nil
+	case <-n.life.Done():
+		return errStop
+	}
+}
+
+func (n *Node) staff(a Ask) (lines []string, err error) {
+	id, err := versionID(a.Version)
+	other, bad := versionID(a.Other)
+	if err = errors.Join(err, bad); err != nil {
+		return nil, err
+	}
+	ended := n.owner(func(r *router) { lines, err = r.staff(a, id, other) })
+	return lines, errors.Join(ended, err)
+}
+
+// versionID reads EPOCH.NUMBER; empty is none.
+func versionID(text string) (id tables.ID, err error) {
+	if text == "" {
+		return id, nil
+	}
+	epoch, number, ok := strings.Cut(text, ".")
+	if id.Epoch, err = strconv.ParseUint(epoch, 10, 64); err == nil && ok {
+		if id.Number, err = strconv.ParseUint(number, 10, 64); err == nil {
+			return id, nil
+		}
+	}
+	return id, fmt.Errorf("%q is no version: EPOCH.NUMBER is due", text)
+}
+
+func (r *router) staff(a Ask, id, other tables.ID) (lines []string, err error) {
+	c, see := r.chain, sight{r.manager}
+	did := func(d versions.Done, fresh bool, err error) ([]string, error) {
+		if err != nil {
+			return nil, err
+		}
+		if !fresh {
+			return []string{fmt.Sprintf("done before, at %s: %s", d.At.Format(time.RFC3339), d.What)}, nil
+		}
+		r.pin()
+		r.done(d)
+		return []string{fmt.Sprintf("%s: done under key %q, from version %v on", d.What, d.Key, d.Head)}, nil
+	}
+	switch a.Do {
+	case "log":
+		if h, held := c.Holding(see); held {
+			lines = append(lines, fmt.Sprintf("held by key %q until %s, %.2f of its weight is left", h.Key, h.Until.Format(time.RFC3339), h.Left))
+		}
+		bases := c.Bases()
+		for _, v := range slices.Backward(c.Versions()) {
+			may := ""
+			if len(bases) > 1 && slices.Contains(bases, v.ID) {
+				may = " may stand"
+			}
+			lines = append(lines, fmt.Sprintf("%v %v %s %s%s%s", v.ID, v.Digest, v.At.Format(time.RFC3339Nano), v.Cause, by(v.Key), may))
+		}
+	case "show":
+		v, err := c.Find(id)
+		if err != nil {
+			return nil, err
+		}
+		lines = shown(v.State)
+	case "diff":
+		v, err := c.Find(id)
+		if err != nil {
+			return nil, err
+		}
+		w, err := c.Find(other)
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range tables.Diff(v.State, w.State) {
+			lines = append(lines, spelled(o))
+		}
+	case "verify":
+		return c.Verify()
+	case "rollback":
+		return did(c.RollBack(r.now, id, a.Key, a.For, see))
+	case "hold":
+		return did(c.Hold(r.now, a.Key, a.For, see))
+	case "resume":
+		return did(c.Resume(r.now, a.Key))
+	default:
+		return nil, fmt.Errorf("%q is no command", a.Do)
+	}
+	return lines, nil
+}
+
+func by(key string) string {
+	if key == "" {
+		return ""
+	}
+	return fmt.Sprintf(" by %q", key)
+}
+
+// shown is a state for people.
+func shown(s *tables.State) (lines []string) {
+	for _, id := range s.IDs() {
+		for _, o := range tables.Diff(tables.Empty(), s) {
+			if o.Table == id && (o.Kind == tables.SetLine || o.Kind == tables.SetLevel) {
+				lines = append(lines, spelled(o))
+			}
+		}
+	}
+	for _, w := range s.AllWithdrawn() {
+		lines = append(lines, "withdrawn "+w)
+	}
+	return lines
+}
+
+func spelled(o tables.Op) string {
+	switch o.Kind {
+	case tables.SetLine:
+		return fmt.Sprintf("table %d %s %g", o.Table, o.Server, o.Weight)
+	case tables.SetLevel:
+		return fmt.Sprintf("table %d groups %b let in %g tries %d", o.Table, o.Mask, o.Level.Amount, o.Level.Tries)
+	case tables.Withdraw:
+		return "withdraw " + o.Server
+	case tables.Readmit:
+		return "let back in " + o.Server
+	}
+	return fmt.Sprintf("table %d empty", o.Table)
+}
+
+// done keeps a command that was carried out.
+func (r *router) done(d versions.Done) {
+	if r.vault != nil {
+		r.vault.done(d)
+	}
+}
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -57,6 +57,11 @@
 	samplesFolded
 	versionsMade
 	versionsHeld
+	storeFailed
+	versionsSent
+	versionsAcked
+	versionsRefused
+	holdersRefused
 	counters
 )
 
@@ -67,7 +72,8 @@
 	"calls_sent", "calls_answered", "calls_unknown", "calls_unsent", "calls_busy", "calls_folded", "calls_again",
 	"orders_sent", "orders_refused", "marks_sent", "probes_sent", "probes_answered", "probes_failed", "probes_dropped", "log_dropped",
 	"spoilt", "strangers_late", "reloads", "reloads_faulty", "lane_moves", "lanes_renewed", "lines_fatal", "samples_folded",
-	"versions_made", "versions_held",
+	"versions_made", "versions_held", "store_failed",
+	"versions_sent", "versions_acked", "versions_refused", "holders_refused",
 }
 
 type book struct {
--- /dev/null
+++ b/internal/node/feed.go
@@ -0,0 +1,237 @@
+package node
+
+// Feed serves holders of versioned tables at a listener of its own, off unless the operator's settings name its
+// address. It owns the connections and their frames; what a holder is sent is decided by versions.Peer from what was
+// published last. It must never hold up the decisions, nor send anything to who can't prove that it has a key.
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamarindshore/client/follow"
+	"tamarindshore/client/tables"
+	"tamarindshore/internal/versions"
+)
+
+type feed struct {
+	book    *book
+	born    time.Time
+	most    int
+	keys    atomic.Pointer[tables.Keys]
+	trying  versions.Trying
+	holders atomic.Int64
+
+	mu      sync.Mutex
+	view    versions.View
+	newer   chan struct{}         // closed once another is published
+	encoded map[encodedKey][]byte // of the newest version, by base: most holders hold the same
+}
+
+type encodedKey struct {
+	head, base tables.ID
+	from       tables.Digest
+}
+
+// readKeys reads a file of keys: 64 hex digits a line, the one that signs first; two at most.
+func readKeys(path string) (keys tables.Keys, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	for i, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+		secret, err := hex.DecodeString(strings.TrimSpace(line))
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: no hex digits", path, i+1)
+		}
+		k, err := tables.NewKey(secret)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %v", path, i+1, err)
+		}
+		keys = append(keys, k)
+	}
+	if len(keys) > 2 {
+		return nil, fmt.Errorf("%s: %d keys, two at most are valid at once", path, len(keys))
+	}
+	return keys, nil
+}
+
+func newFeed(keys tables.Keys, most int, b *book) *feed {
+	f := &feed{book: b, born: time.Now(), most: most, trying: versions.UsualTrying(), newer: make(chan struct{}), encoded: map[encodedKey][]byte{}}
+	f.keys.Store(&keys)
+	return f
+}
+
+// publish takes over what is to be sent from now on.
+func (f *feed) publish(v versions.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = v
+	clear(f.encoded)
+	close(f.newer)
+	f.newer = make(chan struct{})
+}
+
+func (f *feed) now() (versions.View, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view, f.newer
+}
+
+// encode writes a delta once for all that hold its base.
+func (f *feed) encode(d *tables.Delta) ([]byte, error) {
+	k := encodedKey{d.ID, d.Base, d.From}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b, done := f.encoded[k]; done {
+		return b, nil
+	}
+	b, err := d.Encode(*f.keys.Load())
+	if err == nil && len(f.encoded) < 64 {
+		f.encoded[k] = b
+	}
+	return b, err
+}
+
+// listen takes holders until stop is closed.
+func (f *feed) listen(address string, stop <-chan struct{}) error {
+	at, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-stop
+		at.Close()
+	}()
+	go func() {
+		for {
+			c, err := at.Accept()
+			if err != nil {
+				return
+			}
+			if f.holders.Load() >= int64(f.most) {
+				c.Close()
+				f.book.add(holdersRefused, 1)
+				continue
+			}
+			f.holders.Add(1)
+			go func() {
+				defer f.holders.Add(-1)
+				defer c.Close()
+				f.serve(c, stop)
+			}()
+		}
+	}()
+	return nil
+}
+
+// reply is a frame of a holder's.
+type reply struct {
+	kind byte
+	body []byte
+}
+
+const greetWithin, sendWithin = 1500 * time.Millisecond, 5 * time.Second
+
+// serve keeps one holder up to date until its connection ends.
+func (f *feed) serve(c net.Conn, stop <-chan struct{}) {
+	nonce := make([]byte, 16)
+	rand.Read(nonce)
+	c.SetDeadline(time.Now().Add(greetWithin))
+	if follow.Write(c, follow.Nonce, nonce) != nil {
+		return
+	}
+	kind, body, err := follow.Read(c, 256)
+	if err != nil || kind != follow.Hello {
+		f.book.add(holdersRefused, 1)
+		return
+	}
+	name, held, err := follow.Greeted(nonce, *f.keys.Load(), body)
+	if err != nil {
+		f.book.add(holdersRefused, 1)
+		f.book.say("holder", "from", c.RemoteAddr().String(), "error", err)
+		return
+	}
+	c.SetDeadline(time.Time{})
+	answers, over := make(chan reply, 4), make(chan struct{})
+	defer close(over)
+	go func() {
+		defer close(answers)
+		for {
+			kind, body, err := follow.Read(c, 256)
+			if err != nil {
+				return
+			}
+			select {
+			case answers <- reply{kind, body}:
+			case <-over:
+				return
+			}
+		}
+	}()
+	p := versions.NewPeer(f.trying, held, uint64(nonce[0])<<8|uint64(nonce[1]))
+	for {
+		view, newer := f.now()
+		d, wake := p.Next(time.Since(f.born), view)
+		if d != nil {
+			b, err := f.encode(d)
+			if err != nil {
+				f.book.say("holder", "name", name, "error", err)
+				return
+			}
+			c.SetWriteDeadline(time.Now().Add(sendWithin))
+			if follow.Write(c, follow.Version, b) != nil {
+				return
+			}
+			f.book.add(versionsSent, 1)
+			continue
+		}
+		var timer <-chan time.Time
+		if wake > 0 {
+			timer = time.After(max(0, wake-time.Since(f.born)))
+		}
+		select {
+		case a, more := <-answers:
+			if !more || !f.heed(p, name, a) {
+				return
+			}
+		case <-newer:
+		case <-timer:
+		case <-stop:
+			return
+		}
+	}
+}
+
+// heed takes an answer; false ends the connection.
+func (f *feed) heed(p *versions.Peer, name string, a reply) bool {
+	why, body := tables.Applied, a.body
+	if a.kind == follow.Refused && len(body) > 0 {
+		why, body = tables.Outcome(body[0]), body[1:]
+	}
+	held, _, err := follow.ReadHeld(body)
+	if err != nil || why < tables.Applied || why > tables.Conflict {
+		return false
+	}
+	switch a.kind {
+	case follow.Ack:
+		f.book.add(versionsAcked, 1)
+		p.Acked(held)
+	case follow.Whole:
+		p.AskedWhole(held)
+	case follow.Refused:
+		f.book.add(versionsRefused, 1)
+		f.book.say("refused_version", "holder", name, "why", why.String(), "holds", held.ID.String())
+		p.Refused(time.Since(f.born), why, held)
+		if p.Over() {
+			f.book.say("taken_over", "holder", name, "holds", held.ID.String())
+		}
+	}
+	return true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,19 +12,23 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"tamarindshore/choice"
+	"tamarindshore/client/tables"
 	"tamarindshore/internal/config"
 	"tamarindshore/internal/logs"
+	"tamarindshore/internal/store"
 	"tamarindshore/internal/versions"
 )
 
 // Node is one manager; it serves once it is run.
 type Node struct {
 	start  config.Start
+	store  *store.Store
 	known  listed
 	born   time.Time
 	hub    *hub
@@ -57,14 +61,66 @@
 		limits: s.Limits, born: born, manager: choice.New(s.Seed, s.Terms), inputs: make(chan any, s.Limits.Inputs),
 		backlog: newBacklog(s.Limits.CallsWait, n.book), probes: make(chan probe, s.Limits.ProbesWait),
 		listen: make(chan struct{}, 1), book: n.book, proxies: map[choice.ProxyID]bool{},
-		unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{}, keep: func(*versions.Version) {},
+		unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{},
 	}
-	terms := versions.Usual(uint64(born.UnixMilli()))
+	epoch, kept := uint64(born.UnixMilli()), store.Kept{}
+	if s.Store != "" {
+		var err error
+		if n.store, kept, err = store.Open(s.Store, epoch, store.Usual(), nil); err != nil {
+			return nil, fmt.Errorf("store: %s: %v", s.Store, err)
+		}
+		epoch = n.store.Epoch()
+		n.router.vault = newVault(n.store, kept, n.book, n.life.Done())
+	}
+	terms := versions.Usual(epoch)
 	terms.Began, terms.LinesMost = born, max(1, int(s.Terms.QueueLines))
 	n.router.chain = versions.New(terms)
+	n.router.chain.Recover(recovered(kept))
+	if s.Tables != "" {
+		keys, err := readKeys(s.Keys)
+		if err != nil {
+			return nil, fmt.Errorf("keys: %v", err)
+		}
+		n.router.feed = newFeed(keys, max(16, s.Limits.Sockets/2), n.book)
+	}
+	n.known.entries = stillDraining(n.known.entries, kept.Drains, born)
 	return n, nil
 }
 
+// recovered are the versions and commands of a store, as the chain takes them.
+func recovered(kept store.Kept) (old []*versions.Version, done []versions.Done) {
+	state := tables.Empty()
+	for _, v := range kept.Versions {
+		if v.Whole {
+			state = tables.Empty()
+		}
+		next, err := state.Apply(v.Ops)
+		if err != nil {
+			return nil, nil // the store has looked at it; nothing is better than a part
+		}
+		state = next
+		old = append(old, &versions.Version{ID: v.ID, Parent: v.Parent, Digest: v.Digest, At: v.At, Cause: v.Cause, Layout: v.Layout,
+			Key: v.Key, Ops: v.Ops, State: next})
+	}
+	for _, d := range kept.Done {
+		done = append(done, versions.Done(d))
+	}
+	slices.SortFunc(done, func(a, b versions.Done) int { return a.At.Compare(b.At) })
+	return old, done
+}
+
+// stillDraining corrects the list as last held by the drains that were in force: guards against a list older than a
+// drain, which would give a server flows again. One that started since then is another process.
+func stillDraining(entries []choice.Entry, drains map[string]time.Time, born time.Time) []choice.Entry {
+	for i, e := range entries {
+		since, drained := drains[string(e.Server)]
+		if drained && e.State == choice.Ready && !(e.Fresh && e.Started > since.Sub(born)) {
+			entries[i].State = choice.Draining
+		}
+	}
+	return entries
+}
+
 // Run listens and serves until a signal comes that asks for the end: SIGUSR1 asks for the counters, SIGHUP to
 // take the file anew.
 func (n *Node) Run(signals <-chan os.Signal, reread func() (config.Start, error)) error {
@@ -103,6 +159,16 @@
 		go t.prober(n.router.probes, path)
 	}
 	go t.accept(at)
+	if n.start.Tables != "" {
+		if err := n.router.feed.listen(n.start.Tables, n.life.Done()); err != nil {
+			return fmt.Errorf("tables: %v", err)
+		}
+	}
+	if n.start.Admin != "" {
+		if err := n.admin(n.start.Admin); err != nil {
+			return fmt.Errorf("admin: %v", err)
+		}
+	}
 	if n.start.Status != "" {
 		if err := n.status(n.start.Status); err != nil {
 			return fmt.Errorf("status: %v", err)
@@ -121,6 +187,12 @@
 	}
 	n.end()
 	at.Close()
+	if v := n.router.vault; v != nil {
+		select {
+		case <-v.ended:
+		case <-time.After(l.LogEnd):
+		}
+	}
 	n.book.count("end")
 	return nil
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -63,6 +63,13 @@
 		n.book.tell("reload_faulty", "error", err)
 		return
 	}
+	if f := n.router.feed; f != nil {
+		if keys, err := readKeys(n.start.Keys); err != nil {
+			n.book.tell("keys_faulty", "error", err)
+		} else {
+			f.keys.Store(&keys)
+		}
+	}
 	n.book.add(reloads, 1)
 	s := n.start
 	var left []string
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -23,8 +23,9 @@
 	born    time.Time
 	manager *choice.Manager
 	inputs  chan any
-	chain   *versions.Chain           // behind all orders; nil: they go as they are
-	keep    func(v *versions.Version) // each new version
+	chain   *versions.Chain // behind all orders; nil: they go as they are
+	feed    *feed           // sends versions to holders; nil: there is none
+	vault   *vault          // keeps versions and commands; nil: they end with the process
 	lookAt  time.Duration
 	post    *post // samples that several cores took in; nil: they come with the inputs
 	backlog *backlog
@@ -235,7 +236,12 @@
 	}
 	if res.Version != nil {
 		r.book.add(versionsMade, 1)
-		r.keep(res.Version)
+		if r.vault != nil {
+			r.vault.version(res.Version)
+		}
+		if r.feed != nil {
+			r.feed.publish(r.chain.View())
+		}
 	}
 	return res.Orders
 }
--- /dev/null
+++ b/internal/node/vault.go
@@ -0,0 +1,137 @@
+package node
+
+// Vault hands versions and commands to the store, behind the decisions: they never wait for a disk. It owns what is not
+// saved yet. Where saving fails it says so once, goes on without, and saves the whole state once it succeeds again; it
+// must never change what is decided.
+
+import (
+	"sync"
+	"time"
+
+	"tamarindshore/client/tables"
+	"tamarindshore/internal/store"
+	"tamarindshore/internal/versions"
+)
+
+type vault struct {
+	store  *store.Store
+	book   *book
+	stop   <-chan struct{}
+	again  time.Duration // between two tries
+	filled chan struct{}
+	ended  chan struct{}
+
+	mu      sync.Mutex
+	waits   []*versions.Version
+	dones   []versions.Done
+	saved   tables.Digest // of the last version saved
+	drains  map[string]time.Time
+	failing bool
+}
+
+const vaultMost = 64 // versions that wait; past that only the newest is saved, whole
+
+func newVault(s *store.Store, kept store.Kept, b *book, stop <-chan struct{}) *vault {
+	v := &vault{store: s, book: b, stop: stop, again: 5 * time.Second, filled: make(chan struct{}, 1), ended: make(chan struct{}),
+		saved: kept.State.Digest(), drains: kept.Drains}
+	go v.run()
+	return v
+}
+
+func (v *vault) signal() {
+	select {
+	case v.filled <- struct{}{}:
+	default:
+	}
+}
+
+func (v *vault) version(one *versions.Version) {
+	v.mu.Lock()
+	if v.waits = append(v.waits, one); len(v.waits) > vaultMost {
+		v.waits = v.waits[len(v.waits)-1:]
+	}
+	v.mu.Unlock()
+	v.signal()
+}
+
+func (v *vault) done(d versions.Done) {
+	v.mu.Lock()
+	v.dones = append(v.dones, d)
+	v.mu.Unlock()
+	v.signal()
+}
+
+func (v *vault) run() {
+	defer close(v.ended)
+	for {
+		select {
+		case <-v.filled:
+		case <-v.stop:
+			v.save()
+			v.store.Close()
+			return
+		}
+		if !v.save() {
+			select {
+			case <-time.After(v.again):
+				v.signal()
+			case <-v.stop:
+				v.signal()
+			}
+		}
+	}
+}
+
+// save keeps all that waits as one change; false where that failed, and all of it waits on.
+func (v *vault) save() bool {
+	v.mu.Lock()
+	waits, dones := v.waits, v.dones
+	v.waits, v.dones = nil, nil
+	v.mu.Unlock()
+	if len(waits)+len(dones) == 0 {
+		return true
+	}
+	c, saved := store.Change{}, v.saved
+	for _, one := range waits {
+		k := store.Version{ID: one.ID, Digest: one.Digest, Parent: one.Parent, At: one.At, Cause: one.Cause, Layout: one.Layout, Key: one.Key, Ops: one.Ops}
+		if one.Parent != saved {
+			k.Whole, k.Ops = true, tables.Diff(tables.Empty(), one.State)
+		}
+		c.Versions, saved = append(c.Versions, k), one.Digest
+	}
+	if n := len(waits); n > 0 {
+		last, drains := waits[n-1], map[string]time.Time{}
+		for _, s := range last.State.AllWithdrawn() {
+			if drains[s] = last.At; !v.drains[s].IsZero() {
+				drains[s] = v.drains[s]
+			}
+		}
+		c.Drains = drains
+	}
+	for _, d := range dones {
+		c.Done = append(c.Done, store.Done(d))
+	}
+	err := v.store.Save(c)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err != nil {
+		v.book.add(storeFailed, 1)
+		if !v.failing {
+			v.book.log.Error().Str("event", "store_failed").Err(err).Send()
+		}
+		v.failing = true
+		v.waits, v.dones = append(waits, v.waits...), append(dones, v.dones...)
+		if len(v.waits) > vaultMost {
+			v.waits = v.waits[len(v.waits)-1:]
+		}
+		return false
+	}
+	if v.failing {
+		v.book.tell("store_again", "versions", len(c.Versions), "commands", len(c.Done))
+	}
+	v.failing, v.saved = false, saved
+	if c.Drains != nil {
+		v.drains = c.Drains
+	}
+	return true
+}
--- a/internal/stand/rig.go
+++ b/internal/stand/rig.go
@@ -39,7 +39,6 @@
 
 	dir      string
 	begin    Begin
-	settings string
 	restarts uint64
 	how      How
 }
@@ -50,6 +49,7 @@
 	MemoryMB float64
 	Sockets  int
 	Seed     uint64
+	Settings string // further forms of the operator's
 }
 
 // Raise starts all of a rig and waits until the manager is fit to serve. What was started is closed where it fails.
@@ -106,7 +106,7 @@
 	if err = os.WriteFile(start, text, 0o600); err != nil {
 		return err
 	}
-	operator := fmt.Sprintf("(tamarindshore (cores %d) (listen (status %q)))\n", r.how.Cores, r.Status)
+	operator := fmt.Sprintf("(tamarindshore (cores %d) (listen (status %q)) %s)\n", r.how.Cores, r.Status, r.how.Settings)
 	if err = os.WriteFile(settings, []byte(operator), 0o600); err != nil {
 		return err
 	}
--- a/internal/versions/chain.go
+++ b/internal/versions/chain.go
@@ -21,32 +21,58 @@
 	versions []*Version // by number, oldest first; the last is the head
 	size     int
 	layout   string
-	refused  string // the rule that held the last version back
+	state    *tables.State // that stands
+	refused  string        // the rule that held the last version back
 	hold     *hold
 	done     []Done
 }
 
 // New begins with nothing sent.
-func New(t Terms) *Chain { return &Chain{t: t} }
+func New(t Terms) *Chain { return &Chain{t: t, state: tables.Empty()} }
+
+// Recover takes over the versions and commands of earlier epochs: ways back may lead to them, and a command that was
+// done is not done again. Nothing of them stands: a manager that starts has no tables.
+func (c *Chain) Recover(old []*Version, done []Done) {
+	for _, v := range old {
+		v.Settled = true
+		v.size = 200 + 64*len(v.Ops) + 48*v.State.Lines()
+		c.versions, c.size = append(c.versions, v), c.size+v.size
+	}
+	c.done = append(c.done, done...)
+	c.shorten()
+}
+
+// Verify makes each version that is kept anew from the one before it, and compares.
+func (c *Chain) Verify() (lines []string, err error) {
+	for i, v := range c.versions {
+		switch {
+		case v.State.Digest() != v.Digest:
+			return lines, fmt.Errorf("version %v: its state is %v, not %v", v.ID, v.State.Digest(), v.Digest)
+		case i == 0 || c.versions[i-1].Digest != v.Parent:
+			lines = append(lines, fmt.Sprintf("%v %v holds; what it came from is not kept", v.ID, v.Digest))
+			continue
+		}
+		next, err := c.versions[i-1].State.Apply(v.Ops)
+		if err != nil || next.Digest() != v.Digest {
+			return lines, fmt.Errorf("version %v does not follow from the one before it", v.ID)
+		}
+	}
+	return append(lines, fmt.Sprintf("%d versions hold", len(c.versions))), nil
+}
 
 // Laid tells what the tables' numbers mean from now on.
 func (c *Chain) Laid(layout string) { c.layout = layout }
 
-// Head is the newest version; nil before the first.
+// Head is the newest version of this epoch; nil before the first.
 func (c *Chain) Head() *Version {
-	if len(c.versions) == 0 {
-		return nil
+	if n := len(c.versions); n > 0 && c.versions[n-1].ID.Epoch == c.t.Epoch {
+		return c.versions[n-1]
 	}
-	return c.versions[len(c.versions)-1]
+	return nil
 }
 
 // State is what stands by the newest version.
-func (c *Chain) State() *tables.State {
-	if v := c.Head(); v != nil {
-		return v.State
-	}
-	return tables.Empty()
-}
+func (c *Chain) State() *tables.State { return c.state }
 
 // Versions are those that are kept, oldest first.
 func (c *Chain) Versions() []*Version { return c.versions }
@@ -61,7 +87,7 @@
 	if len(c.versions) == 0 {
 		return nil, errors.New("no version was sent yet")
 	}
-	return nil, fmt.Errorf("version %v is not kept: %v to %v are", id, c.versions[0].ID, c.Head().ID)
+	return nil, fmt.Errorf("version %v is not kept: %v to %v are", id, c.versions[0].ID, c.versions[len(c.versions)-1].ID)
 }
 
 // ops are a call's orders as changes of a state. Bindings are no part of it.
@@ -145,13 +171,9 @@
 func (c *Chain) add(s *tables.State, cause string, mark choice.MarkID, by []tables.Op) *Version {
 	v := &Version{ID: tables.ID{Epoch: c.t.Epoch, Number: 1}, Digest: s.Digest(), At: c.t.Began.Add(c.now), Cause: cause, Layout: c.layout, Ops: by, State: s, Mark: mark}
 	if h := c.Head(); h != nil {
-		v.Parent = h.Digest
-		if h.ID.Epoch == c.t.Epoch {
-			v.ID.Number = h.ID.Number + 1
-		}
-	} else {
-		v.Parent = tables.Empty().Digest()
+		v.ID.Number = h.ID.Number + 1
 	}
+	v.Parent, c.state = c.state.Digest(), s
 	if c.hold != nil {
 		v.Key = c.hold.key
 	}
@@ -164,12 +186,17 @@
 		v.size += 48 * len(s.Table(id).Lines)
 	}
 	c.versions, c.size = append(c.versions, v), c.size+v.size
+	c.shorten()
+	return v
+}
+
+// shorten drops the oldest versions beyond what is kept.
+func (c *Chain) shorten() {
 	for len(c.versions) > 1 && (len(c.versions) > c.t.KeepMost || c.size > c.t.KeepBytes) {
 		c.size -= c.versions[0].size
 		c.versions[0] = nil
 		c.versions = c.versions[1:]
 	}
-	return v
 }
 
 // Outcome tells that the orders under a mark, and all before them, were carried out.
--- a/internal/versions/peer.go
+++ b/internal/versions/peer.go
@@ -1,6 +1,7 @@
 package versions
 
 import (
+	"slices"
 	"time"
 
 	"tamarindshore/client/tables"
@@ -33,6 +34,18 @@
 	reason tables.Outcome
 }
 
+// View is what a chain has kept at one time. It never changes, so that others may read it.
+type View struct {
+	kept []*Version
+	head *Version
+}
+
+// View is what is kept now.
+func (c *Chain) View() View { return View{slices.Clone(c.versions), c.Head()} }
+
+// Head is the newest version; nil before the first.
+func (c View) Head() *Version { return c.head }
+
 // NewPeer begins with what a holder says it holds.
 func NewPeer(t Trying, held tables.Held, seed uint64) *Peer {
 	return &Peer{t: t, held: held, chance: seed*2862933555777941757 + 3037000493}
@@ -48,7 +61,7 @@
 func (p *Peer) Tries() (int, tables.Outcome) { return p.tries, p.reason }
 
 // Next gives what is to be sent now, or else when to ask again; 0 means once there is a newer version or an answer.
-func (p *Peer) Next(now time.Duration, c *Chain) (d *tables.Delta, wake time.Duration) {
+func (p *Peer) Next(now time.Duration, c View) (d *tables.Delta, wake time.Duration) {
 	head := c.Head()
 	switch {
 	case head == nil || p.over || p.held == (tables.Held{ID: head.ID, Digest: head.Digest}):
@@ -67,11 +80,11 @@
 }
 
 // lead makes what brings a holder to the newest version: from what it holds if that is kept, else from nothing.
-func (c *Chain) lead(held tables.Held, whole bool) *tables.Delta {
+func (c View) lead(held tables.Held, whole bool) *tables.Delta {
 	head := c.Head()
 	d := &tables.Delta{ID: head.ID, From: tables.Empty().Digest(), To: head.Digest, At: uint64(head.At.UnixMilli()), Cause: head.Cause}
 	from := tables.Empty()
-	for _, v := range c.versions {
+	for _, v := range c.kept {
 		if !whole && v.ID == held.ID && v.Digest == held.Digest {
 			d.Base, d.From, from = v.ID, v.Digest, v.State
 		}
--- a/internal/versions/peer_test.go
+++ b/internal/versions/peer_test.go
@@ -23,20 +23,20 @@
 func TestAPeerIsSentADeltaFromWhatItHolds(t *testing.T) {
 	c := chain(t)
 	p := NewPeer(UsualTrying(), heldBy(c.Head()), 1)
-	if d, wake := p.Next(0, c); d != nil || wake != 0 {
+	if d, wake := p.Next(0, c.View()); d != nil || wake != 0 {
 		t.Error("sent what it holds")
 	}
 	c.Propose(time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 50)}}, "health", all)
 	c.Propose(time.Second, choice.Orders{Lines: []choice.Line{line(0, "a1", 60)}}, "health", all)
-	d, _ := p.Next(time.Second, c)
+	d, _ := p.Next(time.Second, c.View())
 	if d == nil || d.Whole() || len(d.Ops) != 2 || d.ID != c.Head().ID {
 		t.Fatalf("%+v", d)
 	}
-	if d, wake := p.Next(time.Second, c); d != nil || wake != 3*time.Second {
+	if d, wake := p.Next(time.Second, c.View()); d != nil || wake != 3*time.Second {
 		t.Error("two under way")
 	}
 	p.Acked(heldBy(c.Head()))
-	if d, _ := p.Next(time.Second, c); d != nil {
+	if d, _ := p.Next(time.Second, c.View()); d != nil {
 		t.Error("sent again")
 	}
 }
@@ -45,7 +45,7 @@
 	c, tries := chain(t), 0
 	p := NewPeer(UsualTrying(), tables.Held{}, 1)
 	for now := time.Duration(0); now < 10*time.Minute; now += 50 * time.Millisecond {
-		if d, _ := p.Next(now, c); d != nil {
+		if d, _ := p.Next(now, c.View()); d != nil {
 			if tries++; tries > 1 && !d.Whole() {
 				t.Fatal("a delta again")
 			}
@@ -59,9 +59,9 @@
 func TestAPeerOfAnotherWriterIsSentNothing(t *testing.T) {
 	c := chain(t)
 	p := NewPeer(UsualTrying(), tables.Held{}, 1)
-	p.Next(0, c)
+	p.Next(0, c.View())
 	p.Refused(0, tables.OlderEpoch, tables.Held{ID: tables.ID{Epoch: 9, Number: 1}})
-	if d, _ := p.Next(time.Hour, c); d != nil || !p.Over() {
+	if d, _ := p.Next(time.Hour, c.View()); d != nil || !p.Over() {
 		t.Error("sent all the same")
 	}
 }
@@ -100,7 +100,7 @@
 
 // send carries one delta through a mishap; false where nothing was due.
 func (r *relays) send(t *testing.T, now time.Duration, i int, what string) bool {
-	d, _ := r.peers[i].Next(now, r.c)
+	d, _ := r.peers[i].Next(now, r.c.View())
 	h := r.holders[i]
 	if due, _ := h.Ask(now); due {
 		r.peers[i].AskedWhole(h.Held())
