--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -404,7 +404,7 @@
 	va := &vault{store: s, book: b, filled: make(chan struct{}, 1), saved: kept.State.Digest()}
 	c := versions.New(versions.Usual(1))
 	propose := func(w float64) {
-		r := c.Propose(0, choice.Orders{Lines: []choice.Line{{Table: 0, Server: "s", Weight: w}}}, "x", anyone{})
+		r := c.Propose(0, choice.Orders{Lines: []choice.Line{{Table: 0, Server: choice.ServerID(fmt.Sprint("s", w)), Weight: w}}}, "x", anyone{})
 		va.version(r.Version)
 	}
 	propose(1)
@@ -458,20 +458,34 @@
 	}
 	newest := func() string { return v.versions(b)[0] }
 	wait(newest)
+	time.Sleep(time.Second)
 	good := newest()
+	c, err := net.Dial("tcp", v.Manager)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "collector site=a\r\n")
+	report := func() { // a third of the servers are slow, so that the tables move
+		for range 8 {
+			for s := range v.Site.Servers {
+				fmt.Fprintf(c, "heard site=a target=%s count=20 fail=0 mean=%d over=250\r\n", stand.ServerID(s), 100+2000*(1-min(1, s%3)))
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
 	var took []time.Duration
 	for i := 0; b.Loop(); i++ {
-		v.Discovery.Change(v.Servers[0].Entry("draining"))
-		time.Sleep(50 * time.Millisecond)
-		v.Discovery.Change(v.Servers[0].Entry("up"))
-		time.Sleep(1500 * time.Millisecond)
+		report()
 		was, began := newest(), time.Now()
 		if _, err := v.ask(b, Ask{Do: "rollback", Version: good, Key: fmt.Sprint("k", i)}); err != nil {
 			b.Fatal(err)
 		}
-		if now := newest(); now != was {
-			wait(func() string { return now })
+		now := newest()
+		if now == was {
+			b.Fatal("nothing was to go back to")
 		}
+		wait(func() string { return now })
 		took = append(took, time.Since(began))
 		v.ask(b, Ask{Do: "resume", Key: fmt.Sprint("r", i)})
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -131,13 +132,21 @@
 	return s, kept, nil
 }
 
-// raise opens the file itself. What the library finds wrong with it is damage, also where it panics over it.
-func raise(path string, readOnly bool, l Limits, open func(string, int, os.FileMode) (*os.File, error)) (db *bbolt.DB, err error) {
-	defer func() {
+// guard turns what the library does over a damaged file into an error: it trusts the numbers of pages in it, and a
+// flipped bit leads it out of the file, which would end the process.
+func guard(err *error) func() {
+	was := debug.SetPanicOnFault(true)
+	return func() {
+		debug.SetPanicOnFault(was)
 		if cause := recover(); cause != nil {
-			err = fmt.Errorf("%w: %v", ErrDamaged, cause)
+			*err = fmt.Errorf("%w: %v", ErrDamaged, cause)
 		}
-	}()
+	}
+}
+
+// raise opens the file itself. What the library finds wrong with it is damage, also where it panics over it.
+func raise(path string, readOnly bool, l Limits, open func(string, int, os.FileMode) (*os.File, error)) (db *bbolt.DB, err error) {
+	defer guard(&err)()
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: l.Lock, ReadOnly: readOnly, OpenFile: open, FreelistType: bbolt.FreelistMapType, NoFreelistSync: true})
 	switch {
 	case errors.Is(err, bbolt.ErrTimeout):
@@ -175,16 +184,15 @@
 	if sum := blake3.Sum256(b[16:]); [16]byte(sum[:16]) != [16]byte(b[:16]) {
 		return fmt.Errorf("%w: a value does not fit its digest", ErrDamaged)
 	}
-	return json.Unmarshal(b[16:], v)
+	if err := json.Unmarshal(b[16:], v); err != nil { // another bucket's, by a flipped number
+		return fmt.Errorf("%w: %v", ErrDamaged, err)
+	}
+	return nil
 }
 
 // Save keeps a change; once it returns nil, that survives a crash.
 func (s *Store) Save(c Change) (err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			err = fmt.Errorf("%w: %v", ErrDamaged, cause)
-		}
-	}()
+	defer guard(&err)()
 	state, last, count := s.state, s.last, s.count
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(versions)
@@ -279,11 +287,7 @@
 
 // load reads and checks all: each value's digest, each version's way to its state.
 func (s *Store) load() (kept Kept, err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			err = fmt.Errorf("%w: %v", ErrDamaged, cause)
-		}
-	}()
+	defer guard(&err)()
 	kept = Kept{State: tables.Empty(), Drains: map[string]time.Time{}}
 	err = s.db.View(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(meta)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -215,6 +215,38 @@
 	}
 }
 
+// A disk without room, as far as one process can have it: files may not grow past a size. What was acknowledged stays,
+// and once there is room the store goes on.
+func TestAFullDiskFailsTheSaveAndNothingElse(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.db")
+	s, _ := opened(t, path)
+	grow(t, s, 5)
+	var was syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_FSIZE, &was); err != nil {
+		t.Skip(err)
+	}
+	info, _ := os.Stat(path)
+	full := was
+	full.Cur = uint64(info.Size())
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &full); err != nil {
+		t.Skip(err)
+	}
+	large := Version{ID: tables.ID{Epoch: 5, Number: 6}, Cause: strings.Repeat("x", 1<<20), Ops: []tables.Op{{Kind: tables.Withdraw, Server: "x"}}}
+	next, _ := s.state.Apply(large.Ops)
+	large.Digest = next.Digest()
+	err := s.Save(Change{Versions: []Version{large}})
+	syscall.Setrlimit(syscall.RLIMIT_FSIZE, &was)
+	if err == nil {
+		t.Fatal("saved past the end of the disk")
+	}
+	grow(t, s, 3)
+	state := s.state.Digest()
+	s.Close()
+	if kept, err := Look(path, Usual()); err != nil || len(kept.Versions) != 8 || kept.State.Digest() != state {
+		t.Errorf("%v: %d versions", err, len(kept.Versions))
+	}
+}
+
 // Bit rot is found or does no harm: it never gives another state than one that was saved.
 func TestBitRotNeverPassesForAState(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.db")
@@ -230,7 +262,7 @@
 		t.Fatal(err)
 	}
 	chance, found := rand.New(rand.NewPCG(3, 3)), map[string]int{}
-	for range 300 {
+	for range 1000 {
 		file := bytes.Clone(whole)
 		file[chance.IntN(len(file))] ^= 1 << chance.IntN(8)
 		if err := os.WriteFile(path, file, 0o600); err != nil {
