Search: seeded faults against the decisions on a virtual clock, replay and shrink

Need: overlapping faults are rare and hard to reproduce; the users would trust a search of ten thousand seeds within minutes.

Change: internal/search (scenario, scripts, world, rules, seeds on all cores, shrinking), commands search and replay, internal/orders shared with the daemon; operator's listeners end with the manager and not shortly after it.

--- a/cmd/tamarindshore/main.go
+++ b/cmd/tamarindshore/main.go
@@ -27,6 +27,8 @@
 	Load    loads     `cmd:"" help:"Load a manager with stand-ins on loopback and judge it by the five rules."`
 	Tables  tablesCmd `cmd:"" help:"Versions of the tables: what was sent, and the way back."`
 	Store   storeCmd  `cmd:"" help:"The file in which versions survive a crash."`
+	Search  searchCmd `cmd:"" help:"Play seeded faults on a virtual clock until a rule breaks."`
+	Replay  replayCmd `cmd:"" help:"Play one script or seed again, with its trace; --shrink makes it smaller."`
 	Version version   `cmd:"" help:"Say which version this is."`
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -55,10 +55,7 @@
 		at.Close()
 		return err
 	}
-	go func() {
-		<-n.life.Done()
-		at.Close()
-	}()
+	n.closes = append(n.closes, at)
 	go func() {
 		for {
 			c, err := at.Accept()
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -100,15 +100,11 @@
 }
 
 // listen takes holders until stop is closed.
-func (f *feed) listen(address string, stop <-chan struct{}) error {
+func (f *feed) listen(address string, stop <-chan struct{}) (net.Listener, error) {
 	at, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	go func() {
-		<-stop
-		at.Close()
-	}()
 	go func() {
 		for {
 			c, err := at.Accept()
@@ -128,7 +124,7 @@
 			}()
 		}
 	}()
-	return nil
+	return at, nil
 }
 
 // reply is a frame of a holder's.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 // Node is one manager; it serves once it is run.
 type Node struct {
 	start  config.Start
+	closes []io.Closer // listeners of the operator's
 	store  *store.Store
 	known  listed
 	born   time.Time
@@ -160,9 +161,11 @@
 	}
 	go t.accept(at)
 	if n.start.Tables != "" {
-		if err := n.router.feed.listen(n.start.Tables, n.life.Done()); err != nil {
+		l, err := n.router.feed.listen(n.start.Tables, n.life.Done())
+		if err != nil {
 			return fmt.Errorf("tables: %v", err)
 		}
+		n.closes = append(n.closes, l)
 	}
 	if n.start.Admin != "" {
 		if err := n.admin(n.start.Admin); err != nil {
@@ -187,6 +190,9 @@
 	}
 	n.end()
 	at.Close()
+	for _, l := range n.closes { // before the end, so that the next one can listen there at once
+		l.Close()
+	}
 	if v := n.router.vault; v != nil {
 		select {
 		case <-v.ended:
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -19,6 +19,7 @@
 
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
+	"tamarindshore/internal/orders"
 )
 
 type relay struct {
@@ -81,7 +82,7 @@
 			return false
 		}
 		reply := make(chan later, 1)
-		if !r.intake.give(again{fold(rest, wait), rest.Mark, end == unknown, reply}) {
+		if !r.intake.give(again{orders.Fold(rest, wait), rest.Mark, end == unknown, reply}) {
 			return false
 		}
 		select {
@@ -105,7 +106,7 @@
 
 // carry sends orders in calls, cut only where a call would be too long, and gives what is left.
 func (r *relay) carry(o choice.Orders) (rest choice.Orders, end outcome) {
-	for !empty(o) {
+	for !orders.Empty(o) {
 		text := encode(o, r.groups, r.limits.CallBytes)
 		r.book.add(callsSent, 1)
 		taken, err := r.call(strings.Join(text, ";"), len(text))
@@ -135,7 +136,7 @@
 			r.book.add(ordersRefused, 1)
 			taken++
 		}
-		o = skip(o, taken)
+		o = orders.Skip(o, taken)
 	}
 	return o, done
 }
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -15,6 +15,7 @@
 
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
+	"tamarindshore/internal/orders"
 	"tamarindshore/internal/versions"
 )
 
@@ -158,10 +159,10 @@
 	case again:
 		r.carry() // what is decided so far waits behind
 		r.tick()
-		all := fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...)
+		all := orders.Fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...)
 		all.Bind = slices.DeleteFunc(all.Bind, func(b choice.Place) bool { return !r.proxies[b.Proxy] })
 		n, mark := m.Again(r.now, in.from, in.carried, all)
-		in.reply <- later{first(all, n, mark), skip(all, n)}
+		in.reply <- later{orders.First(all, n, mark), orders.Skip(all, n)}
 		r.tick()
 	}
 }
@@ -202,7 +203,7 @@
 	if o.Wake > 0 && (r.wake == 0 || o.Wake < r.wake) {
 		r.wake = o.Wake
 	}
-	if !empty(o) {
+	if !orders.Empty(o) {
 		r.decisions = append(r.decisions, o)
 	}
 }
@@ -212,12 +213,12 @@
 	if len(r.decisions) == 0 {
 		return
 	}
-	o := fold(r.decisions...)
+	o := orders.Fold(r.decisions...)
 	r.decisions = nil
 	if r.chain != nil {
 		o = r.version(o)
 	}
-	if !empty(o) {
+	if !orders.Empty(o) {
 		r.backlog.push(o)
 	}
 }
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -9,6 +9,7 @@
 
 	"tamarindshore/choice"
 	"tamarindshore/internal/config"
+	"tamarindshore/internal/orders"
 )
 
 var limits = config.Limits{
@@ -48,7 +49,7 @@
 // ordered is all that waits for the relay.
 func (r *router) ordered() choice.Orders {
 	r.carry()
-	return fold(append([]choice.Orders{{}}, r.backlog.all()...)...)
+	return orders.Fold(append([]choice.Orders{{}}, r.backlog.all()...)...)
 }
 
 func bound(o choice.Orders) (ids []choice.ProxyID) {
--- a/internal/node/send_test.go
+++ b/internal/node/send_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"tamarindshore/choice"
+	"tamarindshore/internal/orders"
 )
 
 var groups = []string{"lookup", "book"}
@@ -53,18 +54,18 @@
 	o := some()
 	all := encode(o, groups, 60000)
 	for n := range o.Count() + 1 {
-		head, tail := encode(first(o, n, 0), groups, 60000), encode(skip(o, n), groups, 60000)
+		head, tail := encode(orders.First(o, n, 0), groups, 60000), encode(orders.Skip(o, n), groups, 60000)
 		if got := append(head, tail...); !reflect.DeepEqual(got, all) {
 			t.Errorf("at %d: %q", n, got)
 		}
 	}
-	if !empty(skip(o, 7)) {
+	if !orders.Empty(orders.Skip(o, 7)) {
 		t.Error("something is left")
 	}
 }
 
 func TestFoldKeepsTheLatestStateInOrder(t *testing.T) {
-	got := fold(some(), choice.Orders{
+	got := orders.Fold(some(), choice.Orders{
 		Lines: []choice.Line{{Table: 4, Server: "s-2", Weight: 3}, {Table: 5, Server: "s-2", Weight: 1}},
 		Levels: []choice.Level{{Table: 4, Groups: 1, Amount: 1, Tries: choice.TryUnrun},
 			{Table: 4, Groups: 2, Amount: 0.5}},
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -76,10 +76,7 @@
 		},
 	}
 	go server.Serve(at)
-	go func() {
-		<-n.life.Done()
-		at.Close()
-	}()
+	n.closes = append(n.closes, at)
 	return nil
 }
 
--- /dev/null
+++ b/internal/search/rules.go
@@ -0,0 +1,160 @@
+package search
+
+import (
+	"fmt"
+	"time"
+
+	"tamarindshore/choice"
+)
+
+// Break is the first rule that was broken.
+type Break struct {
+	Rule string
+	At   time.Duration
+	Whom string
+	What string
+}
+
+func (b *Break) String() string {
+	return fmt.Sprintf("%s: broken at %.3fs by %s: %s", b.Rule, b.At.Seconds(), b.Whom, b.What)
+}
+
+// mark is since when something is so, and how long the relay was not as stated by then.
+type mark struct {
+	since, outage time.Duration
+}
+
+// rules judges a run. The times of rules stand still while the relay, its channel or the manager does.
+type rules struct {
+	w      *World
+	broken *Break
+	bare   map[choice.ProxyID]mark
+	over   map[choice.ServerID]mark
+}
+
+func (r *rules) fail(rule, whom, format string, values ...any) {
+	if r.broken == nil {
+		r.broken = &Break{rule, r.w.now, whom, fmt.Sprintf(format, values...)}
+		r.w.say("BROKEN %v", r.broken)
+	}
+}
+
+func (r *rules) begin() mark { return mark{r.w.now, r.w.outage} }
+
+// passed is the time since a mark in which all was as stated.
+func (r *rules) passed(m mark) time.Duration { return r.w.now - m.since - (r.w.outage - m.outage) }
+
+// ready tells whether some server is listed ready, by what the manager was told, and warm.
+func (r *rules) ready() bool {
+	for _, s := range r.w.servers {
+		if t := r.w.list[s.id]; t.state == choice.Ready && r.w.now-t.since >= r.w.sc.WarmAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// usable tells whether a proxy has a line to pick.
+func usable(p *proxy) bool {
+	for s := range p.lines {
+		if !p.pulled[s] {
+			return true
+		}
+	}
+	return false
+}
+
+// held is a proxy that took over a message.
+func (r *rules) held(p *proxy) {
+	if usable(p) {
+		delete(r.bare, p.id)
+	}
+}
+
+// look judges what stands.
+func (r *rules) look() {
+	w := r.w
+	ready := r.ready()
+	for _, p := range w.proxies {
+		if !p.joined || usable(p) || !ready {
+			delete(r.bare, p.id)
+		} else if m, before := r.bare[p.id]; !before {
+			r.bare[p.id] = r.begin()
+		} else if d := r.passed(m); d > w.sc.BareFor {
+			r.fail("no proxy without a server", fmt.Sprint("proxy ", p.id), "none to pick for %.2fs", d.Seconds())
+		}
+		if !p.joined {
+			continue
+		}
+		for s, weight := range p.lines {
+			if t := w.list[s]; t.state == choice.Ready || weight == 0 || p.pulled[s] {
+				continue
+			} else if since := max(t.at, p.since); w.now-since > w.sc.DrainGrace && r.quiet(since) > w.sc.DrainGrace {
+				r.fail("drains kept", fmt.Sprint("proxy ", p.id), "sends to %s, told to drain or gone %.2fs ago", s, (w.now - since).Seconds())
+			}
+		}
+	}
+	for _, s := range w.servers {
+		if !s.up || w.now-s.started >= w.sc.WarmAfter {
+			delete(r.over, s.id)
+			continue
+		}
+		gets := 0.0
+		for _, x := range s.gets {
+			gets += x
+		}
+		if can := w.can(s); gets <= w.sc.OverloadFactor*can {
+			delete(r.over, s.id)
+		} else if m, before := r.over[s.id]; !before {
+			r.over[s.id] = r.begin()
+		} else if known := w.list[s.id].since >= s.started; known && r.passed(m) >= w.sc.OverloadFor {
+			r.fail("no cold server pushed over", string(s.id), "gets %.1f of %.1f flows/s for %.1fs", gets, can, r.passed(m).Seconds())
+		}
+	}
+}
+
+// quiet is the time since then in which all was as stated; hurts are remembered by the world as they end.
+func (r *rules) quiet(since time.Duration) time.Duration {
+	return r.w.now - since - r.w.hurtSince(since)
+}
+
+func (r *rules) queue(lines float64) {
+	if lines > r.w.sc.QueueLines {
+		r.fail("queue and messages short", "channel", "%.0f lines wait, %.0f at most", lines, r.w.sc.QueueLines)
+	}
+}
+
+func (r *rules) messages(p *proxy) {
+	if most := r.w.sc.Messages; most > 0 && len(p.sent) > most {
+		r.fail("queue and messages short", fmt.Sprint("proxy ", p.id), "%d messages in 10s, %d at most", len(p.sent), most)
+	}
+}
+
+// progress judges the end: nothing waits, all that are joined are bound and hold what stands.
+func (r *rules) progress() {
+	w := r.w
+	if w.calling || len(w.backlog) > 0 {
+		r.fail("progress", "relay", "orders still wait %.0fs after the last fault", w.sc.Settle.Seconds())
+	}
+	for _, p := range w.proxies {
+		switch {
+		case !p.joined:
+		case !p.bound:
+			r.fail("progress", fmt.Sprint("proxy ", p.id), "joined at %.1fs, and not bound", p.since.Seconds())
+		default:
+			for s, weight := range w.tables[p.table] {
+				if p.lines[s] != weight && w.now-p.at > time.Second {
+					r.fail("progress", fmt.Sprint("proxy ", p.id), "holds %v for %s, and %v stands", p.lines[s], s, weight)
+				}
+			}
+		}
+	}
+	state := w.chain.State()
+	for _, id := range state.IDs() {
+		for s, weight := range state.Table(id).Lines {
+			if w.tables[choice.TableID(id)][choice.ServerID(s)] != weight {
+				r.fail("progress", "relay", "table %d has %v for %s, and the chain %v", id, w.tables[choice.TableID(id)][choice.ServerID(s)], s, weight)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/search/script.go
@@ -0,0 +1,121 @@
+package search
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"tamarindshore/internal/sexp"
+)
+
+// Kind is what may befall a run.
+type Kind int
+
+const (
+	Crash       Kind = iota // servers die and come back cold
+	Silence                 // servers say nothing, and come back as they were
+	Slow                    // servers run slower
+	Errors                  // servers fail quickly
+	Drain                   // servers are drained, end and come back fresh
+	ZoneLost                // all servers of a zone die and come back cold
+	ZoneCut                 // flows from a zone to others fail
+	Deaf                    // no reports come
+	Unreachable             // the relay takes no calls
+	LostAnswers             // calls are carried out or not, and not answered
+	SlowChannel             // the relay sends slower
+	Restart                 // the manager restarts with the list as last held
+	Stall                   // the manager stands still
+	Rejoin                  // proxies lose their streams and join again
+	WrongList               // the list calls running servers gone, and then up again
+	Doubled                 // reports come twice
+	LateList                // the list is late by seconds more
+	RollBack                // staff go back to a version, and resume
+)
+
+var kinds = []string{"crash", "silence", "slow", "errors", "drain", "zone-lost", "zone-cut", "deaf", "unreachable", "lost-answers",
+	"slow-channel", "restart", "stall", "rejoin", "wrong-list", "doubled", "late-list", "rollback"}
+
+func (k Kind) String() string { return kinds[k] }
+
+// Fault is one thing that befalls a run.
+type Fault struct {
+	Kind    Kind
+	At, For time.Duration
+	Part    float64 // of the servers or proxies
+	Seed    uint64  // who that is
+}
+
+// Script is what befalls a run, by time. The seed settles all other chance.
+type Script struct {
+	Seed   uint64
+	Faults []Fault
+}
+
+// Draw makes a script from a seed.
+func Draw(s Scenario, seed uint64) Script {
+	chance := rand.New(rand.NewPCG(seed, 0x5eed))
+	sum := 0.0
+	for k := range kinds {
+		sum += s.Weights[Kind(k)]
+	}
+	script := Script{Seed: seed}
+	for range s.Faults[0] + chance.IntN(s.Faults[1]-s.Faults[0]+1) {
+		x, kind := chance.Float64()*sum, Kind(0)
+		for k := range kinds {
+			if x -= s.Weights[Kind(k)]; x < 0 {
+				kind = Kind(k)
+				break
+			}
+		}
+		at := 2*time.Second + time.Duration(chance.Float64()*float64(s.Length*2/3))
+		script.Faults = append(script.Faults, Fault{Kind: kind, At: at.Round(time.Millisecond), For: (time.Second + time.Duration(chance.Float64()*float64(s.Length/3))).Round(time.Millisecond),
+			Part: float64(5+chance.IntN(36)) / 100, Seed: chance.Uint64() >> 32})
+	}
+	slices.SortStableFunc(script.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return script
+}
+
+// String is a script as a replay file holds it.
+func (s Script) String() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "(replay\n  (seed %d)", s.Seed)
+	for _, f := range s.Faults {
+		fmt.Fprintf(&out, "\n  (%s (at %v) (for %v) (part %g) (whom %d))", f.Kind, f.At, f.For, f.Part, f.Seed)
+	}
+	return out.String() + ")\n"
+}
+
+// ParseScript reads a replay file.
+func ParseScript(name string, text []byte) (s Script, err error) {
+	nodes, err := sexp.Parse(name, text)
+	if err != nil {
+		return s, err
+	}
+	if len(nodes) != 1 || nodes[0].Head() != "replay" {
+		return s, fmt.Errorf("%s:1: one form (replay ...) is due", name)
+	}
+	seed := func(to *uint64) func(n *sexp.Node) error {
+		return func(n *sexp.Node) error {
+			x := 0
+			err := n.Whole(&x, 0, 1<<62)
+			*to = uint64(x)
+			return err
+		}
+	}
+	keys := []sexp.Key{{Name: "seed", Must: true, Read: seed(&s.Seed)}}
+	for k, kind := range kinds {
+		keys = append(keys, sexp.Key{Name: kind, Many: true, Read: func(n *sexp.Node) error {
+			f := Fault{Kind: Kind(k)}
+			err := sexp.Read(n, n.Args(),
+				sexp.Key{Name: "at", Must: true, Read: func(n *sexp.Node) error { return n.Span(&f.At, 0, time.Hour) }},
+				sexp.Key{Name: "for", Must: true, Read: func(n *sexp.Node) error { return n.Span(&f.For, 0, time.Hour) }},
+				sexp.Key{Name: "part", Must: true, Read: func(n *sexp.Node) error { return n.Number(&f.Part, 0, 1) }},
+				sexp.Key{Name: "whom", Must: true, Read: seed(&f.Seed)})
+			s.Faults = append(s.Faults, f)
+			return err
+		}})
+	}
+	return s, sexp.Read(nodes[0], nodes[0].Args(), keys...)
+}
