The queue is booked whole until it enters the channel, and batches go by its pace

Checked: n0.log, 'event=relay orders=210 outcome=unsent' at 12.975 up to 'orders=536' at 17.999: what is booked drains as the slowest channel sends while it has not entered the channel at all, and then goes in at once. The settings: at full size queueCap grows with the fleet and egressPerS does not, so the limit is 37 s of what the channel sends (4.9 lines a proxy and second of 446 proxies are 1.58 of the pace); half of it for ordinary batches is 18 s. Ruled out: CPU (0.03 of a second at most), memory (12 MB), calls cut at 60,000 bytes (no reply came near it).

At fault: ledger.go waiting() and post() (drains from the order on; of a mark's lines the share of messages answered, whatever their length), state.go Applied, relay.go carry() (a call taken in part and a busy relay behind it struck all of it off the books; each cut call makes messages that were not booked), choice.go New (rooms by the queue's limit alone).

Change: what was ordered waits whole until its call is answered (Entered), an answer takes off its own message, a call taken in part stays booked, what is too long for a call asks for room anew under a mark of its own. Ordinary batches take no more room than leaves by the next second, joining proxies and urgent tables no more than three quarters of the drains' stated grace; what is larger goes when nothing waits.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 	slowChannel                 = 8.0           // times slower, until marks are answered
 	queueBatch, perBatch        = 0.5, 0.6      // of the queue and a proxy's messages: for batches,
 	queueUrgent, perUrgent      = 0.75, 0.8     // joining proxies and tables that must change at once,
-	queueDrain                  = 0.9           // and drains
+	queueDrain, beforeDrain     = 0.9, 0.75     // and drains; of their grace, what may wait when one comes
 	pressureLow, pressureHigh   = 0.26, 0.32    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
@@ -70,6 +70,11 @@
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
+	// guards against a queue that may hold far more than leaves by the next second, or before a drain is due
+	m.soon = [3]float64{min(m.rooms[0], t.LinesPerS*batchEvery.Seconds()), m.rooms[1], m.rooms[2]}
+	if t.DrainGrace > 0 {
+		m.soon[1] = min(m.rooms[1], beforeDrain*t.LinesPerS*t.DrainGrace.Seconds())
+	}
 	if most := float64(t.MessagesMost); most > 1 {
 		m.perProxy = [3]int{int(max(1, perBatch*most)), int(max(1, perUrgent*most)), int(most - 1)}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -290,7 +290,7 @@
 
 func TestLaySendsWhatMovesMostWhenNotAllFits(t *testing.T) {
 	m := manager(12)
-	m.rooms[calm] = 7
+	m.soon[calm], m.rooms[calm] = 7, 7
 	for _, s := range m.servers[:3] {
 		m.tables[0].wanted[s.id] *= 0.8
 	}
@@ -566,7 +566,7 @@
 // Guards against repeats that are not counted and overrun the queue once the relay is back.
 func TestAgainCountsRepeatsAgainstTheQueue(t *testing.T) {
 	m := manager(2)
-	m.rooms[draining] = 15
+	m.soon[draining], m.rooms[draining] = 15, 15
 	o := Orders{Lines: []Line{{0, "a0", 1}, {0, "a1", 2}, {1, "b0", 1}, {1, "b1", 1}}, Bind: []Place{{0, 0}, {9, 0}}}
 	n, mark := m.Again(time.Second, 0, false, o)
 	if n != 4 || mark != 1 || m.waiting() != 4+2*5 {
@@ -580,6 +580,54 @@
 	}
 }
 
+// Guards against a queue that overruns when a relay out of reach for seconds takes at once what was booked meanwhile.
+func TestWhatHasNotEnteredTheChannelWaitsWhole(t *testing.T) {
+	m := manager(2)
+	m.post(m.proxies, 100)
+	if m.now = time.Minute; m.waiting() != 2*105 {
+		t.Errorf("%v lines wait while the relay is out of reach", m.waiting())
+	}
+	m.Entered(m.now, 1)
+	if m.now += time.Second; m.waiting() != 2*105-m.slowPace {
+		t.Errorf("%v lines wait a second after they entered", m.waiting())
+	}
+	m.post(m.proxies[:1], 10)
+	if m.now += 200 * time.Millisecond; m.waiting() != 2*105-1.2*m.slowPace+15 {
+		t.Errorf("%v lines wait with others behind them", m.waiting())
+	}
+	if m.now += time.Hour; m.waiting() != 15 {
+		t.Errorf("%v lines wait once the first have left", m.waiting())
+	}
+}
+
+// Guards against a queue that may hold half a minute of what the channel sends, and is filled: tables come late, and drains.
+func TestBatchesLeaveWithinTheNextSecond(t *testing.T) {
+	wide := terms
+	wide.QueueLines, wide.DrainGrace = 40000, 2*time.Second
+	m := New(1, wide)
+	m.queue = []owed{{lines: 990}}
+	for u, want := range []float64{10, 510, 35010} {
+		near(t, "room", m.spare(urgency(u)), want)
+	}
+	p := []*proxy{{}}
+	if m.room(p, 1200, calm) {
+		t.Error("1200 lines fit behind 990, of 1000 a second")
+	}
+	if m.queue, m.summed = nil, false; !m.room(p, 1200, calm) || m.room(p, 30000, calm) {
+		t.Error("what never fits beside others goes when nothing waits, up to half the queue")
+	}
+}
+
+// Guards against short messages whose answers count for the long ones behind them.
+func TestAnAnswerTakesItsOwnMessageOffTheBooks(t *testing.T) {
+	m := manager(2)
+	m.post(m.proxies[:1], 1)
+	m.post(m.proxies[1:], 200)
+	if m.answered(0, 1); m.waiting() != 205 {
+		t.Errorf("%v lines wait behind the one that was answered", m.waiting())
+	}
+}
+
 // Guards against news that is told anew: with nothing asked the line would open, proxies would change their block and
 // close all connections, and the messages to one proxy would be counted from nothing.
 func TestJoinedAgainKeepsWhatWasHeard(t *testing.T) {
@@ -697,7 +745,7 @@
 // Guards against a batch without room that is laid anew with each input: thousands a second of a large fleet.
 func TestAnUrgentBatchWithoutRoomWaitsUntilItsLeastFits(t *testing.T) {
 	m := manager(2)
-	m.now, m.rooms[pressing], m.urgent = time.Second, 3, true
+	m.now, m.soon[pressing], m.rooms[pressing], m.urgent = time.Second, 3, 3, true
 	m.tables[0].wanted = map[ServerID]float64{"a0": 0.9, "a1": 0.1}
 	m.lay()
 	if len(m.o.Lines) > 0 || !m.batch {
@@ -706,10 +754,10 @@
 	if m.now += time.Millisecond; m.batchWaits() {
 		t.Error("laid anew without room")
 	}
-	if m.rooms[pressing] = 6; !m.batchWaits() {
+	if m.soon[pressing], m.rooms[pressing] = 6, 6; !m.batchWaits() {
 		t.Error("waits though its least fits")
 	}
-	m.rooms[pressing] = 3
+	m.soon[pressing], m.rooms[pressing] = 3, 3
 	if m.openSecond(); !m.batchWaits() {
 		t.Error("not looked at with the next second")
 	}
@@ -718,11 +766,11 @@
 // Guards against a walk over all who wait, with each input after a restart, while no table that they wait for fits.
 func TestWaitingProxiesAreGoneThroughOnlyWhereSomeTableFits(t *testing.T) {
 	m := manager(2)
-	m.proxies[0].bound, m.rooms[pressing] = false, 7
+	m.proxies[0].bound, m.soon[pressing], m.rooms[pressing] = false, 7, 7
 	if some := m.unboundWithin(m.spare(pressing)); some != nil || m.waitingProxy() != nil {
 		t.Error("gone through for a table of 3 lines and 5 of the message")
 	}
-	if m.rooms[pressing] = 8; m.waitingProxy() != m.proxies[0] {
+	if m.soon[pressing], m.rooms[pressing] = 8, 8; m.waitingProxy() != m.proxies[0] {
 		t.Error("not bound though its table fits")
 	}
 	m.pull(m.servers[1], true)
--- a/choice/index.go
+++ b/choice/index.go
@@ -16,8 +16,9 @@
 	placed   bool     // proxies are dealt to their tables, and servers know the tables that name them
 	waits    []*proxy // without a table, by number
 	least    float64  // lines of the cheapest table that they wait for, bare ones left out; 0: to be counted anew
-	sum      float64  // lines in the queue, as marks show it
-	summed   bool     // that is counted
+	inside   float64  // lines of the queue that entered the channel, as marks show it,
+	outside  float64  // and that have not
+	summed   bool     // they are counted
 }
 
 // sets are the servers that some condition asks for, by id.
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// The ledger counts what waits in the channel, at the slowest that a channel is taken to be until marks
-// are answered, and the messages that each proxy was sent. What goes out by it is decided in choice.go.
+// The ledger bounds what waits in the channel, at the slowest that a channel is taken to be until marks
+// are answered, and counts the messages that each proxy was sent. What goes out by it is decided in choice.go.
 
 // room tells whether lines for each of these proxies fit into the queue and the messages they may get.
 func (m *Manager) room(to []*proxy, lines float64, u urgency) bool {
@@ -20,7 +20,8 @@
 			cost += m.head + 1
 		}
 	}
-	return cost <= m.spare(u)
+	// what is more than ever leaves soon goes when nothing waits
+	return cost <= m.spare(u) || cost <= m.rooms[u] && m.waiting() == 0
 }
 
 // fresh is what a line costs for so many proxies, that get a message for it alone if none was written yet.
@@ -29,7 +30,7 @@
 }
 
 // spare is how many lines there is room for.
-func (m *Manager) spare(u urgency) float64 { return max(0, m.rooms[u]-m.waiting()) }
+func (m *Manager) spare(u urgency) float64 { return max(0, m.soon[u]-m.waiting()) }
 
 // written tells whether a proxy gets a message at this time anyway.
 func (p *proxy) written(now time.Duration) bool {
@@ -47,19 +48,26 @@
 	return true
 }
 
-// waiting is what the ledger takes to wait in the channel: of the oldest batch, the part whose marks are
-// not answered, less what the slowest channel has sent since the last answer.
+// waiting bounds what waits in the channel, whatever becomes of the orders on their way. What was ordered waits whole
+// until it is known to have entered the channel: guards against calls that come late and then together. From then on
+// it leaves as the slowest channel sends, and as marks are answered.
 func (m *Manager) waiting() float64 {
-	if len(m.queue) == 0 {
-		return 0
-	}
 	if !m.summed {
-		m.sum, m.summed = 0, true
+		m.inside, m.outside, m.summed = 0, 0, true
 		for _, q := range m.queue {
-			m.sum += q.lines * (1 - q.answered/max(q.sent, 1))
+			if q.entered {
+				m.inside += q.lines
+			} else {
+				m.outside += q.lines
+			}
 		}
 	}
-	return max(0, m.sum-m.slowPace*(m.now-m.queue[0].at).Seconds())
+	return m.left() + m.outside
+}
+
+// left bounds what waits of what entered.
+func (m *Manager) left() float64 {
+	return max(0, m.inside-m.sent-m.slowPace*(m.now-m.sentFrom).Seconds())
 }
 
 // post books lines for each proxy concerned, and a message and a mark for those that have none yet.
@@ -68,31 +76,63 @@
 		return
 	}
 	if m.waiting() == 0 {
-		m.queue = nil
+		m.queue, m.sent = nil, 0
 	}
 	m.summed = false
 	if m.markedAt != m.now {
 		m.mark, m.markedAt = m.mark%65535+1, m.now
 		m.o.Mark = m.mark
-		m.queue = append(m.queue, owed{mark: m.mark, at: m.now})
+		m.queue = append(m.queue, owed{mark: m.mark, at: m.now, of: map[ProxyID]float64{}})
 	}
 	q := &m.queue[len(m.queue)-1]
 	for _, p := range to {
-		q.lines += lines
+		cost := lines
 		if !p.written(m.now) {
-			p.sent, q.lines, q.sent = append(p.sent, m.now), q.lines+m.head+1, q.sent+1
+			p.sent, cost = append(p.sent, m.now), cost+m.head+1
 		}
+		q.lines, q.of[p.id] = q.lines+cost, q.of[p.id]+cost
+	}
+}
+
+// Entered notes that what was ordered up to a mark is in the channel.
+func (m *Manager) Entered(now time.Duration, mark MarkID) {
+	m.now = now
+	m.enters(slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }))
+}
+
+// enters lets the queue up to its i-th part leave from now on; what left of the parts before it stays off the books.
+func (m *Manager) enters(i int) {
+	m.waiting()
+	m.sent, m.sentFrom, m.summed = m.inside-m.left(), m.now, false
+	for i = min(i, len(m.queue)-1); i >= 0 && !m.queue[i].entered; i-- {
+		m.queue[i].entered = true
+	}
+}
+
+// answered takes off the books what an answered mark shows to have left: all before its part, and of that the message
+// to who answers. Messages differ in length: guards against short ones that are answered first and count for long ones.
+func (m *Manager) answered(id ProxyID, mark MarkID) {
+	i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark })
+	if i < 0 {
+		return
 	}
+	m.enters(i)
+	m.queue = slices.Delete(m.queue, 0, i)
+	q := &m.queue[0]
+	q.lines -= q.of[id]
+	delete(q.of, id)
+	m.sent, m.sentFrom = 0, m.now
 }
 
 // unbook takes off the books what was ordered from a mark on, but for the first of it if that may have been
-// carried out.
+// carried out, wholly or in part.
 func (m *Manager) unbook(from MarkID, carried bool) {
 	i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == from })
 	if i < 0 {
 		return
 	}
 	if carried {
+		m.enters(i)
 		i++
 	}
 	for _, q := range m.queue[i:] {
--- a/choice/state.go
+++ b/choice/state.go
@@ -70,11 +70,11 @@
 
 // owed is what was ordered at one time and no answered mark shows to have left the channel.
 type owed struct {
-	mark     MarkID
-	at       time.Duration // of its order, or of the last answer
-	lines    float64
-	sent     float64 // messages
-	answered float64 // of them
+	mark    MarkID
+	at      time.Duration // of its order
+	entered bool          // the channel
+	lines   float64
+	of      map[ProxyID]float64 // of them, by who has not answered
 }
 
 // urgency says how much of the queue an order may use.
@@ -96,7 +96,8 @@
 	climbBase               float64
 	warmAfter               time.Duration
 	head                    float64    // lines of a message besides its own
-	rooms                   [3]float64 // lines that may wait, by urgency
+	rooms                   [3]float64 // lines that may wait, by urgency,
+	soon                    [3]float64 // and that leave soon enough for what comes next
 	slowPace                float64    // lines a second
 	perProxy                [3]int     // messages to one proxy within span, by urgency; 0: no limit
 	span                    time.Duration
@@ -132,6 +133,8 @@
 	reportAt   time.Duration // the last came then
 	used       bool
 	queue      []owed
+	sent       float64 // lines that left of what entered the channel, until sentFrom
+	sentFrom   time.Duration
 	mark       MarkID
 	markedAt   time.Duration
 	asked      bool
@@ -357,10 +360,7 @@
 // Applied shows that what was ordered before the mark has left the channel.
 func (m *Manager) Applied(now time.Duration, id ProxyID, mark MarkID) Orders {
 	m.now = now
-	if i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == mark }); i >= 0 {
-		m.queue, m.summed = slices.Delete(m.queue, 0, i), false
-		m.queue[0].at, m.queue[0].answered = now, min(m.queue[0].answered+1, m.queue[0].sent)
-	}
+	m.answered(id, mark)
 	return m.decide()
 }
 
--- a/internal/model/divided_test.go
+++ b/internal/model/divided_test.go
@@ -76,6 +76,12 @@
 	return all
 }
 
+func (d *divided) Entered(now time.Duration, mark choice.MarkID) {
+	if n := choice.MarkID(len(d.lanes)); mark > 0 {
+		d.lanes[mark%n].Entered(now, mark/n)
+	}
+}
+
 func every(int) bool { return true }
 
 func (d *divided) owner(p choice.ProxyID) func(int) bool {
--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -81,6 +81,7 @@
 	Used(now time.Duration, u choice.Usage) choice.Orders
 	Probed(now time.Duration, id choice.ServerID, a choice.Answer, took time.Duration, load float64) choice.Orders
 	Applied(now time.Duration, id choice.ProxyID, mark choice.MarkID) choice.Orders
+	Entered(now time.Duration, mark choice.MarkID)
 	Woke(now time.Duration) choice.Orders
 }
 
@@ -154,6 +155,7 @@
 		f.proxies[b.Proxy].bound, f.proxies[b.Proxy].table = true, b.Table
 	}
 	if o.Mark > 0 {
+		f.Manager.Entered(f.now, o.Mark)
 		for _, p := range f.concerned(o) {
 			f.after(100*time.Millisecond+f.spread(200*time.Millisecond), func(now time.Duration) choice.Orders {
 				return f.Manager.Applied(now, p, o.Mark)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -67,22 +67,24 @@
 
 // settle carries orders until nothing of them is missing; false once the manager ends. What is to go out once
 // more, or late, is asked of the module together with all that waits by then: nothing stale goes out in a burst
-// once the relay is back, and repeats count against its limits.
+// once the relay is back, and repeats count against its limits. What is too long for one call is late too: each
+// call makes messages of its own.
 func (r *relay) settle(o choice.Orders) bool {
 	var wait choice.Orders
 	for tries := 0; ; tries++ {
-		rest, end := r.carry(o)
-		if rest.Count() == 0 && wait.Count() == 0 {
+		n, end := r.carry(o)
+		rest := orders.Skip(o, n)
+		if end == done && rest.Count() == 0 && wait.Count() == 0 {
 			return true
 		}
 		if end != done {
 			r.book.say("relay", "outcome", string(end), "orders", rest.Count())
 		}
-		if (end != unknown || tries > 0) && !r.intake.rest(r.intake.stop) {
+		if n == 0 && (end != unknown || tries > 0) && !r.intake.rest(r.intake.stop) {
 			return false
 		}
 		reply := make(chan later, 1)
-		if !r.intake.give(again{orders.Fold(rest, wait), rest.Mark, end == unknown, reply}) {
+		if !r.intake.give(again{orders.Fold(rest, wait), o.Mark, end == unknown || n > 0, reply}) {
 			return false
 		}
 		select {
@@ -104,41 +106,44 @@
 	unknown outcome = "unknown"
 )
 
-// carry sends orders in calls, cut only where a call would be too long, and gives what is left.
-func (r *relay) carry(o choice.Orders) (rest choice.Orders, end outcome) {
-	for !orders.Empty(o) {
-		text := encode(o, r.groups, r.limits.CallBytes)
-		r.book.add(callsSent, 1)
-		taken, err := r.call(strings.Join(text, ";"), len(text))
-		switch {
-		case errors.Is(err, errUnreached):
-			r.book.add(callsUnsent, 1)
-			return o, unsent
-		case errors.Is(err, errBusy):
-			r.book.add(callsBusy, 1)
-			return o, busy
-		case errors.Is(err, errSyntax):
-			// guards against asking for ever for what is never taken
-			taken = 0
-		case err != nil:
-			r.book.add(callsUnknown, 1)
-			r.book.say("call", "error", err)
-			return o, unknown
-		}
-		r.book.add(callsAnswered, 1)
-		r.book.add(ordersSent, int64(min(taken, len(text))))
-		if o.Mark > 0 && taken > o.Count() {
-			r.book.add(marksSent, 1)
+// carry sends as many orders as a call holds, and gives how many are done with.
+func (r *relay) carry(o choice.Orders) (n int, end outcome) {
+	if orders.Empty(o) {
+		return 0, done
+	}
+	text := encode(o, r.groups, r.limits.CallBytes)
+	r.book.add(callsSent, 1)
+	taken, err := r.call(strings.Join(text, ";"), len(text))
+	switch {
+	case errors.Is(err, errUnreached):
+		r.book.add(callsUnsent, 1)
+		return 0, unsent
+	case errors.Is(err, errBusy):
+		r.book.add(callsBusy, 1)
+		return 0, busy
+	case errors.Is(err, errSyntax):
+		// guards against asking for ever for what is never taken
+		taken = 0
+	case err != nil:
+		r.book.add(callsUnknown, 1)
+		r.book.say("call", "error", err)
+		return 0, unknown
+	}
+	r.book.add(callsAnswered, 1)
+	r.book.add(ordersSent, int64(min(taken, len(text))))
+	if taken < len(text) {
+		r.book.say("refused", "order", text[taken])
+		r.book.add(ordersRefused, 1)
+		return taken + 1, done
+	}
+	if o.Mark > 0 {
+		r.book.add(marksSent, 1)
+		if len(text) > o.Count() {
 			r.intake.give(settled{o.Mark})
 		}
-		if taken < len(text) {
-			r.book.say("refused", "order", text[taken])
-			r.book.add(ordersRefused, 1)
-			taken++
-		}
-		o = orders.Skip(o, taken)
+		taken--
 	}
-	return o, done
+	return taken, done
 }
 
 var errBusy, errSyntax = errors.New("the relay is busy"), errors.New("the relay can't read the call")
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -121,7 +121,7 @@
 	l.CallBytes = 30
 	r, calls := testRelay(t, l)
 	r.settle(lines2(1, 2))
-	expect(t, calls, "share,0,s-1,1", "share,0,s-2,2")
+	expect(t, calls, "share,0,s-1,1", "share,0,s-2,2;mark,2,0") // as late as what goes out once more, under a mark of its own
 }
 
 // Guards against an unknown outcome that is taken for a known one: the call goes out again, before others.
@@ -154,12 +154,25 @@
 func TestSettleLeavesOutTheRefusedOrder(t *testing.T) {
 	r, calls := testRelay(t, limits, taken(1))
 	r.settle(lines2(1, 2, 3))
-	expect(t, calls, "share,0,s-1,1;share,0,s-2,2;share,0,s-3,3", "share,0,s-3,3")
+	expect(t, calls, "share,0,s-1,1;share,0,s-2,2;share,0,s-3,3", "share,0,s-3,3;mark,2,0")
 	if n := r.book.counts[ordersRefused].Load(); n != 1 {
 		t.Errorf("%d refused", n)
 	}
 }
 
+// Guards against orders that the relay took and the books forget, when the rest of them finds it busy.
+func TestSettleTellsWhatWasTakenInPart(t *testing.T) {
+	r, _ := testRelay(t, limits, taken(1))
+	inputs := make(chan any, 8)
+	r.intake.inputs = inputs
+	o := lines2(1, 2, 3)
+	o.Mark = 7
+	go r.settle(o)
+	if in := (<-inputs).(again); in.from != 7 || !in.carried || in.orders.Count() != 1 {
+		t.Errorf("%+v", in)
+	}
+}
+
 func TestSettleAsksABusyRelayAgain(t *testing.T) {
 	busy := `<?xml version="1.0"?><Response><Errors><Error><Code>BUSY</Code></Error></Errors></Response>`
 	r, calls := testRelay(t, limits, busy, busy)
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -151,6 +151,7 @@
 	case probed:
 		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
 	case settled:
+		m.Entered(r.now, in.mark)
 		if r.chain != nil {
 			r.chain.Outcome(r.now, in.mark)
 		}
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -60,19 +60,24 @@
 	return all
 }
 
-// encode writes orders in the relay's words, as many as fit; escaped is how long they are in a form.
+// encode writes orders in the relay's words, as many as fit, and behind them the mark that shows when their messages
+// have left; escaped is how long they are in a form.
 func encode(o choice.Orders, groups []string, most int) (text []string) {
 	escaped := 0
 	put := func(parts ...string) bool {
 		one := strings.Join(parts, ",")
-		escaped += len(url.QueryEscape(one)) + len("%3B")
-		if escaped > most {
-			return false
+		if escaped += len(url.QueryEscape(one)) + len("%3B"); escaped > most && len(text) > 0 {
+			return false // the first always goes: guards against an order that waits for ever for a call that holds it
 		}
 		text = append(text, one)
 		return true
 	}
 	number := func(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
+	if o.Mark > 0 {
+		mark := strings.Join([]string{"mark", strconv.Itoa(int(o.Mark)), "0"}, ",")
+		escaped += len(url.QueryEscape(mark)) + len("%3B")
+		defer func() { text = append(text, mark) }()
+	}
 	for _, s := range o.Withdraw {
 		if !put("withdraw", string(s)) {
 			return text
@@ -98,9 +103,6 @@
 			return text
 		}
 	}
-	if o.Mark > 0 {
-		put("mark", strconv.Itoa(int(o.Mark)), "0")
-	}
 	return text
 }
 
--- a/internal/node/send_test.go
+++ b/internal/node/send_test.go
@@ -34,8 +34,15 @@
 }
 
 func TestEncodeStopsAtTheLimit(t *testing.T) {
-	if got := encode(some(), groups, 60); len(got) != 2 {
-		t.Errorf("%q", got)
+	for most, want := range map[int]string{60: "withdraw share mark", 1: "withdraw mark"} {
+		kinds := []string{}
+		for _, one := range encode(some(), groups, most) {
+			kind, _, _ := strings.Cut(one, ",")
+			kinds = append(kinds, kind)
+		}
+		if got := strings.Join(kinds, " "); got != want {
+			t.Errorf("%d bytes: %s", most, got)
+		}
 	}
 }
 
--- a/internal/search/world.go
+++ b/internal/search/world.go
@@ -328,6 +328,7 @@
 	default:
 		w.carryOut(o, false)
 		later(3*time.Millisecond, func() {
+			w.manager.Entered(w.last, o.Mark)
 			w.chain.Outcome(w.last, o.Mark)
 			if wait.Count() > 0 {
 				later(rest, func() { w.again(choice.Orders{}, wait, false) })
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -21,6 +21,7 @@
 type hosted struct {
 	manager *choice.Manager
 	born    time.Duration // clock at its start
+	now     time.Duration
 	groups  []string
 	failed  bool
 }
@@ -128,6 +129,7 @@
 		return fmt.Errorf("instance %d is not known", who)
 	}
 	now, call := clock-one.born, func() choice.Orders { return choice.Orders{} }
+	one.now = now
 	m := one.manager
 	switch kind {
 	case "DOWN":
@@ -268,6 +270,7 @@
 		fmt.Fprintf(h.out, "SUBSCRIBE_TO\t%d\t0\t%d\t%d\n", who, b.Proxy, b.Table)
 	}
 	if o.Mark > 0 {
+		one.manager.Entered(one.now, o.Mark) // a reply takes effect at once
 		fmt.Fprintf(h.out, "CHECKPOINT\t%d\t%d\t0\n", who, o.Mark)
 	}
 	for _, s := range o.Probe {
