Cold servers are not left with drained ones' flows; only what guards a rule is urgent

Ruled out: the climb itself (a tenth of the target 4 s after the start), reports (no flood).

At fault: choice.go withdraw and lookForBare (only a table without any line was laid at once), lay (one need for all lines of an urgent batch; a table's last line went before the one in its place), returned (servers that do not answer), New (room by the grace); versions/chain.go onlyUrgent (all tables for one fault), check.go step (one small table taken for the fleet).

Change: a table whose cold servers would get twice their part by withdrawals is laid at once; urgent room only for lines that guard a rule; what waits leaves within two seconds, an ordinary batch within one, drains alone go beyond; a last line goes after the next one; versions hold back the server or table at fault alone, and go in steps only where all flows would turn over. A table's last server by the module's view (none answers) is open to versions too.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,7 @@
 	forgetAfter             = time.Minute                        // that a server is gone
 
 	bandLow, bandHigh           = 0.8, 1.2      // of a server's target: its floor and ceiling
-	shareMost                   = 2.0           // of its listed share, the most that its target is
+	shareMost, coldMost         = 2.0, 2.0      // the most of a listed share, and of a cold server's part
 	pairTrouble, pairDrops      = 2.0, 0.5      // a zone pair closes at this multiple of its norm, or drops
 	pairLast, daySamples        = 3, 64         // samples that must agree on it, and make its norm
 	keptOpen                    = 8.0           // uses of a connection before an idle one closes
@@ -46,7 +46,8 @@
 	slowChannel                 = 8.0           // times slower, until marks are answered
 	queueBatch, perBatch        = 0.5, 0.6      // of the queue and a proxy's messages: for batches,
 	queueUrgent, perUrgent      = 0.75, 0.8     // joining proxies and tables that must change at once,
-	queueDrain, beforeDrain     = 0.9, 0.75     // and drains; of their grace, what may wait when one comes
+	queueDrain                  = 0.9           // and drains;
+	soonCalm, soonUrgent        = 1.0, 2.0      // seconds of lines, against a queue that holds a minute's
 	pressureLow, pressureHigh   = 0.26, 0.32    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
@@ -65,16 +66,11 @@
 
 func New(seed uint64, t Terms) *Manager {
 	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, calmest: math.Inf(1)}
-	m.markedAt, m.heldAt = -1, -1
-	m.due = time.Duration(m.random() * float64(batchEvery))
+	m.markedAt, m.heldAt, m.due = -1, -1, time.Duration(m.random()*float64(batchEvery))
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
-	// guards against a queue that may hold far more than leaves by the next second, or before a drain is due
-	m.soon = [3]float64{min(m.rooms[0], t.LinesPerS*batchEvery.Seconds()), m.rooms[1], m.rooms[2]}
-	if t.DrainGrace > 0 {
-		m.soon[1] = min(m.rooms[1], beforeDrain*t.LinesPerS*t.DrainGrace.Seconds())
-	}
+	m.soon = [3]float64{soonCalm * t.LinesPerS, soonUrgent * t.LinesPerS, m.rooms[draining]}
 	if most := float64(t.MessagesMost); most > 1 {
 		m.perProxy = [3]int{int(max(1, perBatch*most)), int(max(1, perUrgent*most)), int(most - 1)}
 	}
@@ -220,10 +216,11 @@
 	m.lookForBare()
 }
 
-// lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
+// lookForBare guards against proxies without any server, and against cold servers that get the flows of those
+// withdrawn and are pushed over: such tables are laid at once, with all the room.
 func (m *Manager) lookForBare() {
 	m.bareWaits, m.drains = slices.ContainsFunc(m.tables, m.bare), m.leaving() != nil
-	m.urgent = m.urgent || m.bareWaits
+	m.urgent = m.urgent || m.bareWaits || slices.ContainsFunc(m.tables, m.floods)
 }
 
 func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
@@ -493,8 +490,7 @@
 	m.solved = m.volumes()
 	var parts []part
 	var in []*server
-	// health never takes the last server of all
-	anyIn := slices.ContainsFunc(m.servers, func(s *server) bool { return m.open(s) && !s.out })
+	anyIn := m.anyIn() // health never takes the last server of all
 	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
 	for _, s := range m.servers {
 		if !m.open(s) || s.out && anyIn || m.heldBack(s) {
@@ -638,6 +634,8 @@
 	return shares{given, left, by, all}
 }
 
+func (m *Manager) floods(t *table) bool { return m.coldRise(t) > coldMost }
+
 // An urgent batch that found no room waits until the least that was left of it fits, or for the next second.
 func (m *Manager) batchWaits() bool {
 	return m.batch && m.parted && m.heldAt != m.now && (m.heldBy == 0 || m.fresh(m.heldBy) <= m.spare(pressing))
@@ -647,23 +645,22 @@
 // with the next second. Guards against tables so large that all their differences never fit at once.
 func (m *Manager) lay() {
 	m.batch, m.heldBy = false, 0
-	need, rest := either(m.urgent, pressing, calm), false
 	users, moves, sums := make([][]*proxy, len(m.tables)), []move{}, m.demands()
-	late, glides := false, false // some wait for messages, not for room; some come by steps
-	book := func(t TableID) bool {
-		fits := m.room(users[t], 1, need)
-		if fits {
+	rest, held, late, glides := false, false, false, false // waits: at all, urgent, for messages; by steps
+	book := func(t TableID, need urgency) bool {
+		if m.room(users[t], 1, need) {
 			m.post(users[t], 1)
 			return true
+		} else if rest = true; need == pressing {
+			held, late = true, late || !m.mayWrite(users[t], need)
+			m.heldBy = either(late, 0, min(cmp.Or(m.heldBy, len(users[t])), len(users[t])))
 		}
-		rest, late = true, late || !m.mayWrite(users[t], need)
-		m.heldBy = either(late, 0, min(cmp.Or(m.heldBy, len(users[t])), len(users[t])))
 		return false
 	}
 	for z, t := range m.tables {
 		users[z] = m.users(z)
 		for _, l := range m.levels(z, sums) {
-			if book(l.Table) {
+			if book(l.Table, calm) {
 				m.setLevel(t, l)
 			}
 		}
@@ -676,15 +673,18 @@
 		s.unlaid = false
 	}
 	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
-	for _, l := range moves {
-		s, t := m.server(l.Server), m.tables[l.Table]
-		if !book(l.Table) {
-			s.unlaid = s.unlaid || l.Weight < t.standing[s.id]
-			continue
+	for i := 0; i < len(moves); i++ {
+		l, s, t := moves[i], m.server(moves[i].Server), m.tables[moves[i].Table]
+		last := l.Weight == 0 && m.lastOf(t, s)
+		if last && l.flows >= 0 {
+			moves = append(moves, move{l.Line, -1}) // guards against a table left bare while lines wait
+		} else if last || !book(l.Table, either(m.urgent && math.IsInf(l.flows, 1), pressing, calm)) {
+			rest, s.unlaid = true, s.unlaid || l.Weight < t.standing[s.id]
+		} else {
+			m.stand(l.Line, s, t)
 		}
-		m.stand(l.Line, s, t)
 	}
-	if rest && m.urgent {
+	if held {
 		m.batch, m.heldAt = true, m.now
 	} else if rest || glides {
 		m.cause = "rest"
@@ -700,7 +700,7 @@
 	}
 	need := either(m.bareWaits, draining, pressing)
 	for _, s := range m.sets().comeBack {
-		if !s.unlaid && !m.heldBack(s) && m.room(m.holders(s), 1, need) {
+		if !s.unlaid && !m.heldBack(s) && !(s.out && m.anyIn()) && m.room(m.holders(s), 1, need) {
 			return s
 		}
 	}
@@ -720,7 +720,7 @@
 // A table never becomes empty: without any server to name it stays as it is.
 func (m *Manager) differences(id TableID) (moves []move) {
 	t := m.tables[id]
-	scale, bare := t.scale(), m.bare(t)
+	scale, guards := t.scale(), m.bare(t) || m.floods(t)
 	for _, s := range m.named(t) {
 		if s.withdrawn && !m.open(s) && !m.past(s) {
 			continue // its line does no harm
@@ -730,7 +730,7 @@
 		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > differs*max(weight, was)
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
-			if bare || weight < was && (s.climbing || weight == 0) {
+			if guards || weight < was && (s.climbing || weight == 0) {
 				flows = math.Inf(1) // what guards a rule or is lost goes first
 			}
 			moves = append(moves, move{Line{id, s.id, weight}, flows})
@@ -769,7 +769,7 @@
 	m.unbook(from, carried)
 	for n < o.Count() {
 		to, lines := m.concerned(o, n)
-		if !m.room(to, lines, draining) {
+		if !m.room(to, lines, either(n < len(o.Withdraw), draining, pressing)) {
 			break
 		}
 		m.post(to, lines)
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -338,6 +338,40 @@
 	return true
 }
 
+// coldRise is by how much withdrawals raise the part of a table that its cold servers get, over what they were to get.
+func (m *Manager) coldRise(t *table) float64 {
+	cold, all, wantedCold, wanted := 0.0, 0.0, 0.0, 0.0
+	for id, w := range t.standing {
+		if s := m.server(id); s != nil && !s.withdrawn {
+			all, cold = all+w, cold+either(s.climbing, w, 0)
+		}
+	}
+	if cold == 0 {
+		return 0
+	}
+	for id, w := range t.wanted {
+		if s := m.server(id); s != nil {
+			wanted, wantedCold = wanted+w, wantedCold+either(s.climbing, w, 0)
+		}
+	}
+	return cold / all * wanted / max(wantedCold, leastLine*wanted)
+}
+
+// lastOf tells whether a server is the last that can be picked of a table.
+func (m *Manager) lastOf(t *table, last *server) bool {
+	for id, w := range t.standing {
+		if s := m.server(id); s != nil && s != last && w > 0 && !s.withdrawn {
+			return false
+		}
+	}
+	return !last.withdrawn && t.standing[last.id] > 0
+}
+
+// anyIn tells whether some server that may get flows answers.
+func (m *Manager) anyIn() bool {
+	return slices.ContainsFunc(m.servers, func(s *server) bool { return m.open(s) && !s.out })
+}
+
 // cold tells whether a server may get flows and climbs.
 func (m *Manager) cold(s *server) bool { return s.climbing && m.open(s) }
 
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -30,7 +30,7 @@
 }
 
 // spare is how many lines there is room for.
-func (m *Manager) spare(u urgency) float64 { return max(0, m.soon[u]-m.waiting()) }
+func (m *Manager) spare(u urgency) float64 { return max(0, min(m.soon[u], m.rooms[u])-m.waiting()) }
 
 // written tells whether a proxy gets a message at this time anyway.
 func (p *proxy) written(now time.Duration) bool {
--- a/choice/state.go
+++ b/choice/state.go
@@ -217,7 +217,7 @@
 // Sees tells what is known of a server: whether it is, whether it may get flows, and what part of its climb is over.
 func (m *Manager) Sees(id ServerID) (known, open bool, climbed float64) {
 	if s := m.server(id); s != nil {
-		return true, m.open(s) && !s.out, m.climbed(s)
+		return true, m.open(s) && !(s.out && m.anyIn()), m.climbed(s)
 	}
 	return false, false, 0
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -76,7 +76,6 @@
 	TryWait       float64       // latency budgets that proxies wait before a further try, from TryTwice on
 	ColdShare     float64
 	WarmAfter     time.Duration
-	DrainGrace    time.Duration // within which a drain must have reached all proxies; 0: not told
 	QueueLines    float64
 	LinesPerS     float64
 	LinePrice     float64 // of sending at that pace all day, as a part of the service
--- a/internal/versions/chain.go
+++ b/internal/versions/chain.go
@@ -127,20 +127,27 @@
 			p.next, _ = p.now.Apply(ops(r.Orders))
 		}
 	}
-	if rule, what := c.look(p); rule != "" {
-		if c.refused != rule {
-			r.Notes = append(r.Notes, fmt.Sprintf("version held back by %s: %s", rule, what))
+	rule, at := c.look(p)
+	if rule != "" && c.refused != rule {
+		r.Notes = append(r.Notes, fmt.Sprintf("version held back by %s: %s", rule, at.what))
+	} else if rule == "" && c.refused != "" {
+		r.Notes = append(r.Notes, "versions are sent again after "+c.refused)
+	}
+	c.refused = rule
+	// what is at fault stays behind, and the rest goes: guards against one server or table that holds up all others
+	for left := heldApart; rule != ""; left-- {
+		if r.Changed = true; left == 0 {
+			at = fault{table: -1}
 		}
-		c.refused, r.Changed = rule, true
-		c.onlyUrgent(p)
+		c.onlyUrgent(p, at)
 		next, err := p.now.Apply(ops(r.Orders))
 		if err != nil { // what is urgent was looked at; this would be a fault of this package
 			panic(fmt.Sprintf("the urgent part of a version can't be applied: %v", err))
 		}
-		p.next = next
-	} else if c.refused != "" {
-		r.Notes = append(r.Notes, "versions are sent again after "+c.refused)
-		c.refused = ""
+		if p.next = next; at.server == "" && at.table < 0 {
+			break
+		}
+		rule, at = c.look(p)
 	}
 	if r.Orders.Count() == 0 {
 		r.Orders.Mark = 0
@@ -152,19 +159,28 @@
 	return r
 }
 
-func (c *Chain) look(p *proposal) (rule, what string) {
+func (c *Chain) look(p *proposal) (rule string, at fault) {
 	for _, one := range checks {
-		if what := one.find(c, p); what != "" {
-			return one.name, what
+		if at := one.find(c, p); at.what != "" {
+			return one.name, at
 		}
 	}
-	return "", ""
+	return "", fault{table: -1}
 }
 
-// onlyUrgent leaves of a version that is held back what must go out all the same.
-func (c *Chain) onlyUrgent(p *proposal) {
-	p.orders.Lines = slices.DeleteFunc(p.orders.Lines, func(l choice.Line) bool { return !p.urgent(l) })
-	p.orders.Levels, p.orders.Readmit = nil, nil
+// heldApart is how many servers or tables of one version may be at fault, each held back by itself.
+const heldApart = 64
+
+// onlyUrgent leaves of what is at fault in a version what must go out all the same.
+func (c *Chain) onlyUrgent(p *proposal, at fault) {
+	all := at.server == "" && at.table < 0
+	p.orders.Lines = slices.DeleteFunc(p.orders.Lines, func(l choice.Line) bool {
+		return (all || l.Server == at.server || int(l.Table) == at.table) && !p.urgent(l)
+	})
+	p.orders.Readmit = slices.DeleteFunc(slices.Clone(p.orders.Readmit), func(s choice.ServerID) bool { return all || s == at.server })
+	if all {
+		p.orders.Levels = nil
+	}
 }
 
 // add appends a version, and drops the oldest beyond what is kept.
--- a/internal/versions/check.go
+++ b/internal/versions/check.go
@@ -15,13 +15,22 @@
 	see       Seer
 }
 
-// check is a rule and what it finds wrong; empty where nothing is.
+// fault is what a rule finds wrong, and at whom: a server's orders, a table's lines, or, with neither, the whole version.
+type fault struct {
+	what   string // empty where nothing is wrong
+	server choice.ServerID
+	table  int // below 0: none
+}
+
+func whole(format string, values ...any) fault { return fault{fmt.Sprintf(format, values...), "", -1} }
+
+// check is a rule.
 type check struct {
 	name string
-	find func(c *Chain, p *proposal) string
+	find func(c *Chain, p *proposal) fault
 }
 
-// checks are gone through in this order; the first that finds something holds the version back.
+// checks are gone through in this order; the first that finds something holds back what is at fault.
 var checks = []check{
 	{"finite", (*Chain).notFinite},
 	{"known", (*Chain).notKnown},
@@ -52,65 +61,65 @@
 	return false
 }
 
-func (c *Chain) notFinite(p *proposal) string {
+func (c *Chain) notFinite(p *proposal) fault {
 	for _, l := range p.orders.Lines {
 		if !(l.Weight >= 0) || math.IsInf(l.Weight, 1) {
-			return fmt.Sprintf("weight %v of %s in table %d", l.Weight, l.Server, l.Table)
+			return whole("weight %v of %s in table %d", l.Weight, l.Server, l.Table)
 		}
 	}
 	for _, l := range p.orders.Levels {
 		if !(l.Amount >= 0) || math.IsInf(l.Amount, 1) {
-			return fmt.Sprintf("level %v in table %d", l.Amount, l.Table)
+			return whole("level %v in table %d", l.Amount, l.Table)
 		}
 	}
-	return ""
+	return fault{}
 }
 
-func (c *Chain) notKnown(p *proposal) string {
+func (c *Chain) notKnown(p *proposal) fault {
 	for _, l := range p.orders.Lines {
 		if l.Weight > 0 && !p.see.Sees(l.Server).Known {
-			return fmt.Sprintf("%s in table %d is not known", l.Server, l.Table)
+			return fault{fmt.Sprintf("%s in table %d is not known", l.Server, l.Table), l.Server, -1}
 		}
 	}
-	return ""
+	return fault{}
 }
 
 // toClosed guards against a line that is laid or raised for a server that drains, is gone or does not answer, and
 // against letting such a one back in.
-func (c *Chain) toClosed(p *proposal) string {
+func (c *Chain) toClosed(p *proposal) fault {
 	for _, l := range p.orders.Lines {
 		was := p.now.Table(uint32(l.Table)).Lines[string(l.Server)]
 		if l.Weight > was && !p.see.Sees(l.Server).Open {
-			return fmt.Sprintf("%s in table %d gets %v after %v, and may get no flows", l.Server, l.Table, l.Weight, was)
+			return fault{fmt.Sprintf("%s in table %d gets %v after %v, and may get no flows", l.Server, l.Table, l.Weight, was), l.Server, -1}
 		}
 	}
 	for _, s := range p.orders.Readmit {
 		if !p.see.Sees(s).Open {
-			return fmt.Sprintf("%s is let back in, and may get no flows", s)
+			return fault{fmt.Sprintf("%s is let back in, and may get no flows", s), s, -1}
 		}
 	}
-	return ""
+	return fault{}
 }
 
 // leavesBare guards against a table that loses its last line while servers are open.
-func (c *Chain) leavesBare(p *proposal) string {
+func (c *Chain) leavesBare(p *proposal) fault {
 	if all, _ := p.see.Ready(); all == 0 {
-		return ""
+		return fault{}
 	}
 	for _, l := range p.orders.Lines {
 		if id := uint32(l.Table); l.Weight == 0 && p.usable(p.now, id) && !p.usable(p.next, id) {
-			return fmt.Sprintf("table %d loses %s and has no line left", id, l.Server)
+			return fault{fmt.Sprintf("table %d loses %s and has no line left", id, l.Server), "", int(id)}
 		}
 	}
-	return ""
+	return fault{}
 }
 
 // tooMuchCold guards against a climbing server that gets far more than its climbing part of all flows, while others
 // are warm.
-func (c *Chain) tooMuchCold(p *proposal) string {
+func (c *Chain) tooMuchCold(p *proposal) fault {
 	all, warm := p.see.Ready()
 	if warm == 0 {
-		return ""
+		return fault{}
 	}
 	total := 0.0
 	for _, id := range p.next.IDs() {
@@ -131,17 +140,17 @@
 			}
 		}
 		if part := total / float64(all); gets > c.t.ColdMost*s.Climbed*part && total > 0 {
-			return fmt.Sprintf("%s has climbed %.2f and gets %.1f of %.1f flows/s, with %d servers", l.Server, s.Climbed, gets, total, all)
+			return fault{fmt.Sprintf("%s has climbed %.2f and gets %.1f of %.1f flows/s, with %d servers", l.Server, s.Climbed, gets, total, all), l.Server, -1}
 		}
 	}
-	return ""
+	return fault{}
 }
 
-func (c *Chain) tooMany(p *proposal) string {
+func (c *Chain) tooMany(p *proposal) fault {
 	if n := p.orders.Count(); n > c.t.LinesMost {
-		return fmt.Sprintf("%d orders, %d at most", n, c.t.LinesMost)
+		return whole("%d orders, %d at most", n, c.t.LinesMost)
 	}
-	return ""
+	return fault{}
 }
 
 func weight(t *tables.Table) (sum float64) {
@@ -176,27 +185,29 @@
 	return left
 }
 
-// step goes part of the way where a table would move by more than a version may: guards against one version that
-// turns a zone over. The rest follows with later versions. It tells the tables that it held up.
+// step goes part of the way where more of all flows would move than a version may: guards against one version that turns
+// the fleet over. One table among many may change as a whole: it is small, and its servers are replaced together. The
+// rest follows with later versions.
 func (c *Chain) step(p *proposal) (notes []string) {
-	moves := map[uint32]float64{}
+	changed := map[uint32]bool{}
 	for _, l := range p.orders.Lines {
-		if id := uint32(l.Table); moves[id] == 0 {
-			moves[id] = p.moved(id)
+		changed[uint32(l.Table)] = true
+	}
+	moved, all := 0.0, 0.0
+	for _, id := range p.next.IDs() {
+		flows := max(p.see.Flows(choice.TableID(id)), 1e-9)
+		if all += flows; changed[id] {
+			moved += flows * p.moved(id)
 		}
 	}
-	told := map[uint32]bool{}
+	if moved <= c.t.MovedMost*all {
+		return nil
+	}
 	for i, l := range p.orders.Lines {
-		id := uint32(l.Table)
-		if moves[id] <= c.t.MovedMost || p.urgent(l) {
-			continue
-		}
-		was := p.now.Table(id).Lines[string(l.Server)]
-		p.orders.Lines[i].Weight = math.Round((was+(l.Weight-was)*c.t.MovedMost/moves[id])*1000) / 1000
-		if !told[id] {
-			told[id] = true
-			notes = append(notes, fmt.Sprintf("table %d would move %.2f of its weight at once, %.2f at most: in steps", id, moves[id], c.t.MovedMost))
+		if !p.urgent(l) {
+			was := p.now.Table(uint32(l.Table)).Lines[string(l.Server)]
+			p.orders.Lines[i].Weight = math.Round((was+(l.Weight-was)*c.t.MovedMost*all/moved)*1000) / 1000
 		}
 	}
-	return notes
+	return []string{fmt.Sprintf("%.2f of all flows would move at once, %.2f at most: in steps", moved/all, c.t.MovedMost)}
 }
