Lines that guard a rule have the drains' room, and cold lines wait for those beside them

Ruled out: the split itself, which gives the cold one its part.

At fault: choice.go lay and differences: all lines marked to go first were alike, whether they guard a rule or only lose flows.

Change: lines of bare and flooded tables, and those that halve a cold server's, have the drains' room; lines of servers that are lost go next with an ordinary batch's; a raised line of a cold server that would get twice its part of the table as it stands waits for the others.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -475,6 +475,7 @@
 
 func (m *Manager) unsolved() bool { return m.cause != "" && m.parted && (m.batch || m.urgent) }
 
+func (m *Manager) floods(t *table) bool    { return m.coldRise(t) > coldMost }
 func (m *Manager) heldBack(s *server) bool { return s.climbing && m.climbed(s) < m.hold }
 
 // climbed is the part of its target that a server gets by now.
@@ -559,7 +560,7 @@
 		moved += math.Abs(l.Weight-t.standing[l.Server]) / scale
 	}
 	for i, l := range moves {
-		if was := t.standing[l.Server]; moved > glideStep && !math.IsInf(l.flows, 1) {
+		if was := t.standing[l.Server]; moved > glideStep && l.flows < math.MaxFloat64 {
 			moves[i].Weight, more = math.Round((was+(l.Weight-was)*glideStep/moved)*1000)/1000, true
 		}
 	}
@@ -634,11 +635,9 @@
 	return shares{given, left, by, all}
 }
 
-func (m *Manager) floods(t *table) bool { return m.coldRise(t) > coldMost }
-
 // An urgent batch that found no room waits until the least that was left of it fits, or for the next second.
 func (m *Manager) batchWaits() bool {
-	return m.batch && m.parted && m.heldAt != m.now && (m.heldBy == 0 || m.fresh(m.heldBy) <= m.spare(pressing))
+	return m.batch && m.parted && m.heldAt != m.now && (m.heldBy == 0 || m.fresh(m.heldBy) <= m.spare(draining))
 }
 
 // lay sends levels, and the lines that move most flows, as far as the queue has room; the rest is solved anew
@@ -651,7 +650,7 @@
 		if m.room(users[t], 1, need) {
 			m.post(users[t], 1)
 			return true
-		} else if rest = true; need == pressing {
+		} else if rest = true; need == draining {
 			held, late = true, late || !m.mayWrite(users[t], need)
 			m.heldBy = either(late, 0, min(cmp.Or(m.heldBy, len(users[t])), len(users[t])))
 		}
@@ -675,10 +674,12 @@
 	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
 	for i := 0; i < len(moves); i++ {
 		l, s, t := moves[i], m.server(moves[i].Server), m.tables[moves[i].Table]
-		last := l.Weight == 0 && m.lastOf(t, s)
-		if last && l.flows >= 0 {
-			moves = append(moves, move{l.Line, -1}) // guards against a table left bare while lines wait
-		} else if last || !book(l.Table, either(m.urgent && math.IsInf(l.flows, 1), pressing, calm)) {
+		others, raised := m.usable(t, s), l.Weight > t.standing[s.id]
+		early := l.Weight == 0 && others == 0 && !s.withdrawn ||
+			s.climbing && raised && l.Weight > coldMost*t.wanted[s.id]*(others+l.Weight)
+		if early && l.flows >= 0 {
+			moves = append(moves, move{l.Line, -1}) // guards against tables bare, or cold, while other lines wait
+		} else if early || !book(l.Table, either(math.IsInf(l.flows, 1), draining, calm)) {
 			rest, s.unlaid = true, s.unlaid || l.Weight < t.standing[s.id]
 		} else {
 			m.stand(l.Line, s, t)
@@ -708,7 +709,6 @@
 }
 
 func (m *Manager) readmitWaits() bool { return m.returned() != nil }
-
 func (m *Manager) readmit() {
 	s := m.returned()
 	m.o.Readmit = append(m.o.Readmit, s.id)
@@ -730,9 +730,10 @@
 		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > differs*max(weight, was)
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
-			if guards || weight < was && (s.climbing || weight == 0) {
-				flows = math.Inf(1) // what guards a rule or is lost goes first
-			}
+			// what guards a rule goes first, with the drains' room, then what is lost
+			lost := weight < was && (s.climbing || weight == 0)
+			guard := guards || s.climbing && weight < was/coldMost
+			flows = either(guard, math.Inf(1), either(lost, math.MaxFloat64, flows))
 			moves = append(moves, move{Line{id, s.id, weight}, flows})
 		}
 	}
@@ -751,9 +752,7 @@
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool {
-	return m.parted && !m.unweighed && m.waitingProxy() != nil
-}
+func (m *Manager) proxyWaits() bool { return m.parted && !m.unweighed && m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -638,6 +638,25 @@
 	}
 }
 
+// Guards against a cold server whose line is laid in a table that others have left, before those that come with it.
+func TestAColdServersLineWaitsForThoseBesideIt(t *testing.T) {
+	m := manager(3)
+	m.servers[0].climbing = true
+	m.servers[1].withdrawn, m.servers[2].withdrawn = true, true
+	m.tables[0].standing = map[ServerID]float64{"a1": 100, "a2": 100, "b0": 1}
+	m.tables[0].wanted = map[ServerID]float64{"a0": 0.1, "b0": 0.45, "b1": 0.45}
+	m.now, m.soon[calm] = time.Second, 7
+	m.lay()
+	for _, l := range m.o.Lines {
+		if l.Server == "a0" {
+			t.Errorf("%v", m.o.Lines)
+		}
+	}
+	if len(m.o.Lines) == 0 || m.cause != "rest" {
+		t.Errorf("%v, then %q", m.o.Lines, m.cause)
+	}
+}
+
 // Guards against an urgent table that takes all others with it, of which little is urgent, and fills the queue.
 func TestOnlyWhatGuardsARuleIsUrgent(t *testing.T) {
 	m := manager(2)
@@ -814,7 +833,7 @@
 // Guards against a batch without room that is laid anew with each input: thousands a second of a large fleet.
 func TestAnUrgentBatchWithoutRoomWaitsUntilItsLeastFits(t *testing.T) {
 	m := manager(2)
-	m.now, m.soon[pressing], m.rooms[pressing], m.urgent = time.Second, 3, 3, true
+	m.now, m.soon[draining], m.rooms[draining], m.urgent = time.Second, 3, 3, true
 	m.tables[0].wanted = map[ServerID]float64{"a0": 0.9, "a1": 0.1}
 	clear(m.tables[0].standing)
 	m.lay()
@@ -824,10 +843,10 @@
 	if m.now += time.Millisecond; m.batchWaits() {
 		t.Error("laid anew without room")
 	}
-	if m.soon[pressing], m.rooms[pressing] = 6, 6; !m.batchWaits() {
+	if m.soon[draining], m.rooms[draining] = 6, 6; !m.batchWaits() {
 		t.Error("waits though its least fits")
 	}
-	m.soon[pressing], m.rooms[pressing] = 3, 3
+	m.soon[draining], m.rooms[draining] = 3, 3
 	if m.openSecond(); !m.batchWaits() {
 		t.Error("not looked at with the next second")
 	}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -357,14 +357,14 @@
 	return cold / all * wanted / max(wantedCold, leastLine*wanted)
 }
 
-// lastOf tells whether a server is the last that can be picked of a table.
-func (m *Manager) lastOf(t *table, last *server) bool {
+// usable is the weight of a table's lines that can be picked, but for one server's.
+func (m *Manager) usable(t *table, but *server) (all float64) {
 	for id, w := range t.standing {
-		if s := m.server(id); s != nil && s != last && w > 0 && !s.withdrawn {
-			return false
+		if s := m.server(id); s != nil && s != but && !s.withdrawn {
+			all += w
 		}
 	}
-	return !last.withdrawn && t.standing[last.id] > 0
+	return all
 }
 
 // anyIn tells whether some server that may get flows answers.
--- a/internal/search/rules.go
+++ b/internal/search/rules.go
@@ -95,7 +95,8 @@
 		}
 	}
 	for _, s := range w.servers {
-		if !s.up || w.now-s.started >= w.sc.WarmAfter {
+		// what comes before the start is told, by tables of before, is nobody's fault
+		if !s.up || w.now-s.started >= w.sc.WarmAfter || w.list[s.id].since < s.started {
 			delete(r.over, s.id)
 			continue
 		}
@@ -107,7 +108,7 @@
 			delete(r.over, s.id)
 		} else if m, before := r.over[s.id]; !before {
 			r.over[s.id] = r.begin()
-		} else if known := w.list[s.id].since >= s.started; known && r.passed(m) >= w.sc.OverloadFor {
+		} else if r.passed(m) >= w.sc.OverloadFor {
 			r.fail("no cold server pushed over", string(s.id), "gets %.1f of %.1f flows/s for %.1fs", gets, can, r.passed(m).Seconds())
 		}
 	}
--- a/internal/search/scenario.go
+++ b/internal/search/scenario.go
@@ -48,6 +48,22 @@
 	return s
 }
 
+// Fleet is one manager's part of a large fleet, made smaller: a channel that sends four lines a proxy and second behind a
+// queue that holds a quarter of a minute's, and troubles of the relay, its calls and the streams.
+func Fleet() Scenario {
+	s := Usual()
+	s.Zones, s.Servers, s.Proxies, s.Rate, s.Capacity = 2, 60, 300, 1, 9
+	s.LinesPerS, s.QueueLines, s.ColdShare, s.DrainGrace, s.BareFor = 1300, 20000, 0.15, 20*time.Second, 10*time.Second
+	s.Length, s.Settle, s.Faults = 30*time.Second, 40*time.Second, [2]int{3, 6}
+	for k := range s.Weights {
+		s.Weights[k] = 0
+	}
+	for k, w := range map[Kind]float64{Silence: 2, Drain: 1, ZoneCut: 2, Unreachable: 3, LostAnswers: 3, SlowChannel: 2, Restart: 1, Stall: 1, Rejoin: 3} {
+		s.Weights[k] = w
+	}
+	return s
+}
+
 // Terms are those of a manager in this scenario.
 func (s Scenario) Terms() choice.Terms {
 	t := choice.Terms{
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -38,6 +38,17 @@
 	}
 }
 
+// Guards against a queue that is filled because it may be: tables then come half a minute late.
+func TestAFleetKeepsAllRules(t *testing.T) {
+	found, played := Seeds(Fleet(), 1, 16, 4, true, func(int) {})
+	for _, f := range found {
+		t.Errorf("%v\n%v", f.Break, f.Script)
+	}
+	if played != 16 {
+		t.Errorf("%d played", played)
+	}
+}
+
 func TestScriptsAreWrittenAndRead(t *testing.T) {
 	want := Draw(Usual(), 7)
 	got, err := ParseScript("f", []byte(want.String()))
