--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,7 +42,7 @@
 	Together    int // of them, taken at one time
 	CallsWait   int // orders that wait for the relay unmerged
 	CallBytes   int // of orders in a call
-	ProbesWait  int
+	ProbesWait  int // servers that may all be asked at once: a lost fleet is probed whole
 	ProbesOpen  int
 	Unnamed     int // connections that have not said whose they are
 	Named       int // collectors
@@ -77,7 +77,7 @@
 func limits(cores, memoryMB float64, sockets int) Limits {
 	return Limits{
 		Cores: max(1, int(cores+0.5)), Memory: int64(memoryMB * (1 << 20)), Sockets: sockets,
-		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 256,
+		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 4096,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
 		Words: 64, LineUnnamed: 4 << 10, LineNamed: min(1<<20, int(memoryMB*(1<<20))/512), LineNews: 64 << 10, LineList: 1 << 20, Answer: 64 << 10,
 		IdleMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, Spoke: 50 * time.Millisecond, SpanMost: time.Minute,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -110,3 +110,11 @@
 		t.Error("a file that is not there was read")
 	}
 }
+
+// Guards against a fleet of which only the first few hundred servers are probed when all are lost at once.
+func TestTheSmallestMachineHasRoomForAThousandServers(t *testing.T) {
+	l := limits(0.01, 32, 64)
+	if l.ProbesWait < 1024 || l.Inputs < 1024 || l.LineList < 1024*200 {
+		t.Errorf("%+v", l)
+	}
+}
