While most of a fleet is cold, cold servers take up to half as much again

Checked: each climbing server gets its climbing part of a fleet in order, and the others all the rest: 4 s after the replacement the 80 warm ones get twice their share, and 12 s after it 1.5 times. The climb itself is the stated one (warm within 16 s, a tenth first); a line that falls takes the same from cold and warm. Ruled out: late orders (lag 0.76 s, 0.7 of the channel's pace), wrong health.

At fault: choice.go solve, the climbing part of the listed weight, whatever of it can serve.

Change: the climbing part is of what is able (weight by how far each has climbed), up to half as much again. The reason for the bound: proxies together must bring at least 2.5 times (the settings' least) what a server can do for two seconds, and a fleet in order is at half to two thirds of it. It acts only while others are cold or lost. Test of both sides of the bound.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,7 +21,7 @@
 	lineHold, lineSure      = 3 * time.Second, 4 * time.Second   // between falls, and until rises are faster
 	forgetAfter             = time.Minute                        // that a server is gone
 
-	bandLow, bandHigh           = 0.8, 1.2      // of a server's target: its floor and ceiling
+	bandLow, bandHigh, coldFill = 0.8, 1.2, 1.5 // of a target: its floor, its ceiling, a cold one's at most
 	shareMost, coldMost         = 2.0, 2.0      // the most of a listed share, and of a cold server's part
 	pairTrouble, pairDrops      = 2.0, 0.5      // a zone pair closes at this multiple of its norm, or drops
 	pairLast, daySamples        = 3, 64         // samples that must agree on it, and make its norm
@@ -493,6 +493,7 @@
 	var in []*server
 	anyIn := m.anyIn() // health never takes the last server of all
 	all, listed, steady, cold := sum(m.solved), m.listed(), 0.0, 0.0
+	able := max(m.able(), listed/coldFill)
 	for _, s := range m.servers {
 		if !m.open(s) || s.out && anyIn || m.heldBack(s) {
 			continue
@@ -502,9 +503,9 @@
 			p.low, p.high = 0, 1
 		}
 		// guards against pushing over a cold server when others fail: until it must be warm, it gets its
-		// climbing part of what it would get of a fleet in order, never that of its lost peers
+		// climbing part of what it would get of a fleet in order, and little of its lost peers' part
 		if s.climbing {
-			p.target *= m.climbed(s) * min(all, m.line) / listed
+			p.target *= m.climbed(s) * min(all, m.line) / able
 			p.low, p.high, cold = 0, 1, cold+p.target
 		} else {
 			steady += p.target
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -657,6 +657,23 @@
 	}
 }
 
+// Guards against a fleet of which most is cold: its few warm servers are pushed over, and the cold ones wait.
+func TestColdServersTakeMoreWhileMostAreCold(t *testing.T) {
+	for _, since := range []time.Duration{8 * time.Second, time.Second} {
+		m := manager(4)
+		m.now = time.Second
+		for _, s := range m.servers[:6] {
+			s.climbing, s.startedAt = true, m.now-since
+		}
+		m.solve()
+		gets, climbed := 0.0, m.climbed(m.servers[0])
+		for z, t := range m.tables {
+			gets += t.wanted["a0"] * m.solved[z]
+		}
+		near(t, "a cold one's flows", gets, climbed*80/max(2+6*climbed, 8/coldFill))
+	}
+}
+
 // Guards against an urgent table that takes all others with it, of which little is urgent, and fills the queue.
 func TestOnlyWhatGuardsARuleIsUrgent(t *testing.T) {
 	m := manager(2)
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -254,6 +254,17 @@
 	return all
 }
 
+// able is the weight of all servers that get flows, each as far as its climb has come.
+func (m *Manager) able() float64 {
+	all, anyIn := 0.0, m.anyIn()
+	for _, s := range m.servers {
+		if m.open(s) && !(s.out && anyIn) && !m.heldBack(s) {
+			all += max(s.weight, 1e-6) * m.climbed(s)
+		}
+	}
+	return all
+}
+
 // traffic is what is asked, and what is delivered, a second.
 func (m *Manager) traffic() (asked, delivered float64) {
 	for _, s := range m.servers {
