--- a/internal/search/rules.go
+++ b/internal/search/rules.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// reaches is how long a message may take, through the channel too, once all is well.
+const reaches = 5 * time.Second
+
 // progress judges the end: nothing waits, all that are joined are bound and hold what stands.
 func (r *rules) progress() {
 	w := r.w
@@ -144,7 +147,7 @@
 			r.fail("progress", fmt.Sprint("proxy ", p.id), "joined at %.1fs, and not bound", p.since.Seconds())
 		default:
 			for s, weight := range w.tables[p.table] {
-				if p.lines[s] != weight && w.now-p.at > time.Second {
+				if p.lines[s] != weight && w.now-p.told > reaches {
 					r.fail("progress", fmt.Sprint("proxy ", p.id), "holds %v for %s, and %v stands", p.lines[s], s, weight)
 				}
 			}
--- a/internal/search/world.go
+++ b/internal/search/world.go
@@ -59,6 +59,7 @@
 	lines   map[choice.ServerID]float64
 	pulled  map[choice.ServerID]bool
 	at      time.Duration // the last message reached it
+	told    time.Duration // the last was ordered
 	sent    []time.Duration
 }
 
@@ -495,6 +496,7 @@
 		w.rules.messages(p)
 	}
 	session, gen, transit := p.session, w.gen, w.between(w.sc.Transit)
+	p.told = w.now
 	reaches := func() {
 		if p.session != session || !p.joined {
 			return
