Orders that wait for room are not booked twice, so that they never wait for their own

Checked: once only orders that had found no room are left, the call before them has no mark, so what was decided meanwhile stayed on the books beside its repeat; since the first landing it waits there whole until it enters the channel, which it never does under that mark.

At fault: choice/ledger.go unbook, which looked for one mark and gave up without it.

Change: when orders go out anew, all that has not entered the channel leaves the books, since all of it is among them; what was ordered before the last call was carried out. A test is red without it.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -575,6 +575,9 @@
 	if n, mark = m.Again(time.Second+1, mark, true, o); n != 0 || mark != 0 {
 		t.Errorf("%d orders under mark %d beside those that may have been carried out", n, mark)
 	}
+	m = manager(2)
+	m.soon[pressing], m.rooms[pressing] = 15, 15
+	m.Again(time.Second, 0, false, o)
 	if n, mark = m.Again(time.Second+2, 1, false, o); n != 4 || mark != 2 || len(m.queue) != 1 {
 		t.Errorf("%d orders under mark %d in place of those that were not carried out: %v", n, mark, m.queue)
 	}
@@ -674,6 +677,17 @@
 	}
 }
 
+// Guards against orders that wait for ever for the room that they themselves are booked in.
+func TestWhatWaitsIsNotBookedTwice(t *testing.T) {
+	m := manager(2)
+	m.soon[pressing], m.rooms[pressing] = 15, 15
+	o := Orders{Lines: []Line{{0, "a0", 1}, {1, "b0", 1}}}
+	m.post(m.proxies, 1) // decided while an earlier part waited
+	if n, _ := m.Again(time.Second, 0, false, o); n != 2 || m.waiting() != 2*6 {
+		t.Errorf("%d orders, %v lines wait", n, m.waiting())
+	}
+}
+
 // Guards against an urgent table that takes all others with it, of which little is urgent, and fills the queue.
 func TestOnlyWhatGuardsARuleIsUrgent(t *testing.T) {
 	m := manager(2)
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -124,23 +124,18 @@
 	m.sent, m.sentFrom = 0, m.now
 }
 
-// unbook takes off the books what was ordered from a mark on, but for the first of it if that may have been
-// carried out, wholly or in part.
+// unbook takes off the books what has not entered the channel, but for what was ordered before a mark, and under it if
+// that may have been carried out, wholly or in part. All else goes out anew: guards against orders that wait for ever
+// for the room that they themselves are booked in.
 func (m *Manager) unbook(from MarkID, carried bool) {
 	i := slices.IndexFunc(m.queue, func(q owed) bool { return q.mark == from })
-	if i < 0 {
-		return
-	}
-	if carried {
-		m.enters(i)
-		i++
-	}
-	for _, q := range m.queue[i:] {
+	m.enters(either(carried, i, i-1))
+	for _, q := range m.queue {
 		for _, p := range m.proxies {
-			p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return at == q.at })
+			p.sent = slices.DeleteFunc(p.sent, func(at time.Duration) bool { return !q.entered && at == q.at })
 		}
 	}
-	m.queue, m.summed = m.queue[:i], false
+	m.queue, m.summed = slices.DeleteFunc(m.queue, func(q owed) bool { return !q.entered }), false
 }
 
 // concerned are the proxies that get the n-th order, counted in the order of the fields, and its lines at each.
