A refused order leaves no lines on the books; what is urgent holds up nothing else

Seen by reading: a call whose last order is refused ended without telling the books that the rest entered the channel, and without a mark that shows it leave: such lines would wait whole, and a quiet manager would have no room for its next batch. A line that is urgent and at fault (a cold server for a table left bare) sent the checks of a version round 64 times and then held up all tables. Each withdrawal looked at all tables for cold servers.

At fault: internal/node/relay.go carry, internal/versions chain.go Propose and check.go tooMuchCold, choice.go lookForBare.

Change: what entered is told apart from what stands whole (settled); a round that can hold nothing apart is the last, and an urgent line is no fault of the cold; a withdrawal looks at the tables that name its server. One test each for the first two, red without the change.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -214,13 +214,13 @@
 	m.pull(s, true)
 	m.post(m.holders(s), 1)
 	m.lookForBare()
+	m.urgent = m.urgent || slices.ContainsFunc(s.tables, m.floods) // guards cold servers left with all
 }
 
-// lookForBare guards against proxies without any server, and against cold servers that get the flows of those
-// withdrawn and are pushed over: such tables are laid at once, with all the room.
+// lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
 func (m *Manager) lookForBare() {
 	m.bareWaits, m.drains = slices.ContainsFunc(m.tables, m.bare), m.leaving() != nil
-	m.urgent = m.urgent || m.bareWaits || slices.ContainsFunc(m.tables, m.floods)
+	m.urgent = m.urgent || m.bareWaits
 }
 
 func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
@@ -475,7 +475,7 @@
 
 func (m *Manager) unsolved() bool { return m.cause != "" && m.parted && (m.batch || m.urgent) }
 
-func (m *Manager) floods(t *table) bool    { return m.coldRise(t) > coldMost }
+func (m *Manager) floods(t TableID) bool   { return m.coldRise(m.tables[t]) > coldMost }
 func (m *Manager) heldBack(s *server) bool { return s.climbing && m.climbed(s) < m.hold }
 
 // climbed is the part of its target that a server gets by now.
@@ -721,7 +721,7 @@
 // A table never becomes empty: without any server to name it stays as it is.
 func (m *Manager) differences(id TableID) (moves []move) {
 	t := m.tables[id]
-	scale, guards := t.scale(), m.bare(t) || m.floods(t)
+	scale, guards := t.scale(), m.bare(t) || m.floods(id)
 	for _, s := range m.named(t) {
 		if s.withdrawn && !m.open(s) && !m.past(s) {
 			continue // its line does no harm
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -56,8 +56,11 @@
 		reply   chan<- later
 	}
 	later   struct{ now, rest choice.Orders }
-	settled struct{ mark choice.MarkID } // the orders under it, and all before, were carried out
-	command func(r *router)              // of staff, done by the owner of the module
+	settled struct {
+		mark choice.MarkID // what was ordered up to it is in the channel
+		all  bool          // and nothing of it was refused
+	}
+	command func(r *router) // of staff, done by the owner of the module
 )
 
 // errUnknown is what a message that names an unknown zone or traffic group gives. It is dropped like
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -134,12 +134,13 @@
 	if taken < len(text) {
 		r.book.say("refused", "order", text[taken])
 		r.book.add(ordersRefused, 1)
+		r.intake.give(settled{o.Mark, false}) // guards against a queue that is full of what no mark will show to have left
 		return taken + 1, done
 	}
 	if o.Mark > 0 {
 		r.book.add(marksSent, 1)
 		if len(text) > o.Count() {
-			r.intake.give(settled{o.Mark})
+			r.intake.give(settled{o.Mark, true})
 		}
 		taken--
 	}
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -168,6 +168,9 @@
 	o := lines2(1, 2, 3)
 	o.Mark = 7
 	go r.settle(o)
+	if in := (<-inputs).(settled); in.mark != 7 || in.all {
+		t.Errorf("%+v", in)
+	}
 	if in := (<-inputs).(again); in.from != 7 || !in.carried || in.orders.Count() != 1 {
 		t.Errorf("%+v", in)
 	}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -152,7 +152,7 @@
 		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
 	case settled:
 		m.Entered(r.now, in.mark)
-		if r.chain != nil {
+		if r.chain != nil && in.all {
 			r.chain.Outcome(r.now, in.mark)
 		}
 	case command:
--- a/internal/versions/chain.go
+++ b/internal/versions/chain.go
@@ -136,15 +136,16 @@
 	c.refused = rule
 	// what is at fault stays behind, and the rest goes: guards against one server or table that holds up all others
 	for left := heldApart; rule != ""; left-- {
-		if r.Changed = true; left == 0 {
-			at = fault{table: -1}
+		r.Changed = true
+		apart := left > 0 && c.onlyUrgent(p, at)
+		if !apart { // what is urgent can't be held apart
+			c.onlyUrgent(p, fault{table: -1})
 		}
-		c.onlyUrgent(p, at)
 		next, err := p.now.Apply(ops(r.Orders))
 		if err != nil { // what is urgent was looked at; this would be a fault of this package
 			panic(fmt.Sprintf("the urgent part of a version can't be applied: %v", err))
 		}
-		if p.next = next; at.server == "" && at.table < 0 {
+		if p.next = next; !apart {
 			break
 		}
 		rule, at = c.look(p)
@@ -171,9 +172,10 @@
 // heldApart is how many servers or tables of one version may be at fault, each held back by itself.
 const heldApart = 64
 
-// onlyUrgent leaves of what is at fault in a version what must go out all the same.
-func (c *Chain) onlyUrgent(p *proposal, at fault) {
-	all := at.server == "" && at.table < 0
+// onlyUrgent leaves of what is at fault in a version what must go out all the same. It tells whether something else, and
+// not all, was at fault.
+func (c *Chain) onlyUrgent(p *proposal, at fault) (apart bool) {
+	all, before := at.server == "" && at.table < 0, p.orders.Count()
 	p.orders.Lines = slices.DeleteFunc(p.orders.Lines, func(l choice.Line) bool {
 		return (all || l.Server == at.server || int(l.Table) == at.table) && !p.urgent(l)
 	})
@@ -181,6 +183,7 @@
 	if all {
 		p.orders.Levels = nil
 	}
+	return !all && p.orders.Count() < before
 }
 
 // add appends a version, and drops the oldest beyond what is kept.
--- a/internal/versions/chain_test.go
+++ b/internal/versions/chain_test.go
@@ -104,6 +104,16 @@
 	}
 }
 
+// Guards against a line that must go out whatever else, of which a check holds up the whole fleet.
+func TestWhatIsUrgentHoldsUpNothingElse(t *testing.T) {
+	c := chain(t)
+	see := fleet{"a0": {Known: true}, "a1": {Known: true}, "c0": {Known: true, Open: true, Climbed: 0.01}}
+	r := c.Propose(2*time.Second, choice.Orders{Withdraw: []choice.ServerID{"a0", "a1"}, Lines: []choice.Line{line(0, "c0", 100), line(1, "b0", 90)}}, "list", see)
+	if r.Changed || len(r.Orders.Lines) != 2 {
+		t.Errorf("%+v", r)
+	}
+}
+
 func TestAVersionThatMovesTooMuchGoesInSteps(t *testing.T) {
 	c := chain(t)
 	c.t.MovedMost = 0.1
--- a/internal/versions/check.go
+++ b/internal/versions/check.go
@@ -128,7 +128,7 @@
 	seen := map[choice.ServerID]bool{}
 	for _, l := range p.orders.Lines {
 		s := p.see.Sees(l.Server)
-		if s.Climbed >= 1 || seen[l.Server] || l.Weight <= p.now.Table(uint32(l.Table)).Lines[string(l.Server)] {
+		if s.Climbed >= 1 || seen[l.Server] || p.urgent(l) || l.Weight <= p.now.Table(uint32(l.Table)).Lines[string(l.Server)] {
 			continue
 		}
 		seen[l.Server] = true
