Levels and lines go table by table, most flows first; no further tries by the module

At 15.1 s 22 levels go for further tries that are switched on, at 16.1 s 18 that switch them off.

Checked: the channel sends 1,200 lines a second, a message costs 7 beside its own, a table has 8 proxies: a level alone costs 64, and lay booked all tables' levels before any line. 10 to 13 tables' levels move by 0.04 a second, so they take it whole, in all five managers. Ruled out: unanswered marks (the books are empty each second), the channel's pace (the same before 14 s), cold servers held back (`under 0.0` from 23 s).

At fault: choice.go lay, levels first and lines sorted one by one, each with a head of its own.

Change: what guards a rule goes first as before, then whole tables, those first in which levels and lines move most flows, so that a head carries all that is due. Guards wherever messages are dear.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,6 @@
 	surgeMost, surgeAfter       = 1.5, 5        // of the most lately, all that is let in at once
 	heardPart                   = 0.5           // of what proxies told, heard of before the line moves
 	lineCreep, lineOpen         = 0.05, 1.2     // beyond it, and of what is asked to let in all
-	nearlyAll, fewDrops         = 0.9, 0.03     // quick answers, and drops, for further tries
 	heldLeast                   = 0.3           // tries a second for told load to say something
 	probesAtOnce, probePart     = 4, 0.3        // probes that take less than flows find idle servers
 	glideStep                   = 0.1           // of a table's weight, or a share let in, a second after a hold
@@ -74,10 +73,8 @@
 	if most := float64(t.MessagesMost); most > 1 {
 		m.perProxy = [3]int{int(max(1, perBatch*most)), int(max(1, perUrgent*most)), int(most - 1)}
 	}
-	for g, group := range t.Groups {
+	for g := range t.Groups {
 		m.byUtility = append(m.byUtility, GroupID(g))
-		m.mayRepeat = append(m.mayRepeat, group.Repeat == Retriable ||
-			group.Repeat == Deduped && group.Window >= group.Expiry)
 	}
 	slices.SortStableFunc(m.byUtility, func(a, b GroupID) int {
 		// of equal utility, the shorter budget tells of less work
@@ -271,16 +268,11 @@
 // the reason, and raises it gradually. It harms where few proxies are to blame for what all servers do.
 func (m *Manager) judgeServers() {
 	latency, drops, _ := m.peers()
-	lost, all := 0.0, 0.0
 	for _, s := range m.servers {
 		if !m.open(s) {
 			continue
 		}
 		tries, failed, l := m.figures(s)
-		all += tries
-		if tries > failed && l <= slowLatency*latency {
-			lost += failed
-		}
 		aim, was := 1.0, s.health
 		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
 			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
@@ -297,7 +289,6 @@
 				s.id, s.health, failed, tries, l, latency, drops)
 		}
 	}
-	m.lost = lost / max(all, 1)
 }
 
 // probeSilent guards against servers that no longer answer, before the list knows; silence may be another's.
@@ -369,10 +360,6 @@
 	if pressure > pressureLow && len(m.servers) > 0 {
 		pressure = m.atServers(latency) / budget
 	}
-	// guards against servers and links that lose some flows while others come back as quick as the peers':
-	// what may run again gets another try, if nearly all are quicker than a proxy waits for the first
-	slowest, _ := m.flowsMeet(nearlyAll)
-	m.repeating = m.lost > fewDrops && slowest < m.tryWait*budget && pressure < pressureLow
 	if latency > 0 {
 		m.calmest = min(m.calmest, latency/budget)
 	}
@@ -380,24 +367,23 @@
 	calm := min(m.calmest, calmMost)
 	high, low := max(pressureHigh, calmHigh*calm), max(pressureLow, calmLow*calm)
 	asked, delivered := m.traffic()
-	// guards against a line that the first few proxies heard set, or that stays while a lost manager's join, or while
-	// most servers go at once: it is for what was told and for the weight that can serve by now
+	// guards against a line that the first few proxies heard set, or that stays while a lost manager's join or
+	// most servers go: it is for what was told and for the weight that can serve by now
 	told := m.heardOf()
 	of := told * m.able()
 	m.line *= cmp.Or(of, m.lineOf, 1) / cmp.Or(m.lineOf, of, 1)
 	was := m.line
 	m.lineOf = cmp.Or(of, m.lineOf)
-	if told < heardPart*m.toldRate()*float64(len(m.proxies)) || of == 0 {
+	if told < heardPart*m.toldRate()*float64(len(m.proxies)) || of == 0 || m.admit == AdmitNone {
 		return
 	}
 	m.peaks = lastOf(append(m.peaks, delivered/of), samplesKept)
 	knee := slices.Max(m.peaks) * of
 	// guards against a surge that fills all queues before a late answer is heard of
-	if m.admit != AdmitNone && len(m.peaks) > surgeAfter && min(asked, m.line) > surgeMost*knee {
+	if len(m.peaks) > surgeAfter && min(asked, m.line) > surgeMost*knee {
 		m.line = surgeMost * knee
 	}
 	switch {
-	case m.admit == AdmitNone:
 	case pressure > high || pressure > low && drops > dropsHigh && len(m.peaks) > surgeAfter:
 		if m.now-m.lineMoved >= lineHold {
 			m.line, m.lineMoved = max(lineFall*min(m.line, delivered), lineLeast*knee), m.now
@@ -417,7 +403,7 @@
 }
 
 // levels are what must change in what a table lets in: the groups by utility, each what those above it left.
-func (m *Manager) levels(z int, sums []float64) (levels []Level) {
+func (m *Manager) levels(z int, sums []float64) (moves []move) {
 	if m.pins != nil {
 		return m.pinnedLevels(TableID(z))
 	}
@@ -427,9 +413,6 @@
 		part := min(1, left/max(sums[g], 1e-9))
 		l := Level{Table: TableID(z), Groups: 1 << g, Amount: m.amount(part, z, g), Tries: tries}
 		left = max(0, left-sums[g])
-		if m.repeating && math.IsInf(m.line, 1) && m.mayRepeat[g] {
-			l.Tries = TryTwice
-		}
 		was, stands := m.tables[z].levels[l.Groups]
 		if !stands {
 			was = Level{Amount: m.amount(1, z, g), Tries: m.usual}
@@ -437,12 +420,13 @@
 		if m.gliding && m.admit == AdmitShare {
 			l.Amount = min(max(l.Amount, was.Amount-glideStep), was.Amount+glideStep)
 		}
-		moved := math.Abs(l.Amount-was.Amount) > levelStep*max(l.Amount, was.Amount)
-		if moved || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
-			levels = append(levels, l)
+		moved := math.Abs(l.Amount-was.Amount) / max(l.Amount, was.Amount, 1e-9)
+		if moved > levelStep || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
+			flows := m.solved[z] * sums[g] / sum(sums) * max(moved, levelStep)
+			moves = append(moves, move{Line: Line{Table: l.Table}, level: l, flows: flows})
 		}
 	}
-	return levels
+	return moves
 }
 
 // part cuts zones into blocks, each with a table for a part of the zone's proxies. Guards against proxies
@@ -640,12 +624,14 @@
 	return m.batch && m.parted && m.heldAt != m.now && (m.heldBy == 0 || m.fresh(m.heldBy) <= m.spare(draining))
 }
 
-// lay sends levels, and the lines that move most flows, as far as the queue has room; the rest is solved anew
-// with the next second. Guards against tables so large that all their differences never fit at once.
+// lay sends what guards a rule, then levels and lines table by table, where most flows move first, as far as
+// the queue has room; the rest is solved anew with the next second. Guards against differences that never fit
+// at once and, where a message's head is dear, against levels that move each second and leave lines no room.
 func (m *Manager) lay() {
 	m.batch, m.heldBy = false, 0
-	users, moves, sums := make([][]*proxy, len(m.tables)), []move{}, m.demands()
+	users, worth, moves := make([][]*proxy, len(m.tables)), make([]float64, len(m.tables)), []move{}
 	rest, held, late, glides := false, false, false, false // waits: at all, urgent, for messages; by steps
+	sums := m.demands()
 	book := func(t TableID, need urgency) bool {
 		if m.room(users[t], 1, need) {
 			m.post(users[t], 1)
@@ -658,27 +644,35 @@
 	}
 	for z, t := range m.tables {
 		users[z] = m.users(z)
-		for _, l := range m.levels(z, sums) {
-			if book(l.Table, calm) {
-				m.setLevel(t, l)
-			}
-		}
 		some := m.differences(TableID(z))
 		glides = m.gliding && m.glide(t, some) || glides
+		some = append(some, m.levels(z, sums)...)
+		for _, l := range some {
+			worth[z] += min(l.flows, m.solved[z])
+		}
 		moves = append(moves, some...)
 	}
 	m.gliding = glides
 	for _, s := range m.servers {
 		s.unlaid = false
 	}
-	slices.SortStableFunc(moves, func(a, b move) int { return cmp.Compare(b.flows, a.flows) })
+	first := func(l move) float64 { return either(math.IsInf(l.flows, 1), l.flows, worth[l.Table]) }
+	slices.SortStableFunc(moves, func(a, b move) int {
+		return cmp.Or(cmp.Compare(first(b), first(a)), cmp.Compare(a.Table, b.Table), cmp.Compare(b.flows, a.flows))
+	})
 	for i := 0; i < len(moves); i++ {
 		l, s, t := moves[i], m.server(moves[i].Server), m.tables[moves[i].Table]
+		if s == nil {
+			if book(l.Table, calm) {
+				m.setLevel(t, l.level)
+			}
+			continue
+		}
 		others, raised := m.usable(t, s), l.Weight > t.standing[s.id]
 		early := l.Weight == 0 && others == 0 && !s.withdrawn ||
 			s.climbing && raised && l.Weight > coldMost*t.wanted[s.id]*(others+l.Weight)
 		if early && l.flows >= 0 {
-			moves = append(moves, move{l.Line, -1}) // guards against tables bare, or cold, while other lines wait
+			moves = append(moves, move{Line: l.Line, flows: -1}) // guards against tables bare, or cold, meanwhile
 		} else if early || !book(l.Table, either(math.IsInf(l.flows, 1), draining, calm)) {
 			rest, s.unlaid = true, s.unlaid || l.Weight < t.standing[s.id]
 		} else {
@@ -734,7 +728,7 @@
 			lost := weight < was && (s.climbing || weight == 0)
 			guard := guards || s.climbing && weight < was/coldMost
 			flows = either(guard, math.Inf(1), either(lost, math.MaxFloat64, flows))
-			moves = append(moves, move{Line{id, s.id, weight}, flows})
+			moves = append(moves, move{Line: Line{id, s.id, weight}, flows: flows})
 		}
 	}
 	return moves
--- a/choice/state.go
+++ b/choice/state.go
@@ -90,7 +90,6 @@
 type bounds struct {
 	budget                  []float64 // seconds, by traffic group
 	byUtility               []GroupID // most useful first
-	mayRepeat               []bool
 	usual                   Tries
 	admit                   AdmitBy
 	climbBase               float64
@@ -108,7 +107,6 @@
 	liveWeights             bool
 	connIdle                time.Duration
 	managers                float64
-	tryWait                 float64 // budgets that a try may take before the next
 }
 
 type Manager struct {
@@ -150,10 +148,8 @@
 	lineOf     float64   // what the proxies heard of told, times the weight able, as the line was moved last
 	calmest    float64   // the least latency over budget so far
 	peaks      []float64 // flows delivered a second, lately
-	lost       float64   // share of tries dropped by servers that answer others quickly
-	repeating  bool
-	hold       float64  // part of a climb below which cold servers wait
-	answers    []figure // seconds that probes took, lately
+	hold       float64   // part of a climb below which cold servers wait
+	answers    []figure  // seconds that probes took, lately
 	loadTold   bool
 	wakeAt     time.Duration
 	pins       *pins // what staff hold the tables at
@@ -170,7 +166,7 @@
 // stated takes over what the site states as it is.
 func stated(t Terms) (b bounds) {
 	b.usual, b.admit, b.asks, b.probes = t.UsualTries, t.Admit, t.AsksList, t.MayProbe
-	b.liveWeights, b.tryWait, b.connIdle = t.LiveWeights, t.TryWait, t.ConnIdle
+	b.liveWeights, b.connIdle = t.LiveWeights, t.ConnIdle
 	b.goneStays, b.sliced, b.head = t.GoneStaysOpen, t.Sliced, t.HeadLines
 	b.allProxies, b.managers = float64(t.Proxies), max(1, float64(t.Managers))
 	b.warmAfter, b.span = max(t.WarmAfter, 1), t.MessagesOver
@@ -286,13 +282,13 @@
 }
 
 // pinnedLevels are those that a table must be brought to.
-func (m *Manager) pinnedLevels(id TableID) (levels []Level) {
+func (m *Manager) pinnedLevels(id TableID) (moves []move) {
 	for _, mask := range slices.Sorted(maps.Keys(m.pins.levels[id])) {
 		if l := m.pins.levels[id][mask]; m.tables[id].levels[mask] != l {
-			levels = append(levels, l)
+			moves = append(moves, move{Line: Line{Table: id}, level: l})
 		}
 	}
-	return levels
+	return moves
 }
 
 // ListFailed keeps the list and asks again with the next second.
@@ -421,9 +417,11 @@
 	m.answers = lastOf(append(m.answers, figure{at: m.now, value: wait}), samplesKept)
 }
 
-// move is a line in which a table must change, and how many flows a second it moves.
+// move is a line in which a table must change, or a level where no server is named, and how many flows a second it
+// moves.
 type move struct {
 	Line
+	level Level
 	flows float64
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -73,7 +73,6 @@
 	Admit         AdmitBy
 	UsualTries    Tries
 	ConnIdle      time.Duration // proxies close idle connections then
-	TryWait       float64       // latency budgets that proxies wait before a further try, from TryTwice on
 	ColdShare     float64
 	WarmAfter     time.Duration
 	QueueLines    float64
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -31,7 +31,7 @@
 			Ranges, MessagesMost, UsualHow int
 			Proxies                        int
 			EgressPerS, Envelope, QueueCap float64
-			LineFee, TryAims               float64
+			LineFee                        float64
 			ReloadSpanUs                   int64
 		}
 		Limits struct {
@@ -60,7 +60,6 @@
 		{"domain.messagesMost", float64(in.Domain.MessagesMost), 0, 1e9},
 		{"domain.reloadSpanUs", float64(in.Domain.ReloadSpanUs), 0, 1e15},
 		{"domain.lineFee", in.Domain.LineFee, 0, 1e6},
-		{"domain.tryAims", in.Domain.TryAims, 0, 1e6},
 		{"domain.usualHow", float64(in.Domain.UsualHow), 0, 3},
 		{"limits.connIdleUs", float64(in.Limits.ConnIdleUs), 0, 1e15},
 		{"rules.coldFrom", in.Rules.ColdFrom, 0, 1e6},
@@ -77,7 +76,7 @@
 	t := choice.Terms{
 		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
 		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, Managers: in.PeersTotal,
-		TryWait: in.Domain.TryAims, ConnIdle: span(in.Limits.ConnIdleUs),
+		ConnIdle:  span(in.Limits.ConnIdleUs),
 		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
 		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee,
