A silent server casts doubt on its zone; the line goes by health; steps by versions

Checked, with each report logged: a manager's intake is 200 lines a second (150, 600), 256 proxies alone tell 768, so a pair of zone and server is heard of every 2.5 to 3.6 s over as long a span (47 of them a second): a report that comes 2 s after the loss still tells of good answers. Ruled out: probes that wait (64 at once), late orders (after the tables above).

At fault: probeSilent and Probed in choice.go: each server needs 2 s without a good report of its own.

Change: when a server is out, its zone is probed at once; where nine of ten connections don't come up, those servers are out. The weight that the line goes by counts by health, so that bad servers lower it. Three tests, red without the change; golden orders by the line.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	shareMost, coldMost         = 2.0, 2.0      // the most of a listed share, and of a cold server's part
 	pairTrouble, pairDrops      = 2.0, 0.5      // a zone pair closes at this multiple of its norm, or drops
 	pairLast, daySamples        = 3, 64         // samples that must agree on it, and make its norm
+	zoneLeast, zoneLost         = 3.0, 0.9      // servers, and the part of those asked: their zone is lost
 	keptOpen                    = 8.0           // uses of a connection before an idle one closes
 	blockServers                = 4.0           // servers of a block at least,
 	blockProxies                = 5.0           // and proxies of this manager
@@ -58,14 +59,13 @@
 	lineCreep, lineOpen         = 0.05, 1.2     // beyond it, and of what is asked to let in all
 	heldLeast                   = 0.3           // tries a second for told load to say something
 	probesAtOnce, probePart     = 4, 0.3        // probes that take less than flows find idle servers
-	glideStep                   = 0.1           // of a table's weight, or a share let in, a second after a hold
 	holdLeast                   = 0.5           // of a held table's weight: what warm servers must have of it
 	rateOpen                    = 1e6
 )
 
 func New(seed uint64, t Terms) *Manager {
 	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, calmest: math.Inf(1)}
-	m.markedAt, m.heldAt, m.due = -1, -1, time.Duration(m.random()*float64(batchEvery))
+	m.markedAt, m.heldAt, m.doubted, m.due = -1, -1, -1, time.Duration(m.random()*float64(batchEvery))
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
@@ -89,6 +89,7 @@
 var rules = []rule{
 	{(*Manager).unasked, (*Manager).listen},
 	{(*Manager).drainWaits, (*Manager).withdraw},
+	{(*Manager).zoneDoubted, (*Manager).askZone},
 	{(*Manager).unstarted, (*Manager).start},
 	{(*Manager).secondOver, (*Manager).openSecond},
 	{(*Manager).newcomer, (*Manager).weigh},
@@ -122,9 +123,7 @@
 			s.health, s.load, s.heard, s.heardAt, s.quietFrom = 1, -1, nil, nil, now
 			s.out, m.urgent = s.out && m.probes, m.urgent || !s.withdrawn
 		}
-		if m.liveWeights {
-			s.weight = e.Weight
-		}
+		s.weight = either(m.liveWeights, e.Weight, s.weight)
 		m.list(s, e.State)
 	}
 	for _, s := range m.servers {
@@ -139,9 +138,7 @@
 // list notes what the list says of a server. Where gone does not bind, the list is one witness, a probe the
 // other: until it fails the server keeps its flows. One that drained before it went stays withdrawn.
 func (m *Manager) list(s *server, c Condition) {
-	if c != Gone || s.state == Ready {
-		s.state = c
-	}
+	s.state = either(c != Gone || s.state == Ready, c, s.state)
 	s.goneAt = either(c == Gone, cmp.Or(s.goneAt, m.now), 0)
 	m.drains = m.drains || c != Ready
 	if s.out || s.state == Gone {
@@ -171,15 +168,14 @@
 	if s := m.server(id); s != nil && m.open(s) {
 		m.timed(a, took)
 		s.tell(now, load)
+		s.missed, s.answeredAt = a == Unreached, now
 		switch {
-		case a == Silent && !s.out && (s.state == Gone || now-s.quietFrom >= silentFor):
-			s.out, s.health, m.cause = true, returnHealth, "silence"
-			m.note("server out: %s silent for %.1fs and to a probe", id, (now - s.quietFrom).Seconds())
+		case a >= Silent && !s.out && (s.state == Gone || now-s.quietFrom >= silentFor):
+			m.takeOut(s, "silence")
+			m.doubted = either(now-m.zoneAsked[s.zone] >= silentFor, s.zone, m.doubted)
 		case a == Answered && s.out:
 			s.out, s.quietFrom, m.cause = false, now, "answer"
-			if !s.climbing {
-				s.health = returnHealth
-			}
+			s.health = either(s.climbing, s.health, returnHealth)
 			if s.state == Gone {
 				// it may be a fresh process that the list does not know yet
 				s.climbing, s.startedAt, m.sorted = true, now, false
@@ -190,6 +186,40 @@
 	return m.decide()
 }
 
+func (m *Manager) takeOut(s *server, cause string) {
+	s.out, s.health, m.cause = true, returnHealth, cause
+	m.note("server out: %s silent for %.1fs and to a probe, %s", s.id, (m.now - s.quietFrom).Seconds(), cause)
+}
+
+// A server that falls silent casts doubt on its zone, which is asked at once. Guards against a lost zone that
+// is learnt of server by server: in a large fleet a report tells of seconds, and comes seconds late.
+func (m *Manager) zoneDoubted() bool { return m.doubted >= 0 }
+func (m *Manager) askZone() {
+	for _, s := range m.servers {
+		if s.zone == m.doubted && !s.out {
+			m.ask(s)
+		}
+	}
+	m.zoneAsked[m.doubted], m.doubted = m.now, -1
+}
+
+// judgeZones takes out what can't be reached in a zone where hardly any server can, whatever older reports
+// said. A server that is only late with its answer doesn't count: all may be, under overload.
+func (m *Manager) judgeZones() {
+	lost, all := make([]float64, len(m.zones)), make([]float64, len(m.zones))
+	for _, s := range m.servers {
+		if m.answeredLately(s) {
+			all[s.zone], lost[s.zone] = all[s.zone]+1, lost[s.zone]+either(s.missed, 1.0, 0)
+		}
+	}
+	for _, s := range m.servers {
+		fell := lost[s.zone] >= max(zoneLeast, zoneLost*all[s.zone])
+		if fell && s.missed && !s.out && m.answeredLately(s) {
+			m.takeOut(s, "zone")
+		}
+	}
+}
+
 func (m *Manager) unasked() bool { return m.asks && !m.asked && m.now >= m.askFrom }
 func (m *Manager) listen()       { m.asked, m.o.Listen = true, true }
 
@@ -235,6 +265,7 @@
 	m.forget(func(s *server) bool { return m.past(s) && !m.stands(s) })
 	m.lookForBare()
 	m.holdBackCold()
+	m.judgeZones()
 	m.judgeServers()
 	m.probeSilent()
 	m.judgePairs()
@@ -273,10 +304,8 @@
 			continue
 		}
 		tries, failed, l := m.figures(s)
-		aim, was := 1.0, s.health
-		if excess := (failed+2*drops)/(tries+2) - drops; excess > failExcess {
-			aim = max(leastHealth, 1-(excess-failExcess)/(failWorst-failExcess))
-		}
+		excess, was := (failed+2*drops)/(tries+2)-drops, s.health
+		aim := max(leastHealth, 1-max(0, excess-failExcess)/(failWorst-failExcess))
 		if l = (l*tries + 2*latency) / (tries + 2); l > 0 {
 			aim = min(aim, slowLatency*latency/l)
 		}
@@ -360,9 +389,7 @@
 	if pressure > pressureLow && len(m.servers) > 0 {
 		pressure = m.atServers(latency) / budget
 	}
-	if latency > 0 {
-		m.calmest = min(m.calmest, latency/budget)
-	}
+	m.calmest = min(m.calmest, either(latency > 0, latency/budget, m.calmest))
 	// guards against blocking flows that take long by themselves, also to a manager that starts under load
 	calm := min(m.calmest, calmMost)
 	high, low := max(pressureHigh, calmHigh*calm), max(pressureLow, calmLow*calm)
@@ -417,9 +444,6 @@
 		if !stands {
 			was = Level{Amount: m.amount(1, z, g), Tries: m.usual}
 		}
-		if m.gliding && m.admit == AdmitShare {
-			l.Amount = min(max(l.Amount, was.Amount-glideStep), was.Amount+glideStep)
-		}
 		moved := math.Abs(l.Amount-was.Amount) / max(l.Amount, was.Amount, 1e-9)
 		if moved > levelStep || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
 			flows := m.solved[z] * sums[g] / sum(sums) * max(moved, levelStep)
@@ -437,11 +461,10 @@
 	servers, uses := float64(count(m.servers, m.open))/zones, m.toldRate()*m.connIdle.Seconds()
 	m.blocks = int(max(1, min(math.Ceil(keptOpen*servers/max(uses, 1e-6)), servers/blockServers,
 		m.allProxies/m.managers/zones/blockProxies)))
-	if m.blocks == 1 {
-		return
+	if m.blocks > 1 {
+		m.note("zones in %d blocks: %.0f servers a zone, %.0f uses of a connection", m.blocks, servers, uses)
+		m.layOut(m.blocks, nil)
 	}
-	m.note("zones in %d blocks: %.0f servers a zone, %.0f uses of a connection", m.blocks, servers, uses)
-	m.layOut(m.blocks, nil)
 }
 
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
@@ -536,21 +559,6 @@
 	}
 }
 
-// glide shortens a table's moves after a hold, against a jump to what was decided meanwhile. What guards a
-// rule goes whole. It tells whether more is to come.
-func (m *Manager) glide(t *table, moves []move) (more bool) {
-	moved, scale := 0.0, 2*t.scale()
-	for _, l := range moves {
-		moved += math.Abs(l.Weight-t.standing[l.Server]) / scale
-	}
-	for i, l := range moves {
-		if was := t.standing[l.Server]; moved > glideStep && l.flows < math.MaxFloat64 {
-			moves[i].Weight, more = math.Round((was+(l.Weight-was)*glideStep/moved)*1000)/1000, true
-		}
-	}
-	return more
-}
-
 // counts is what a proxy's flows count for in the split. Guards, while servers climb, against tables full of
 // cold servers for a zone of which little is heard, when the rest comes.
 func (m *Manager) counts(p *proxy, heard float64, cold bool) float64 {
@@ -630,7 +638,7 @@
 func (m *Manager) lay() {
 	m.batch, m.heldBy = false, 0
 	users, worth, moves := make([][]*proxy, len(m.tables)), make([]float64, len(m.tables)), []move{}
-	rest, held, late, glides := false, false, false, false // waits: at all, urgent, for messages; by steps
+	rest, held, late := false, false, false // waits: at all, urgent, for messages
 	sums := m.demands()
 	book := func(t TableID, need urgency) bool {
 		if m.room(users[t], 1, need) {
@@ -642,17 +650,14 @@
 		}
 		return false
 	}
-	for z, t := range m.tables {
+	for z := range m.tables {
 		users[z] = m.users(z)
-		some := m.differences(TableID(z))
-		glides = m.gliding && m.glide(t, some) || glides
-		some = append(some, m.levels(z, sums)...)
+		some := append(m.differences(TableID(z)), m.levels(z, sums)...)
 		for _, l := range some {
 			worth[z] += min(l.flows, m.solved[z])
 		}
 		moves = append(moves, some...)
 	}
-	m.gliding = glides
 	for _, s := range m.servers {
 		s.unlaid = false
 	}
@@ -681,7 +686,7 @@
 	}
 	if held {
 		m.batch, m.heldAt = true, m.now
-	} else if rest || glides {
+	} else if rest {
 		m.cause = "rest"
 	}
 	m.urgent = m.urgent && m.batch
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -227,6 +227,41 @@
 	}
 }
 
+// Guards against a lost zone that is learnt of server by server, as reports that span seconds come.
+func TestASilentServerCastsDoubtOnItsZone(t *testing.T) {
+	m := manager(4)
+	m.now = 10 * time.Second
+	for _, s := range m.servers[1:] {
+		s.quietFrom = m.now // good answers were heard of just now
+	}
+	o := m.Probed(m.now, "a0", Unreached, time.Second, -1)
+	if !slices.Equal(o.Probe, []ServerID{"a1", "a2", "a3"}) || !m.server("a0").out {
+		t.Fatalf("asked %v", o.Probe)
+	}
+	for i, id := range []ServerID{"a1", "a2", "a3", "b0"} {
+		m.Probed(m.now+time.Duration(i), id, Unreached, time.Second, -1)
+	}
+	m.judgeZones()
+	if got := count(m.servers, func(s *server) bool { return s.out }); got != 4 || m.server("b0").out {
+		t.Errorf("%d servers out, b0 %v", got, m.server("b0").out)
+	}
+}
+
+// Guards against taking out a zone's servers that are late with probes, as all may be under overload.
+func TestAZoneThatAnswersLosesNoServerByDoubt(t *testing.T) {
+	m := manager(4)
+	m.now, m.doubted = 10*time.Second, 0
+	m.askZone()
+	for i, a := range []Answer{Answered, Unreached, Silent, Silent} {
+		m.servers[i].quietFrom = m.now
+		m.Probed(m.now, m.servers[i].id, a, time.Second, -1)
+	}
+	m.judgeZones()
+	if got := count(m.servers[:4], func(s *server) bool { return s.out }); got != 0 {
+		t.Errorf("%d servers out though one answers", got)
+	}
+}
+
 func TestReturnWaitsForItsFirstWeight(t *testing.T) {
 	m := manager(2)
 	m.servers[0].withdrawn, m.servers[0].state = true, Gone
@@ -992,30 +1027,6 @@
 	}
 }
 
-func TestAfterAHoldTablesGoBySteps(t *testing.T) {
-	m := manager(2)
-	m.now = time.Second
-	m.holdAt(180, 20)
-	m.Pinned(m.now, nil, nil)
-	last, steps := 180.0, 0
-	for s := 2; s < 20; s++ {
-		m.due = time.Duration(s) * time.Second
-		m.Woke(m.due)
-		now := m.tables[0].standing
-		part := now["a0"] / (now["a0"] + now["a1"])
-		if was := last / 200; was-part > glideStep+0.02 {
-			t.Fatalf("second %d: from %.2f to %.2f at once", s, was, part)
-		}
-		if part*200 < last {
-			steps++
-		}
-		last = part * 200
-	}
-	if math.Abs(last-100) > 15 || steps < 3 {
-		t.Errorf("at %.0f after %d steps", last, steps)
-	}
-}
-
 func TestStandsTakesOverWhatWasHeldBack(t *testing.T) {
 	m := manager(2)
 	m.now = time.Second
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -254,12 +254,19 @@
 	return all
 }
 
-// able is the weight of all servers that get flows, each as far as its climb has come.
+// answeredLately tells whether a probe of a server that may get flows has ended, well or not, since its zone was asked
+// as a whole lately.
+func (m *Manager) answeredLately(s *server) bool {
+	asked := m.zoneAsked[s.zone]
+	return m.open(s) && m.now-asked <= 2*silentFor && s.answeredAt >= asked
+}
+
+// able is the weight of all servers that get flows, each as far as its climb has come and by its health.
 func (m *Manager) able() float64 {
 	all, anyIn := 0.0, m.anyIn()
 	for _, s := range m.servers {
 		if m.open(s) && !(s.out && anyIn) && !m.heldBack(s) {
-			all += max(s.weight, 1e-6) * m.climbed(s)
+			all += max(s.weight, 1e-6) * m.climbed(s) * s.health
 		}
 	}
 	return all
--- a/choice/state.go
+++ b/choice/state.go
@@ -12,27 +12,29 @@
 // This file is what a manager remembers and how it looks things up; it decides nothing.
 
 type server struct {
-	id        ServerID
-	zone      int
-	block     int // of its zone's servers; the number of its table
-	weight    float64
-	state     Condition
-	started   time.Duration // as listed
-	climbing  bool
-	startedAt time.Duration // its climb counts from then
-	goneAt    time.Duration // the list called it gone then; 0: it is there
-	withdrawn bool
-	unlaid    bool // a table still names it for more than it should get
-	heard     []Report
-	heardAt   []time.Duration
-	quietFrom time.Duration
-	health    float64
-	out       bool // does not answer at all
-	probedAt  time.Duration
-	expects   float64   // tries a second that should come by the standing tables
-	tables    []TableID // that name it, in order
-	load      float64   // flows it said it holds; below 0 before it did
-	loadAt    time.Duration
+	id         ServerID
+	zone       int
+	block      int // of its zone's servers; the number of its table
+	weight     float64
+	state      Condition
+	started    time.Duration // as listed
+	climbing   bool
+	startedAt  time.Duration // its climb counts from then
+	goneAt     time.Duration // the list called it gone then; 0: it is there
+	withdrawn  bool
+	unlaid     bool // a table still names it for more than it should get
+	heard      []Report
+	heardAt    []time.Duration
+	quietFrom  time.Duration
+	health     float64
+	out        bool // does not answer at all
+	probedAt   time.Duration
+	missed     bool          // the last probe
+	answeredAt time.Duration // then it ended
+	expects    float64       // tries a second that should come by the standing tables
+	tables     []TableID     // that name it, in order
+	load       float64       // flows it said it holds; below 0 before it did
+	loadAt     time.Duration
 }
 
 type proxy struct {
@@ -143,7 +145,9 @@
 	bareWaits  bool // some table has no line that can be picked
 	listedOnce bool
 	askFrom    time.Duration
-	line       float64 // flows a second that are let in, the most useful first
+	doubted    int             // a zone that may be lost; below 0: none
+	zoneAsked  []time.Duration // as a whole, by zone
+	line       float64         // flows a second that are let in, the most useful first
 	lineMoved  time.Duration
 	lineOf     float64   // what the proxies heard of told, times the weight able, as the line was moved last
 	calmest    float64   // the least latency over budget so far
@@ -153,7 +157,6 @@
 	loadTold   bool
 	wakeAt     time.Duration
 	pins       *pins // what staff hold the tables at
-	gliding    bool  // after a hold, tables go by steps
 	index
 }
 
@@ -192,6 +195,7 @@
 		return z
 	}
 	m.zones = append(m.zones, id)
+	m.zoneAsked = append(m.zoneAsked, -time.Hour)
 	m.addTables()
 	m.pairs = make([][]pair, len(m.zones))
 	for z := range m.pairs {
@@ -242,10 +246,10 @@
 func (m *Manager) Layout() string { return fmt.Sprint(m.zones, " in ", m.blocks) }
 
 // Pinned holds the tables at what is given, or lets them go where that is nil. While they are held, only what the
-// rules demand changes them: withdrawals, cold servers' parts, proxies without a server. Afterwards they go by steps.
+// rules demand changes them: withdrawals, cold servers' parts, proxies without a server.
 func (m *Manager) Pinned(now time.Duration, lines map[TableID]map[ServerID]float64, levels map[TableID]map[uint]Level) Orders {
 	m.now = now
-	m.gliding, m.cause, m.urgent = m.pins != nil && lines == nil, "pin", m.urgent || lines != nil
+	m.cause, m.urgent = "pin", m.urgent || lines != nil
 	if m.pins = nil; lines != nil {
 		m.pins = &pins{lines, levels}
 	}
@@ -454,6 +458,7 @@
 	m.server(e.Server) // the index is there
 	s := &server{id: e.Server, zone: m.zone(e.Zone), weight: e.Weight, health: 1, load: -1}
 	s.block, s.quietFrom, s.startedAt, s.probedAt = m.blockOf(s.zone), m.now, m.now, -silentFor
+	s.answeredAt = -time.Hour
 	i, _ := slices.BinarySearchFunc(m.servers, s.id, (*server).compare)
 	m.servers = slices.Insert(m.servers, i, s)
 	m.byID[s.id] = s
--- a/choice/types.go
+++ b/choice/types.go
@@ -154,8 +154,9 @@
 const (
 	Answered Answer = iota
 	Erred
-	Full   // turned away by a server that runs
-	Silent // no answer, no connection, or a broken one
+	Full      // turned away by a server that runs
+	Silent    // no answer, or a broken connection; from here on nothing answers
+	Unreached // no connection came up
 )
 
 // Count is how many orders for proxies there are, the mark not among them.
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -441,6 +441,7 @@
 	defer func() { out.took = time.Since(began) }()
 	conn, err := dial(t.limits, p.address, t.limits.ProbeAnswer)
 	if err != nil {
+		out.answer = choice.Unreached
 		return out
 	}
 	defer conn.Close()
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -365,11 +365,11 @@
 	}
 }
 
-func TestProbeOfNoServerIsSilent(t *testing.T) {
+func TestProbeOfNoServerIsUnreached(t *testing.T) {
 	l, _ := net.Listen("tcp", "127.0.0.1:0")
 	l.Close()
 	for _, address := range []string{l.Addr().String(), "", "no address"} {
-		if got := testIntake(make(chan struct{}), limits).probe(probe{"s-1", address}, "/alive"); got.answer != choice.Silent {
+		if got := testIntake(make(chan struct{}), limits).probe(probe{"s-1", address}, "/alive"); got.answer != choice.Unreached {
 			t.Errorf("%q: %+v", address, got)
 		}
 	}
--- a/internal/search/world.go
+++ b/internal/search/world.go
@@ -258,7 +258,7 @@
 		case s.silent:
 			answer, took = choice.Silent, 600*time.Millisecond
 		case !s.up:
-			answer = choice.Silent
+			answer = choice.Unreached
 		}
 		w.after(took, func() {
 			if w.gen == gen {
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -172,6 +172,9 @@
 		took := c.span("elapsedUs")
 		load := c.load("pressure")
 		answer := choice.Silent
+		if code == "dial_failed" {
+			answer = choice.Unreached
+		}
 		switch code {
 		case "delivered":
 			answer = choice.Answered
--- a/internal/versions/chain.go
+++ b/internal/versions/chain.go
@@ -24,6 +24,7 @@
 	state    *tables.State // that stands
 	refused  string        // the rule that held the last version back
 	hold     *hold
+	gliding  bool // after a hold, versions go by small steps until one needs none
 	done     []Done
 }
 
--- a/internal/versions/chain_test.go
+++ b/internal/versions/chain_test.go
@@ -139,6 +139,34 @@
 	}
 }
 
+// Guards against a jump, once a hold ends, to what was decided meanwhile.
+func TestAfterAHoldVersionsGoBySmallSteps(t *testing.T) {
+	c := chain(t)
+	level := func(amount float64) []choice.Level { return []choice.Level{{Table: 0, Groups: 1, Amount: amount}} }
+	c.Propose(time.Second, choice.Orders{Levels: level(0.5)}, "line", all)
+	c.hold = &hold{until: 2 * time.Second, pin: Pin{}}
+	if ended, _ := c.Looked(2*time.Second, all); !ended {
+		t.Fatal("the hold does not end")
+	}
+	steps := 0
+	for s := 3; s < 20 && c.State().Table(0).Lines["a0"] > 10.5; s++ {
+		before := c.State()
+		o := choice.Orders{Lines: []choice.Line{line(0, "a0", 10), line(0, "a1", 190)}, Levels: level(1)}
+		c.Propose(time.Duration(s)*time.Second, o, "pin", all)
+		moved := (&proposal{now: before, next: c.State(), see: all}).moved(0)
+		let := c.State().Table(0).Levels[1].Amount - before.Table(0).Levels[1].Amount
+		if moved > 0.21 || let > 0.11 { // a tenth of all flows, of which half come to this table
+			t.Fatalf("%.2f moved and %.2f more let in at once", moved, let)
+		}
+		steps++
+	}
+	c.Propose(30*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 10), line(0, "a1", 190)}}, "health", all)
+	c.Propose(31*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 190), line(0, "a1", 10)}, Levels: level(1)}, "health", all)
+	if steps < 3 || c.State().Table(0).Lines["a0"] != 190 {
+		t.Errorf("%d steps, and then to %v", steps, c.State().Table(0).Lines)
+	}
+}
+
 func TestAWayBackTakesEffectOnceAndKeepsTodaysTruth(t *testing.T) {
 	c := chain(t)
 	first := c.Head().ID
--- a/internal/versions/check.go
+++ b/internal/versions/check.go
@@ -186,28 +186,40 @@
 }
 
 // step goes part of the way where more of all flows would move than a version may: guards against one version that turns
-// the fleet over. One table among many may change as a whole: it is small, and its servers are replaced together. The
-// rest follows with later versions.
+// the fleet over, and after a hold against a jump to what was decided meanwhile. One table among many may change as a whole:
+// it is small, and its servers are replaced together. The rest follows with later versions. What guards a rule goes whole.
 func (c *Chain) step(p *proposal) (notes []string) {
 	changed := map[uint32]bool{}
 	for _, l := range p.orders.Lines {
 		changed[uint32(l.Table)] = true
 	}
-	moved, all := 0.0, 0.0
+	moved, all, most := 0.0, 0.0, c.t.MovedMost
+	if c.gliding {
+		most = c.t.GlideMost
+	}
 	for _, id := range p.next.IDs() {
 		flows := max(p.see.Flows(choice.TableID(id)), 1e-9)
 		if all += flows; changed[id] {
 			moved += flows * p.moved(id)
 		}
 	}
-	if moved <= c.t.MovedMost*all {
-		return nil
-	}
+	far := moved > most*all
 	for i, l := range p.orders.Lines {
-		if !p.urgent(l) {
+		if far && !p.urgent(l) {
 			was := p.now.Table(uint32(l.Table)).Lines[string(l.Server)]
-			p.orders.Lines[i].Weight = math.Round((was+(l.Weight-was)*c.t.MovedMost*all/moved)*1000) / 1000
+			p.orders.Lines[i].Weight = math.Round((was+(l.Weight-was)*most*all/moved)*1000) / 1000
 		}
 	}
-	return []string{fmt.Sprintf("%.2f of all flows would move at once, %.2f at most: in steps", moved/all, c.t.MovedMost)}
+	for i, l := range p.orders.Levels {
+		was, stands := p.now.Table(uint32(l.Table)).Levels[uint64(l.Groups)]
+		if c.gliding && stands && max(was.Amount, l.Amount) <= 1 && math.Abs(l.Amount-was.Amount) > c.t.GlideMost {
+			far = true
+			p.orders.Levels[i].Amount = min(max(l.Amount, was.Amount-c.t.GlideMost), was.Amount+c.t.GlideMost)
+		}
+	}
+	if !far {
+		c.gliding = false
+		return nil
+	}
+	return []string{fmt.Sprintf("%.2f of all flows would move at once, %.2f at most: in steps", moved/all, most)}
 }
--- a/internal/versions/hold.go
+++ b/internal/versions/hold.go
@@ -164,7 +164,7 @@
 	if c.hold == nil {
 		return d, false, fmt.Errorf("%w: nothing is held", ErrRefused)
 	}
-	c.hold = nil
+	c.hold, c.gliding = nil, true
 	return c.finish(key, "resume"), true, nil
 }
 
@@ -191,7 +191,7 @@
 	default:
 		return false, nil
 	}
-	c.hold = nil
+	c.hold, c.gliding = nil, true
 	return true, notes
 }
 
--- a/internal/versions/types.go
+++ b/internal/versions/types.go
@@ -16,6 +16,7 @@
 	Epoch      uint64
 	Began      time.Time     // of the manager's clock: version times are told by it
 	MovedMost  float64       // part of a table's weight that one version may move, what closed servers leave not counted
+	GlideMost  float64       // the same, and of a share let in, in versions after a hold
 	ColdMost   float64       // times its climbing part that a cold server may get of all flows
 	LinesMost  int           // orders of one version
 	KeepMost   int           // versions kept,
@@ -28,7 +29,7 @@
 
 // Usual are the terms of a manager whose epoch is its start.
 func Usual(epoch uint64) Terms {
-	return Terms{Epoch: epoch, MovedMost: 0.9, ColdMost: 3, LinesMost: 1 << 20, KeepMost: 256, KeepBytes: 1 << 20,
+	return Terms{Epoch: epoch, MovedMost: 0.9, GlideMost: 0.1, ColdMost: 3, LinesMost: 1 << 20, KeepMost: 256, KeepBytes: 1 << 20,
 		HoldUsual: 30 * time.Minute, HoldMost: 24 * time.Hour, HollowPart: 0.5, KeysMost: 1024}
 }
 
