--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -248,17 +248,17 @@
 }
 
 // Guards against taking out a zone's servers that are late with probes, as all may be under overload.
-func TestAZoneThatAnswersLosesNoServerByDoubt(t *testing.T) {
+func TestAZoneThatIsOnlyLateLosesNoServerByDoubt(t *testing.T) {
 	m := manager(4)
 	m.now, m.doubted = 10*time.Second, 0
 	m.askZone()
-	for i, a := range []Answer{Answered, Unreached, Silent, Silent} {
+	for i, a := range []Answer{Silent, Silent, Silent, Unreached} {
 		m.servers[i].quietFrom = m.now
 		m.Probed(m.now, m.servers[i].id, a, time.Second, -1)
 	}
 	m.judgeZones()
 	if got := count(m.servers[:4], func(s *server) bool { return s.out }); got != 0 {
-		t.Errorf("%d servers out though one answers", got)
+		t.Errorf("%d servers out that are only late", got)
 	}
 }
 
@@ -563,6 +563,19 @@
 	}
 }
 
+// Guards against a line that stands still while a part of the servers fails.
+func TestLineFollowsTheHealthOfWhatCanServe(t *testing.T) {
+	m := manager(4)
+	m.probes, m.now, m.proxies[0].rate, m.proxies[1].rate = false, 4*time.Second, 40, 40
+	m.line, m.lineOf = 60, 80*8
+	for _, s := range m.servers[:4] {
+		s.health = 0.2
+	}
+	if m.moveLine(); m.line > 60*0.7 {
+		t.Errorf("line at %.0f though half of the servers do a fifth", m.line)
+	}
+}
+
 // Guards against servers that stay idle in their climb since a line that already holds flows back lowers their part too.
 func TestALineDoesNotLowerTheColdServersPart(t *testing.T) {
 	m := manager(4)
