A probe that fails on this side says nothing of servers; ways back are not slowed

Seen by reading, each shown by a test that was red: a manager without descriptors could open no probe, which counted as a server out of reach, and with the new look at zones a whole zone would have passed for lost; a level's place among the tables was no number (0/0) where nothing is asked; a way back ordered while the tables still go by steps after a hold went by steps itself. figures.go held a tuned value, twice the silence, in what tells which probes count.

At fault: takein.go probe; choice.go levels; check.go step; figures.go answeredLately.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -207,14 +207,17 @@
 // said. A server that is only late with its answer doesn't count: all may be, under overload.
 func (m *Manager) judgeZones() {
 	lost, all := make([]float64, len(m.zones)), make([]float64, len(m.zones))
+	told := func(s *server) bool { // since its zone was asked lately
+		return m.open(s) && m.now-m.zoneAsked[s.zone] <= 2*silentFor && s.answeredAt >= m.zoneAsked[s.zone]
+	}
 	for _, s := range m.servers {
-		if m.answeredLately(s) {
+		if told(s) {
 			all[s.zone], lost[s.zone] = all[s.zone]+1, lost[s.zone]+either(s.missed, 1.0, 0)
 		}
 	}
 	for _, s := range m.servers {
 		fell := lost[s.zone] >= max(zoneLeast, zoneLost*all[s.zone])
-		if fell && s.missed && !s.out && m.answeredLately(s) {
+		if fell && s.missed && !s.out && told(s) {
 			m.takeOut(s, "zone")
 		}
 	}
@@ -446,7 +449,7 @@
 		}
 		moved := math.Abs(l.Amount-was.Amount) / max(l.Amount, was.Amount, 1e-9)
 		if moved > levelStep || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
-			flows := m.solved[z] * sums[g] / sum(sums) * max(moved, levelStep)
+			flows := m.solved[z] * sums[g] / max(sum(sums), 1e-9) * max(moved, levelStep)
 			moves = append(moves, move{Line: Line{Table: l.Table}, level: l, flows: flows})
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -752,6 +752,21 @@
 	}
 }
 
+// Guards against an order by what is no number, which puts a table's lines behind all others.
+func TestLevelsHaveAPlaceWhereNothingIsAsked(t *testing.T) {
+	m := manager(2)
+	m.now, m.line = time.Minute, 0
+	for _, l := range append(m.levels(0, m.demands()), m.levels(1, []float64{0, 0})...) {
+		if math.IsNaN(l.flows) {
+			t.Errorf("%+v", l)
+		}
+	}
+	m.tables[0].levels[1] = Level{0, 1, 0.5, TryOnce}
+	if got := m.levels(0, []float64{0, 0}); len(got) == 0 || math.IsNaN(got[0].flows) {
+		t.Errorf("%+v", got)
+	}
+}
+
 // Guards against a channel that goes to levels which move a little each second, and to a head for each line, while
 // the lines in which most flows move find no room.
 func TestLayGoesTableByTableWhereMostFlowsMove(t *testing.T) {
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -254,13 +254,6 @@
 	return all
 }
 
-// answeredLately tells whether a probe of a server that may get flows has ended, well or not, since its zone was asked
-// as a whole lately.
-func (m *Manager) answeredLately(s *server) bool {
-	asked := m.zoneAsked[s.zone]
-	return m.open(s) && m.now-asked <= 2*silentFor && s.answeredAt >= asked
-}
-
 // able is the weight of all servers that get flows, each as far as its climb has come and by its health.
 func (m *Manager) able() float64 {
 	all, anyIn := 0.0, m.anyIn()
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -434,15 +435,26 @@
 	address string
 }
 
-// probe asks one server whether it is alive, and for its load where servers tell it.
-func (t *intake) probe(p probe, path string) (out probed) {
+// onThisSide tells whether a connection failed on this side, which says nothing of the other. Guards against a zone that is
+// taken for lost, or servers for silent, when this process has no descriptors left.
+func onThisSide(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// probe asks one server whether it is alive, and for its load where servers tell it; false where it could not ask.
+func (t *intake) probe(p probe, path string) (out probed, asked bool) {
 	out = probed{server: p.server, answer: choice.Silent, load: -1}
 	began := time.Now()
 	defer func() { out.took = time.Since(began) }()
 	conn, err := dial(t.limits, p.address, t.limits.ProbeAnswer)
 	if err != nil {
 		out.answer = choice.Unreached
-		return out
+		return out, !onThisSide(err)
 	}
 	defer conn.Close()
 	c := client(t.limits, p.address, func() (net.Conn, error) { return conn, nil }, false, time.Second)
@@ -464,7 +476,7 @@
 	default:
 		out.answer = choice.Erred
 	}
-	return out
+	return out, true
 }
 
 // prober carries out ordered probes, a limited number at once; none waits for another's answer.
@@ -475,7 +487,12 @@
 			return
 		case p := <-orders:
 			t.book.add(probesSent, 1)
-			in := t.probe(p, path)
+			in, asked := t.probe(p, path)
+			if !asked {
+				t.book.add(probesDropped, 1)
+				t.book.say("probe", "server", string(p.server), "error", "no descriptor or port is left")
+				continue
+			}
 			if in.answer == choice.Answered {
 				t.book.add(probesAnswered, 1)
 			} else {
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -358,7 +359,7 @@
 				io.ReadAll(c)
 			}
 		})
-		got := testIntake(make(chan struct{}), l).probe(probe{"s-1", address}, "/metrics/load")
+		got, _ := testIntake(make(chan struct{}), l).probe(probe{"s-1", address}, "/metrics/load")
 		if got.answer != want.answer || got.load != want.load || got.took <= 0 {
 			t.Errorf("%.30q: %+v", answer, got)
 		}
@@ -369,12 +370,30 @@
 	l, _ := net.Listen("tcp", "127.0.0.1:0")
 	l.Close()
 	for _, address := range []string{l.Addr().String(), "", "no address"} {
-		if got := testIntake(make(chan struct{}), limits).probe(probe{"s-1", address}, "/alive"); got.answer != choice.Unreached {
+		if got, asked := testIntake(make(chan struct{}), limits).probe(probe{"s-1", address}, "/alive"); !asked || got.answer != choice.Unreached {
 			t.Errorf("%q: %+v", address, got)
 		}
 	}
 }
 
+func TestAProbeWithoutADescriptorSaysNothingOfTheServer(t *testing.T) {
+	address := server(t, func(c net.Conn) { io.ReadAll(c) })
+	var was syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	none := was
+	none.Cur = 0
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none); err != nil {
+		t.Fatal(err)
+	}
+	got, asked := testIntake(make(chan struct{}), limits).probe(probe{"s-1", address}, "/alive")
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was)
+	if asked {
+		t.Errorf("%+v", got)
+	}
+}
+
 func TestStreamThatDoesNotBeginEndsSoon(t *testing.T) {
 	l := limits
 	l.Opening = 30 * time.Millisecond
--- a/internal/versions/chain_test.go
+++ b/internal/versions/chain_test.go
@@ -148,6 +148,13 @@
 	if ended, _ := c.Looked(2*time.Second, all); !ended {
 		t.Fatal("the hold does not end")
 	}
+	was := *c
+	c.hold = &hold{until: time.Minute, pin: Pin{}}
+	c.Propose(2*time.Second, choice.Orders{Lines: []choice.Line{line(0, "a0", 10), line(0, "a1", 190)}}, "way back", all)
+	if got := c.State().Table(0).Lines["a0"]; got != 10 {
+		t.Errorf("a way back goes by steps, to %v", got)
+	}
+	*c = was
 	steps := 0
 	for s := 3; s < 20 && c.State().Table(0).Lines["a0"] > 10.5; s++ {
 		before := c.State()
--- a/internal/versions/check.go
+++ b/internal/versions/check.go
@@ -193,8 +193,9 @@
 	for _, l := range p.orders.Lines {
 		changed[uint32(l.Table)] = true
 	}
+	gliding := c.gliding && c.hold == nil // a way back goes at once, also soon after another
 	moved, all, most := 0.0, 0.0, c.t.MovedMost
-	if c.gliding {
+	if gliding {
 		most = c.t.GlideMost
 	}
 	for _, id := range p.next.IDs() {
@@ -212,7 +213,7 @@
 	}
 	for i, l := range p.orders.Levels {
 		was, stands := p.now.Table(uint32(l.Table)).Levels[uint64(l.Groups)]
-		if c.gliding && stands && max(was.Amount, l.Amount) <= 1 && math.Abs(l.Amount-was.Amount) > c.t.GlideMost {
+		if gliding && stands && max(was.Amount, l.Amount) <= 1 && math.Abs(l.Amount-was.Amount) > c.t.GlideMost {
 			far = true
 			p.orders.Levels[i].Amount = min(max(l.Amount, was.Amount-c.t.GlideMost), was.Amount+c.t.GlideMost)
 		}
