Rigs take addresses on a loopback address of their process's own

Cause: a free port of 127.0.0.1 was looked for, let go and listened at later; another process's connection could take it in between. That the manager's listen failed was not seen in a log, which the test discards; it is what is left, since the same daemon starts well each time alone.

At fault: internal/stand/rig.go free, and its copy in internal/node/versions_test.go.

Change: one Free, on a loopback address by the process's number where the machine has several.

--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -92,12 +92,11 @@
 }
 
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := stand.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return at
 }
 
 func (v *versioned) ask(t testing.TB, a Ask) (string, error) {
--- a/internal/stand/rig.go
+++ b/internal/stand/rig.go
@@ -78,18 +78,23 @@
 		return r, err
 	}
 	r.Discovery.Told = func(at time.Time, e Entry) { r.Relay.Rules.Told(at, e) }
-	if r.Manager, err = free(); err != nil {
+	if r.Manager, err = Free(); err != nil {
 		return r, err
 	}
-	if r.Status, err = free(); err != nil {
+	if r.Status, err = Free(); err != nil {
 		return r, err
 	}
 	return r, r.Begin()
 }
 
-// free is an address that nothing listens at.
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Free is an address that nothing listens at, on a loopback address of this process's own where there are several.
+// Guards against another process that takes the port before the manager does.
+func Free() (string, error) {
+	id := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+id>>16&63, id>>8&255, 1+id&127))
+	if err != nil {
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return "", err
 	}
