--- a/cmd/tamarindshore/main.go
+++ b/cmd/tamarindshore/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 
 	"github.com/alecthomas/kong"
 )
@@ -33,6 +34,7 @@
 }
 
 func main() {
+	p := heed()
 	all := &commands{}
 	parser := kong.Must(all, kong.Name("tamarindshore"),
 		kong.Description("A table manager: it assigns servers to proxies. Exit codes: 0 well, 1 failed, 2 the command line "+
@@ -43,7 +45,10 @@
 		fmt.Fprintf(os.Stderr, "tamarindshore: %v; see tamarindshore --help\n", err)
 		os.Exit(unread)
 	}
-	switch err := run.Run(all); {
+	if run.Command() != "serve" {
+		signal.Reset()
+	}
+	switch err := run.Run(all, p); {
 	case errors.Is(err, errNotGood):
 		os.Exit(notGood)
 	case err != nil:
--- a/cmd/tamarindshore/serve.go
+++ b/cmd/tamarindshore/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,10 +19,27 @@
 		"PROXY_CONFIG names. SIGUSR1 logs the counters, SIGHUP takes the JSON file anew, SIGTERM ends."
 }
 
+// process is what the system gives this process: what ends it, and the other signals that it heeds.
+type process struct {
+	ctx     context.Context
+	signals node.Signals
+}
+
+// heed takes the process's signals from now on; it is the first that main does. Guards against a SIGHUP before the start
+// is read, which would end the process, against an end that finds no room behind other signals, and against an end
+// because the reader of the log went away.
+func heed() process {
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	// one that waits is enough: it asks for what stands when it is taken
+	reload, count := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Notify(count, syscall.SIGUSR1)
+	signal.Ignore(syscall.SIGPIPE)
+	return process{ctx, node.Signals{Reload: reload, Count: count}}
+}
+
 // Run serves until SIGTERM.
-func (s serve) Run() error {
-	signals := make(chan os.Signal, 64)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+func (s serve) Run(p process) error {
 	operator := config.Defaults()
 	if s.Settings != "" {
 		var err error
@@ -40,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	return n.Run(signals, func() (config.Start, error) {
+	return n.Run(p.ctx, p.signals, func() (config.Start, error) {
 		next, err := config.Reread(os.Getenv)
 		if err != nil {
 			return next, err
--- /dev/null
+++ b/cmd/tamarindshore/serve_test.go
@@ -0,0 +1,205 @@
+package main
+
+// Tests of what a process does at its signals: the test binary runs itself as the program.
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"tamarindshore/internal/stand"
+)
+
+const asProgram = "TAMARINDSHORE_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// deployment is discovery and a relay on loopback, and the file of a manager that they serve.
+type deployment struct {
+	config, manager string
+	text            []byte
+}
+
+func deployed(t *testing.T) deployment {
+	t.Helper()
+	site := stand.Usual(3, 4)
+	relay, err := stand.NewRelay("127.0.0.1:0", site)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	discovery, err := stand.NewDiscovery("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(discovery.Close)
+	d := deployment{config: filepath.Join(t.TempDir(), "config.json")}
+	if d.manager, err = stand.Free(); err != nil {
+		t.Fatal(err)
+	}
+	d.text = site.Start("n1", d.manager, discovery.Address, relay.Address, discovery.Whole(), 1, 1, 192, 1024)
+	if err := os.WriteFile(d.config, d.text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// program is the manager as a process, by a shell line in which $0 is the program.
+func (d deployment) program(t *testing.T, line string, log *os.File) *exec.Cmd {
+	t.Helper()
+	cmd := exec.Command("/bin/sh", "-c", line, os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "PROXY_CONFIG="+d.config)
+	cmd.Stderr, cmd.SysProcAttr = log, &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	return cmd
+}
+
+// ready waits for the first pong.
+func (d deployment) ready(t *testing.T) {
+	t.Helper()
+	for late := time.Now().Add(10 * time.Second); time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
+		c, err := net.Dial("tcp", d.manager)
+		if err != nil {
+			continue
+		}
+		c.SetDeadline(time.Now().Add(time.Second))
+		fmt.Fprint(c, "ping\r\n")
+		text, _ := bufio.NewReader(c).ReadString('\n')
+		c.Close()
+		if text == "pong\r\n" {
+			return
+		}
+	}
+	t.Fatal("not ready within 10 s")
+}
+
+// end sends SIGTERM and looks at how the process ends.
+func end(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no end within 5 s of SIGTERM")
+	}
+}
+
+func piped(t *testing.T) (read, write *os.File) {
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { read.Close(); write.Close() })
+	return read, write
+}
+
+// Guards against a SIGHUP that comes before the program heeds it and ends the process: the deploy file's line has it
+// ignored until then, and the file is read after that.
+func TestASignalBeforeTheStart(t *testing.T) {
+	d := deployed(t)
+	read, write := piped(t)
+	cmd := d.program(t, `trap '' HUP; kill -HUP $$; exec "$0"`, write)
+	d.ready(t)
+	cmd.Process.Signal(syscall.SIGHUP)
+	lines := bufio.NewReader(read)
+	read.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			t.Fatalf("no reload: %v", err)
+		}
+		if strings.Contains(line, "event=reload ") {
+			break
+		}
+	}
+	end(t, cmd)
+}
+
+// Guards against signals that end the process while its file is being read: the file is a pipe, half written.
+func TestSignalsDuringTheStart(t *testing.T) {
+	d := deployed(t)
+	os.Remove(d.config)
+	if err := syscall.Mkfifo(d.config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, write := piped(t)
+	cmd := d.program(t, `exec "$0"`, write)
+	write.Close()
+	file, err := os.OpenFile(d.config, os.O_WRONLY, 0) // goes on once the program opens it
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := file.Write(bytes.Repeat([]byte{' '}, 1<<18)); err != nil { // more than a pipe holds: it is being read
+		t.Fatal(err)
+	}
+	for range 100 {
+		cmd.Process.Signal(syscall.SIGHUP)
+		cmd.Process.Signal(syscall.SIGUSR1)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	file.Write(d.text)
+	file.Close()
+	end(t, cmd)
+	if log, _ := io.ReadAll(read); bytes.Contains(log, []byte("panic")) {
+		t.Errorf("%s", log)
+	}
+}
+
+// Guards against an end that waits for a reader of the log that stands still.
+func TestAnEndWithTheLogStuck(t *testing.T) {
+	d := deployed(t)
+	_, write := piped(t)
+	fd := int(write.Fd())
+	if err := syscall.SetNonblock(fd, true); err != nil {
+		t.Fatal(err)
+	}
+	for chunk := make([]byte, 4096); ; { // until the pipe is full
+		if _, err := syscall.Write(fd, chunk); err != nil {
+			break
+		}
+	}
+	if err := syscall.SetNonblock(fd, false); err != nil {
+		t.Fatal(err)
+	}
+	cmd := d.program(t, `exec "$0"`, write)
+	d.ready(t)
+	began := time.Now()
+	end(t, cmd)
+	t.Logf("ended in %v", time.Since(began))
+}
+
+// Guards against a manager that ends because the reader of its log went away.
+func TestALogWithoutAReader(t *testing.T) {
+	d := deployed(t)
+	read, write := piped(t)
+	cmd := d.program(t, `exec "$0"`, write)
+	read.Close()
+	write.Close()
+	d.ready(t)
+	cmd.Process.Signal(syscall.SIGUSR1)
+	d.ready(t)
+	end(t, cmd)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,7 +68,11 @@
 	Connect, Write           time.Duration
 	RelayAnswer, ProbeAnswer time.Duration
 	Look                     time.Duration // for what came while this process stood still
-	RelayIdle                time.Duration
+	ReadyMost                time.Duration // after its start a manager is ready also without the relay
+	ListenMost               time.Duration // for an address that is still in use
+	Rereads                  int           // of a faulty file, after a signal,
+	RereadEvery              time.Duration // and the time between them
+	GapMost                  time.Duration // until what was spoilt in a stream is asked for again
 	Again, AgainMost         time.Duration // waits before a new try, by chance between them
 	LogEvery                 time.Duration // of lines of one kind
 	LogEnd                   time.Duration // for the last lines
@@ -85,7 +89,8 @@
 		Opening: 700 * time.Millisecond,
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
 		RelayAnswer: 60 * time.Millisecond, ProbeAnswer: 600 * time.Millisecond, Look: 20 * time.Millisecond,
-		RelayIdle: 250 * time.Millisecond, Again: 50 * time.Millisecond, AgainMost: 200 * time.Millisecond, LogEvery: time.Second,
+		ReadyMost: 5 * time.Second, ListenMost: 2 * time.Second, Rereads: 5, RereadEvery: 200 * time.Millisecond,
+		GapMost: 2 * time.Second, Again: 50 * time.Millisecond, AgainMost: 200 * time.Millisecond, LogEvery: time.Second,
 		LogWaits: 1024, Piece: 16 << 10, Pieces: 4, LogEnd: 200 * time.Millisecond,
 	}
 }
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"context"
 	"io"
 	"os"
 	"strings"
@@ -16,18 +17,16 @@
 
 // inside is a manager in this process, so that the race detector sees it.
 type inside struct {
-	signals chan os.Signal
-	ended   chan struct{}
-	err     error
+	reload chan os.Signal
+	end    context.CancelFunc
+	ended  chan struct{}
+	err    error
 }
 
 func (d *inside) Ended() <-chan struct{}   { return d.ended }
-func (d *inside) Signal(s os.Signal) error { d.signals <- s; return nil }
+func (d *inside) Signal(s os.Signal) error { d.reload <- s; return nil }
 func (d *inside) Stop(bool) error {
-	select {
-	case d.signals <- syscall.SIGTERM:
-	case <-d.ended:
-	}
+	d.end()
 	<-d.ended
 	return d.err
 }
@@ -53,10 +52,11 @@
 		if err != nil {
 			return nil, err
 		}
-		d := &inside{signals: make(chan os.Signal, 8), ended: make(chan struct{})}
+		ctx, end := context.WithCancel(context.Background())
+		d := &inside{reload: make(chan os.Signal, 8), end: end, ended: make(chan struct{})}
 		go func() {
 			defer close(d.ended)
-			d.err = n.Run(d.signals, read)
+			d.err = n.Run(ctx, node.Signals{Reload: d.reload}, read)
 		}()
 		return d, nil
 	}
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,390 @@
+package node
+
+// Each test here holds the code between two lines, by a channel or a stand-in that stops at a named byte, and lets a
+// message, an answer, a signal or a close come just there.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/stand"
+)
+
+// Guards against a drain that is lost for good: a reload lets the old watch go while a change of its waits for the
+// owner of the module, and the new watch's copy of it counts as old.
+func TestAChangeNotHandedOnIsNotHeld(t *testing.T) {
+	address, _ := streaming(t, entry(42, false, "s-1")+"...", entry(42, false, "s-1")+"...")
+	in, inputs := testIntake(make(chan struct{}), limits), make(chan any)
+	in.inputs = inputs
+	held, w := &lists{held: 41, lowest: -1}, to(address)
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		in.watch(w, held)
+	}()
+	soon(t, "a list waits to be handed on", func() bool { return in.book.counts[listsIn].Load() == 1 })
+	w.letGo()
+	<-over
+	if got := held.version(); got != 41 {
+		t.Fatalf("version %d is held, and was not handed on", got)
+	}
+	go in.watch(to(address), held)
+	if got := (<-inputs).(listed); got.version != 42 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// blackHole is an address at which connections neither come up nor are refused.
+func blackHole(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for { // until nothing more comes up
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// Guards against a new stream that is not read because the old one is inside a dial.
+func TestTakingOverReachesADial(t *testing.T) {
+	l := limits
+	l.Connect = time.Hour
+	in, inputs := testIntake(make(chan struct{}), l), make(chan any, 64)
+	in.inputs = inputs
+	old := to(blackHole(t))
+	go in.news(old)
+	address, _ := streaming(t, "event: joined\ndata: id=17&site=a&rps=21.5&new=1\n\n...")
+	next := old.next(context.Background(), address)
+	go in.news(next)
+	defer next.letGo()
+	if got := fmt.Sprint(<-inputs, <-inputs); got != fmt.Sprint(newsOpened{}, joined{17, "a", 21.5}) {
+		t.Error(got)
+	}
+	<-old.over
+}
+
+// Guards against letting the old way go for one that opens and then brings nothing.
+func TestAWayThatBringsNothingTakesNothingOver(t *testing.T) {
+	before, _ := streaming(t, "...")
+	after, asked := streaming(t, "", "")
+	in, inputs := testIntake(make(chan struct{}), limits), make(chan any, 64)
+	in.inputs = inputs
+	old := to(before)
+	go in.news(old)
+	defer old.letGo()
+	<-inputs // newsOpened
+	next := old.next(context.Background(), after)
+	if opened, err := in.readNews(next); !opened || err == nil {
+		t.Errorf("%v %v", opened, err)
+	}
+	<-asked
+	held := &lists{held: 41, lowest: -1}
+	if opened, err := in.watch(next, held); !opened || err == nil {
+		t.Errorf("%v %v", opened, err)
+	}
+	if old.open.Err() != nil || len(inputs) > 0 {
+		t.Errorf("the old way is let go, or %d inputs came", len(inputs))
+	}
+}
+
+// Guards against one spoilt list at each opening that keeps all later ones out for ever, and against a version held
+// that passes over what is missing.
+func TestASpoiltListAtEachOpeningKeepsNothingElseOut(t *testing.T) {
+	spoiltOne := strings.Replace(entry(42, false, "s-1"), `"up"`, `"?"`, 1)
+	address, asked := streaming(t, spoiltOne+entry(43, false, "s-2"), spoiltOne+entry(43, false, "s-2")+entry(44, false, "s-3"),
+		spoiltOne+entry(45, false, "s-4"), entry(45, true, "s-5")+entry(46, false, "s-6"))
+	in, inputs := testIntake(make(chan struct{}), limits), make(chan any, 64)
+	in.inputs = inputs
+	held, w := &lists{held: 41, lowest: -1}, to(address)
+	want := []string{"[]", "[s-2 s-3]", "[s-4]", "[s-5 s-6]"}
+	for i, at := range []int64{41, 41, 41, 46} {
+		in.watch(w, held)
+		var got []choice.ServerID
+		for _, one := range drained(inputs) {
+			got = append(got, one.(listed).entries[0].Server)
+		}
+		if fmt.Sprint(got) != want[i] || held.version() != at || !strings.Contains(<-asked, "after=41") {
+			t.Errorf("watch %d: %v, version %d held", i+1, got, held.version())
+		}
+	}
+	if n := in.book.counts[spoilt].Load(); n != 3 {
+		t.Errorf("%d spoilt", n)
+	}
+}
+
+// What was spoilt is asked for again after a while, not only when the stream ends.
+func TestAGapIsAskedForAgain(t *testing.T) {
+	l := limits
+	l.GapMost = 0
+	w := to("")
+	w.spoilt()
+	address, _ := streaming(t, "{]\n"+entry(43, false, "s-2")+"...")
+	w.address = address
+	if _, err := testIntake(make(chan struct{}), l).watch(w, &lists{held: 41, lowest: -1}); err != errGap {
+		t.Error(err)
+	}
+}
+
+// Guards against whole lists of a discovery that began anew and moves on, which are each refused as the first.
+func TestOlderWholeListsThatMoveOnAreTaken(t *testing.T) {
+	held := &lists{held: 41, lowest: -1}
+	watched(t, limits, held, entry(3, true, "s-1"))
+	if ids, _ := watched(t, limits, held, entry(5, true, "s-2")+entry(6, false, "s-3")); fmt.Sprint(ids) != "[s-2 s-3]" || held.held != 6 {
+		t.Errorf("%v %d", ids, held.held)
+	}
+}
+
+// Guards against a spoilt join that comes at each opening and keeps out all events behind it, and against taking for
+// left the proxies told in what could not be read.
+func TestASpoiltJoinAtEachOpeningKeepsNothingElseOut(t *testing.T) {
+	text := "event: joined\ndata: id=x&site=a&rps=1&new=1\n\nevent: joined\ndata: id=18&site=a&rps=21.5&new=1\n\n:\nevent: left\ndata: id=18\n\n"
+	address, _ := streaming(t, text, text)
+	in, inputs := testIntake(make(chan struct{}), limits), make(chan any, 64)
+	in.inputs = inputs
+	w := to(address)
+	for _, want := range [][]any{{newsOpened{}}, {newsOpened{}, joined{18, "a", 21.5}, left{18}}} {
+		in.readNews(w)
+		if got := drained(inputs); !slices.Equal(got, want) {
+			t.Errorf("%v, not %v", got, want)
+		}
+	}
+}
+
+// answering is a relay that answers each call and then does with the connection what the test asks; it is told once
+// that is done. Calls' orders come out of the channel.
+func answering(t *testing.T, l config.Limits, then func(c net.Conn)) (r *relay, calls chan string, do, done chan struct{}) {
+	calls, do, done = make(chan string, 8), make(chan struct{}), make(chan struct{})
+	address := server(t, func(c net.Conn) {
+		for in, first := bufio.NewReader(c), true; ; first = false {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			req.ParseForm()
+			orders := req.PostForm.Get("orders")
+			calls <- orders
+			body := taken(strings.Count(orders, ";") + 1)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			if first {
+				select {
+				case <-do:
+					then(c)
+					done <- struct{}{}
+				case <-t.Context().Done():
+				}
+			}
+		}
+	})
+	in := testIntake(make(chan struct{}), l)
+	return newRelay(l, address, groups, nil, in), calls, do, done
+}
+
+// Guards against a call that leaves in the instant in which the relay closes an idle connection, whose outcome would
+// be unknown, and against a second answer on a connection that passes for that of the next call.
+func TestACallTakesNothingFromTheConnectionBefore(t *testing.T) {
+	for what, then := range map[string]func(c net.Conn){
+		"idle close": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+		"reset":      func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"second answer": func(c net.Conn) {
+			body := taken(0)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		},
+	} {
+		r, calls, do, done := answering(t, limits, then)
+		if n, end := r.carry(lines2(1)); n != 1 || end != "done" {
+			t.Errorf("%s: the call before: %d %s", what, n, end)
+		}
+		<-calls
+		do <- struct{}{}
+		<-done
+		if n, end := r.carry(lines2(2, 3)); n != 2 || end != "done" {
+			t.Errorf("%s: %d orders, %s", what, n, end)
+		}
+		<-calls
+	}
+}
+
+// Guards against an outcome taken for known where a call is cut, at each byte of its answer.
+func TestACallCutAtEachByteOfItsAnswer(t *testing.T) {
+	body := taken(2)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for cut := 0; cut <= len(whole); cut++ {
+		address := server(t, func(c net.Conn) {
+			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				io.Copy(io.Discard, req.Body)
+				io.WriteString(c, whole[:cut])
+			}
+		})
+		r := newRelay(limits, address, groups, nil, testIntake(make(chan struct{}), limits))
+		n, end := r.carry(lines2(1, 2))
+		if known := cut == len(whole); known != (end == done) || known != (n == 2) {
+			t.Errorf("%d of %d bytes: %d orders, %s", cut, len(whole), n, end)
+		}
+	}
+}
+
+// Guards against a SIGHUP that comes while the file is half written, with none after it.
+func TestAFaultyFileIsLookedAtAgain(t *testing.T) {
+	s := testStart(t)
+	s.Limits.Rereads, s.Limits.RereadEvery = 2, time.Millisecond
+	n, err := New(s, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := make(chan error)
+	d := begun(n, func() (config.Start, error) { return s, <-read })
+	defer d.Stop(false)
+	half := errors.New("unexpected end of JSON input")
+	d.reload <- syscall.SIGHUP
+	read <- half
+	read <- nil
+	soon(t, "reloaded", func() bool { return n.book.counts[reloads].Load() == 1 })
+	d.reload <- syscall.SIGHUP
+	for range 3 {
+		read <- half
+	}
+	d.reload <- syscall.SIGHUP // it has given up, and takes the next
+	read <- nil
+	soon(t, "reloaded again", func() bool { return n.book.counts[reloads].Load() == 2 })
+	if n := n.book.counts[reloadsFaulty].Load(); n != 4 {
+		t.Errorf("%d faulty", n)
+	}
+}
+
+// Guards against an end that fails, or waits, because it is asked for before the start is done.
+func TestAnEndBeforeTheStartIsDone(t *testing.T) {
+	s := testStart(t)
+	s.Limits.ListenMost = time.Hour
+	before, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer before.Close()
+	n, err := New(s, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	if err := n.Run(ctx, Signals{}, nil); err != nil {
+		t.Error(err)
+	}
+}
+
+func descriptors(t *testing.T) int {
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(all)
+}
+
+// Guards against goroutines and descriptors that outlive a manager that ended amid streams, calls, probes and guests.
+func TestNothingIsLeftAfterAnEnd(t *testing.T) {
+	before, open := runtime.NumGoroutine(), descriptors(t)
+	for range 3 {
+		v := raise(t, stand.Usual(6, 20))
+		v.Relay.Join(0, 1, 2, 3)
+		soon(t, "bound", func() bool { return v.Relay.Counts().Bound == 4 })
+		var guests []net.Conn
+		for _, text := range []string{"", "ping\r\n", "collector site=" + v.Site.Zone(0) + "\r\n", "usage id=1"} {
+			c, err := net.Dial("tcp", v.Manager)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(c, text)
+			guests = append(guests, c)
+		}
+		v.Rig.Daemon.Stop(false)
+		for _, c := range guests {
+			if got := ended(c); got == "still open" {
+				t.Errorf("%q", got)
+			}
+			c.Close()
+		}
+		v.Rig.Close()
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	soon(t, "no goroutine and no descriptor is left", func() bool {
+		return runtime.NumGoroutine() <= before && descriptors(t) <= open
+	})
+}
+
+// Guards against one customer's words, limits or figures that show in another's manager in the same process.
+func TestTwoManagersOfUnlikeSettingsShareNothing(t *testing.T) {
+	line := "usage id=1 lane=book count=1 fail=0 over=1000.0"
+	other := newWords(choice.Terms{Zones: []choice.ZoneID{"hall"}, Proxies: 1,
+		Groups: []choice.Group{{Expiry: time.Second}, {Expiry: time.Second}}}, []string{"read", "write"}, time.Now(), limits)
+	ours := testWords()
+	for range 3 {
+		if _, in, err := ours.line(line); err != nil || in.(used).Flows != 1 {
+			t.Errorf("ours: %+v %v", in, err)
+		}
+		if _, _, err := other.line(line); err == nil {
+			t.Error("the other takes a traffic group that it does not have")
+		}
+		if _, _, err := other.line("collector site=a"); !errors.Is(err, errUnknown) {
+			t.Errorf("the other takes a zone that it does not have: %v", err)
+		}
+	}
+	a, b := newBook(time.Hour, zerolog.Nop()), newBook(time.Hour, zerolog.Nop())
+	if a.add(pings, 3); b.counts[pings].Load() != 0 {
+		t.Error("counters are shared")
+	}
+}
+
+// Guards against an end that waits for a file that does not come.
+func TestAnEndWhileTheFileIsRead(t *testing.T) {
+	n, err := New(testStart(t), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reading, never := make(chan struct{}), make(chan struct{})
+	defer close(never)
+	d := begun(n, func() (config.Start, error) {
+		close(reading)
+		<-never
+		return config.Start{}, nil
+	})
+	d.reload <- syscall.SIGHUP
+	<-reading
+	d.end()
+	select {
+	case <-d.ended:
+	case <-time.After(5 * time.Second):
+		t.Error("no end within 5 s")
+	}
+}
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -100,44 +101,37 @@
 func (p *patient) SetReadDeadline(time.Time) error  { return nil }
 func (p *patient) SetWriteDeadline(time.Time) error { return nil }
 
-func dial(l config.Limits, address string, within time.Duration) (*patient, error) {
-	c, err := net.DialTimeout("tcp", address, l.Connect)
+func dial(ctx context.Context, l config.Limits, address string, within time.Duration) (*patient, error) {
+	c, err := (&net.Dialer{Timeout: l.Connect}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Join(errUnreached, err)
 	}
 	return &patient{Conn: c, within: within, look: l.Look, write: l.Write, until: time.Now().Add(within)}, nil
 }
 
-// client speaks HTTP to one address; it never repeats a request.
-func client(l config.Limits, address string, made func() (net.Conn, error), stream bool, idle time.Duration) *fasthttp.HostClient {
+// client speaks HTTP on one connection; it never repeats a request.
+func client(l config.Limits, address string, conn net.Conn, stream bool) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
-		Addr: address, MaxConns: 1, MaxIdleConnDuration: idle, MaxIdemponentCallAttempts: 1,
+		Addr: address, MaxConns: 1, MaxIdleConnDuration: time.Second, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true, StreamResponseBody: stream, MaxResponseBodySize: l.Answer,
-		Dial:       func(string) (net.Conn, error) { return made() },
+		Dial:       func(string) (net.Conn, error) { return conn, nil },
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 }
 
 // stream gets a path and hands each line of the endless answer to take, without its line end. The
 // answer must begin soon and then bring a line within `silent` each time: guards against a new
-// connection that is as silent as the last, while there is time for another. It returns why it ended.
-func stream(l config.Limits, address, path string, silent time.Duration, longest int, opened func() error,
-	take func(line []byte) error, stop <-chan struct{}) error {
-	conn, err := dial(l, address, l.Opening)
+// connection that is as silent as the last, while there is time for another. It returns why it ended, which is soon
+// after ctx does.
+func stream(ctx context.Context, l config.Limits, address, path string, silent time.Duration, longest int,
+	opened func() error, take func(line []byte) error) error {
+	conn, err := dial(ctx, l, address, l.Opening)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	over := make(chan struct{})
-	defer close(over)
-	go func() {
-		select {
-		case <-stop:
-			conn.Close()
-		case <-over:
-		}
-	}()
-	c := client(l, address, func() (net.Conn, error) { return conn, nil }, true, time.Second)
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	c := client(l, address, conn, true)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/internal/node/dial_test.go
+++ b/internal/node/dial_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -18,7 +19,7 @@
 		close(sent)
 		io.ReadAll(c)
 	})
-	c, err := dial(limits, address, 0)
+	c, err := dial(context.Background(), limits, address, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/moves_test.go
+++ b/internal/node/moves_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,17 +18,26 @@
 // ours is a manager in this process whose lanes a test can move.
 type ours struct {
 	*Node
-	signals chan os.Signal
-	ended   chan struct{}
+	reload chan os.Signal
+	end    context.CancelFunc
+	ended  chan struct{}
+}
+
+// begun runs a manager in this process.
+func begun(n *Node, reread func() (config.Start, error)) *ours {
+	ctx, end := context.WithCancel(context.Background())
+	d := &ours{n, make(chan os.Signal, 8), end, make(chan struct{})}
+	go func() {
+		defer close(d.ended)
+		d.Run(ctx, Signals{Reload: d.reload}, reread)
+	}()
+	return d
 }
 
 func (d *ours) Ended() <-chan struct{}   { return d.ended }
-func (d *ours) Signal(s os.Signal) error { d.signals <- s; return nil }
+func (d *ours) Signal(s os.Signal) error { d.reload <- s; return nil }
 func (d *ours) Stop(bool) error {
-	select {
-	case d.signals <- syscall.SIGTERM:
-	case <-d.ended:
-	}
+	d.end()
 	<-d.ended
 	return nil
 }
@@ -55,11 +65,7 @@
 		if err != nil {
 			return nil, err
 		}
-		d = &ours{n, make(chan os.Signal, 8), make(chan struct{})}
-		go func() {
-			defer close(d.ended)
-			d.Run(d.signals, read)
-		}()
+		d = begun(n, read)
 		return d, nil
 	})
 	if err != nil {
@@ -154,7 +160,7 @@
 	for round, s := range r.Servers[:6] {
 		r.Discovery.Change(s.Entry("draining"))
 		if round%3 == 1 {
-			d.signals <- syscall.SIGHUP
+			d.reload <- syscall.SIGHUP
 		}
 		if round%3 == 2 {
 			r.Relay.Away(true)
@@ -214,8 +220,7 @@
 	r, d := moving(t, stand.Usual(6, 20))
 	speakers(t, r, 4)
 	time.Sleep(100 * time.Millisecond)
-	d.signals <- syscall.SIGUSR1
-	d.signals <- syscall.SIGTERM
+	d.end()
 	select {
 	case <-d.ended:
 	case <-time.After(5 * time.Second):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -43,6 +44,8 @@
 	held   *lists
 	news   *way
 	watch  *way
+
+	readiness readiness
 }
 
 // New checks what is left to check and makes the manager, which logs to a writer; nothing listens yet.
@@ -57,6 +60,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("known: %v", err)
 	}
+	n.readiness.born, n.readiness.most = born, s.Limits.ReadyMost
 	n.born, n.known, n.held = born, known, &lists{held: known.version, lowest: -1}
 	n.router = &router{
 		limits: s.Limits, born: born, manager: choice.New(s.Seed, s.Terms), inputs: make(chan any, s.Limits.Inputs),
@@ -110,21 +114,32 @@
 	return old, done
 }
 
-// Run listens and serves until a signal comes that asks for the end: SIGUSR1 asks for the counters, SIGHUP to
-// take the file anew.
-func (n *Node) Run(signals <-chan os.Signal, reread func() (config.Start, error)) error {
+// Signals ask a running manager for something. Each kind has a channel of its own: guards against one that finds no
+// room behind others.
+type Signals struct {
+	Reload <-chan os.Signal // to take the file anew
+	Count  <-chan os.Signal // to log the counters
+}
+
+// Run listens and serves until ctx ends.
+func (n *Node) Run(ctx context.Context, signals Signals, reread func() (config.Start, error)) error {
 	l := n.start.Limits
 	runtime.GOMAXPROCS(l.Cores)
 	n.router.last = func() { n.out.End(l.LogEnd) }
 	defer n.router.last()
 	debug.SetMemoryLimit(l.Memory / 2) // the runtime goes over it by what it collects late
-	at, err := net.Listen("tcp", n.start.Listen)
-	if err != nil {
+	at, err := listen(ctx, n.start.Listen, l)
+	if ctx.Err() != nil { // asked to end during its start
+		if err == nil {
+			at.Close()
+		}
+		return nil
+	} else if err != nil {
 		return fmt.Errorf("listen: %v", err)
 	}
-	var fit atomic.Bool
-	n.router.opened = func() { fit.Store(true) }
-	t := &intake{limits: l, words: n.words, inputs: n.router.inputs, stop: n.life.Done(), book: n.book, fit: fit.Load,
+	defer n.end()
+	n.router.opened = n.readiness.open
+	t := &intake{limits: l, words: n.words, inputs: n.router.inputs, stop: n.life.Done(), book: n.book, ready: n.readiness.ready,
 		chance: rand.New(rand.NewPCG(n.start.Seed, uint64(len(n.start.Name))))}
 	if l.Lanes > 1 {
 		n.router.post = newPost(l.Inputs, n.book)
@@ -167,17 +182,10 @@
 	}
 	n.book.tell("start", "name", n.start.Name, "listen", n.start.Listen, "version", n.known.version,
 		"servers", len(n.known.entries), "lanes", l.Lanes)
-	for s := range signals {
-		if s == syscall.SIGHUP {
-			n.reload(t, reread)
-			continue
-		} else if s != syscall.SIGUSR1 {
-			break
-		}
-		n.book.count("counters")
-	}
+	n.serve(ctx, t, signals, reread)
 	n.end()
 	at.Close()
+	t.closeGuests()
 	for _, l := range n.closes { // before the end, so that the next one can listen there at once
 		l.Close()
 	}
@@ -191,6 +199,76 @@
 	return nil
 }
 
+// serve takes signals until ctx ends. The file is read beside it: guards against an end that waits for a file that does
+// not come. A signal meanwhile has it read once more, and a faulty one is looked at again a few times: guards against
+// a signal that comes while the file is being written, after which no other comes.
+func (n *Node) serve(ctx context.Context, t *intake, signals Signals, reread func() (config.Start, error)) {
+	type file struct {
+		next config.Start
+		err  error
+	}
+	read := make(chan file, 1)
+	reading, anew, left := false, false, 0
+	look := func() {
+		if anew = reading; !reading {
+			reading = true
+			go func() {
+				next, err := reread()
+				read <- file{next, err}
+			}()
+		}
+	}
+	var again <-chan time.Time
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-signals.Count:
+			n.book.count("counters")
+		case <-signals.Reload:
+			left = n.start.Limits.Rereads
+			look()
+		case <-again:
+			look()
+		case f := <-read:
+			reading, again = false, nil
+			if good := n.reload(t, f.next, f.err); anew {
+				look()
+			} else if !good && left > 0 {
+				left--
+				again = time.After(n.start.Limits.RereadEvery)
+			}
+		}
+	}
+}
+
+// listen waits a while for an address that is still in use: guards against a start that fails because the process
+// before it has not ended yet.
+func listen(ctx context.Context, address string, l config.Limits) (at net.Listener, err error) {
+	late := time.Now().Add(l.ListenMost)
+	for {
+		at, err = new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || !time.Now().Before(late) {
+			return at, err
+		}
+		select {
+		case <-time.After(l.Again):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// readiness tells whether a manager may be used: once the relay's news has opened, or after a while without. Guards
+// against a restart that is never done because the relay is out of reach: what is known serves until it is back.
+type readiness struct {
+	opened atomic.Bool
+	born   time.Time
+	most   time.Duration
+}
+
+func (r *readiness) open()       { r.opened.Store(true) }
+func (r *readiness) ready() bool { return r.opened.Load() || time.Since(r.born) >= r.most }
+
 // follow keeps discovery's watch: unasked where the site pushes changes, else as the module orders,
 // with one failure told for each watch that ends. A way that replaces another is asked for already.
 func (n *Node) follow(t *intake, w *way, asked bool) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"tamarindshore/internal/config"
 	"tamarindshore/internal/logs"
@@ -34,10 +36,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	signals := make(chan os.Signal, 2)
-	signals <- syscall.SIGUSR1
-	signals <- syscall.SIGTERM
-	if err := n.Run(signals, nil); err != nil {
+	count := make(chan os.Signal)
+	ctx, end := context.WithCancel(context.Background())
+	go func() {
+		count <- syscall.SIGUSR1
+		end()
+	}()
+	if err := n.Run(ctx, Signals{Count: count}, nil); err != nil {
 		t.Fatal(err)
 	}
 	for _, want := range []string{"event=counters ", "event=end ", " reports_in=0 "} {
@@ -58,11 +63,59 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := n.Run(nil, nil); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
+	if err := n.Run(context.Background(), Signals{}, nil); err == nil || !strings.HasPrefix(err.Error(), "listen: ") {
 		t.Error(err)
 	}
 }
 
+// Guards against a start that fails because the process before it has not ended yet.
+func TestRunWaitsForItsAddress(t *testing.T) {
+	s := testStart(t)
+	s.Limits.ListenMost = time.Minute
+	before, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tried := time.AfterFunc(20*time.Millisecond, func() { before.Close() })
+	defer tried.Stop()
+	at, err := listen(context.Background(), s.Listen, s.Limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at.Close()
+}
+
+// Guards against an end that waits for an address in use.
+func TestAnEndReachesAStartThatWaitsForItsAddress(t *testing.T) {
+	s := testStart(t)
+	s.Limits.ListenMost = time.Hour
+	before, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer before.Close()
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	if at, err := listen(ctx, s.Listen, s.Limits); err == nil {
+		at.Close()
+		t.Error("it listens at an address in use")
+	}
+}
+
+// Guards against a restart that is never ready because the relay is out of reach.
+func TestReadyAfterAWhileWithoutTheRelay(t *testing.T) {
+	r := readiness{born: time.Now(), most: time.Hour}
+	if r.ready() {
+		t.Error("ready before the relay's news and its time")
+	}
+	if r.open(); !r.ready() {
+		t.Error("not ready with the relay's news")
+	}
+	if r := (readiness{born: time.Now().Add(-time.Second), most: time.Second}); !r.ready() {
+		t.Error("not ready after its time")
+	}
+}
+
 func TestNewNamesAFaultyKnownList(t *testing.T) {
 	s := testStart(t)
 	s.Known = json.RawMessage(`{"instances":[]}`)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -6,11 +6,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/xml"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,25 +29,16 @@
 	backlog *backlog
 	intake  *intake
 	book    *book
-	client  *fasthttp.HostClient
 	next    atomic.Pointer[string] // the address that a reload named
 }
 
 func newRelay(l config.Limits, address string, groups []string, b *backlog, t *intake) *relay {
-	r := &relay{limits: l, groups: groups, backlog: b, intake: t, book: t.book}
-	r.turn(address)
-	return r
+	return &relay{limits: l, address: address, groups: groups, backlog: b, intake: t, book: t.book}
 }
 
 // moveTo names the address of all calls after the one under way.
 func (r *relay) moveTo(address string) { r.next.Store(&address) }
 
-func (r *relay) turn(address string) {
-	r.address = address
-	r.client = client(r.limits, address,
-		func() (net.Conn, error) { return dial(r.limits, address, r.limits.RelayAnswer) }, false, r.limits.RelayIdle)
-}
-
 func (r *relay) run() {
 	for {
 		o, ok := r.backlog.next()
@@ -149,12 +140,18 @@
 
 var errBusy, errSyntax = errors.New("the relay is busy"), errors.New("the relay can't read the call")
 
-// call makes one call of n orders and gives how many of them were taken.
+// call makes one call of n orders and gives how many of them were taken. Each has a connection of its own: guards
+// against one that the relay closes as idle in the instant of a call, and against an answer that belongs to the call
+// before.
 func (r *relay) call(orders string, n int) (int, error) {
 	if address := r.next.Swap(nil); address != nil {
-		r.client.CloseIdleConnections()
-		r.turn(*address)
+		r.address = *address
+	}
+	conn, err := dial(context.Background(), r.limits, r.address, r.limits.RelayAnswer)
+	if err != nil {
+		return 0, err
 	}
+	defer conn.Close()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -166,8 +163,8 @@
 	form.Set("Action", "CommitChanges")
 	form.Set("orders", orders)
 	req.SetBody(form.QueryString())
-	if err := r.client.Do(req, resp); err != nil {
-		r.client.CloseIdleConnections()
+	req.SetConnectionClose()
+	if err := client(r.limits, r.address, conn, false).Do(req, resp); err != nil {
 		return 0, err
 	}
 	taken, err := answer(resp.Body(), n)
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -198,8 +198,7 @@
 func TestCallTellsThatNothingWasSent(t *testing.T) {
 	l, _ := net.Listen("tcp", "127.0.0.1:0")
 	l.Close()
-	r := &relay{limits: limits}
-	r.turn(l.Addr().String())
+	r := &relay{limits: limits, address: l.Addr().String()}
 	if _, err := r.call("mark,1,0", 1); !errors.Is(err, errUnreached) {
 		t.Error(err)
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -22,8 +22,20 @@
 	retire  context.CancelFunc
 	over    chan struct{} // closed once it hands on nothing more
 	old     *way
+	broken  bool // it ended for what could not be read, and was not sound since
 }
 
+// spoilt notes that something could not be read, and tells whether to ask for it again at once. Guards against a fault
+// that comes back at each opening and would keep out for ever all that is sound behind it.
+func (w *way) spoilt() (again bool) {
+	again = !w.broken
+	w.broken = true
+	return again
+}
+
+// sound notes that all was read that was due.
+func (w *way) sound() { w.broken = false }
+
 func newWay(life context.Context, address string) *way {
 	w := &way{address: address, over: make(chan struct{})}
 	w.open, w.letGo = context.WithCancel(life)
@@ -40,7 +52,7 @@
 }
 
 // takeOver lets the older ways go; once it returns they hand on nothing more, so that nothing stale
-// follows what the new one opens with.
+// follows what the new one opens with. They end at once, also in a dial.
 func (w *way) takeOver() {
 	for o := w.old; o != nil; o = o.old {
 		o.letGo()
@@ -49,9 +61,9 @@
 	w.old = nil
 }
 
-// reload takes the file anew. A faulty one changes nothing; keys that only count at the start are named.
-func (n *Node) reload(t *intake, reread func() (config.Start, error)) {
-	next, err := reread()
+// reload takes the file as it was read anew; false where it is faulty, which changes nothing. Keys that only count at
+// the start are named.
+func (n *Node) reload(t *intake, next config.Start, err error) bool {
 	if err == nil {
 		_, _, err = n.words.list(next.Known)
 		if err != nil {
@@ -61,7 +73,7 @@
 	if err != nil {
 		n.book.add(reloadsFaulty, 1)
 		n.book.tell("reload_faulty", "error", err)
-		return
+		return false
 	}
 	if f := n.router.feed; f != nil {
 		if keys, err := readKeys(n.start.Keys); err != nil {
@@ -95,4 +107,5 @@
 		go n.follow(t, n.watch, true)
 	}
 	n.start.Relay, n.start.Discovery = next.Relay, next.Discovery
+	return true
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -32,11 +32,12 @@
 	files := make(chan error, 2)
 	files <- errors.New("store.address: is missing")
 	files <- nil
-	signals, ended := make(chan os.Signal, 4), make(chan error)
-	signals <- syscall.SIGHUP
-	signals <- syscall.SIGHUP
+	reload, ended := make(chan os.Signal, 4), make(chan error)
+	reload <- syscall.SIGHUP
+	reload <- syscall.SIGHUP
+	ctx, end := context.WithCancel(context.Background())
 	go func() {
-		ended <- n.Run(signals, func() (config.Start, error) { return next, <-files })
+		ended <- n.Run(ctx, Signals{Reload: reload}, func() (config.Start, error) { return next, <-files })
 	}()
 	if got := <-relayAsked; got != "GET /v3/kv/stream HTTP/1.1" {
 		t.Errorf("relay: %s", got)
@@ -44,7 +45,7 @@
 	if got := <-discoveryAsked; !strings.HasPrefix(got, "GET /discovery/hosts?watch=1&after=4") {
 		t.Errorf("discovery: %s", got)
 	}
-	signals <- syscall.SIGTERM
+	end()
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -17,7 +17,7 @@
 	Words: 64, LineUnnamed: 64, LineNamed: 1 << 10, LineNews: 1 << 10, LineList: 1 << 12, Answer: 1 << 10,
 	IdleMost: 3, FlowsMost: 10000, SpanMost: time.Minute, Stranger: time.Minute, SilentNamed: time.Minute, SilentNews: time.Minute, SilentWatch: time.Minute,
 	Opening: time.Minute, Connect: time.Second, Write: time.Second, RelayAnswer: time.Minute, ProbeAnswer: time.Minute,
-	Look: time.Millisecond, RelayIdle: time.Second, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour, LogWaits: 64, LogEnd: time.Minute,
+	Look: time.Millisecond, ReadyMost: time.Minute, GapMost: time.Minute, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour, LogWaits: 64, LogEnd: time.Minute,
 }
 
 var terms = choice.Terms{
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -22,7 +22,7 @@
 type Status struct {
 	Name     string           `json:"name"`
 	Uptime   float64          `json:"uptime_s"`
-	Fit      bool             `json:"fit"`
+	Ready    bool             `json:"ready"`
 	Lanes    []Lane           `json:"lanes"`
 	Waits    int              `json:"samples_waiting"`
 	Counters map[string]int64 `json:"counters"`
@@ -33,7 +33,7 @@
 	for c, name := range counterNames {
 		s.Counters[name] = n.book.counts[c].Load()
 	}
-	s.Fit = s.Counters["news_opens"] > 0
+	s.Ready = n.readiness.ready()
 	if h := n.hub; h != nil {
 		h.mu.Lock()
 		cores, conns := h.keeper.Spread()
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -33,7 +34,7 @@
 	inputs chan<- any
 	stop   <-chan struct{}
 	book   *book
-	fit    func() bool // to serve
+	ready  func() bool // to be used
 	chance *rand.Rand  // of waits; used under mu
 	mu     sync.Mutex
 	guests []*guest // connections to the manager's address
@@ -87,6 +88,11 @@
 		t.guests = append(t.guests, g)
 		t.makeRoom(false, t.limits.Unnamed)
 		t.mu.Unlock()
+		select {
+		case <-t.stop: // what is accepted in the instant of the end is closed too
+			c.Close()
+		default:
+		}
 		if t.hub != nil {
 			go t.hub.attend(g)
 		} else {
@@ -122,6 +128,15 @@
 	}
 }
 
+// closeGuests ends all connections to the manager's address.
+func (t *intake) closeGuests() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.guests {
+		g.Close()
+	}
+}
+
 // attend reads one guest's lines until it ends, says what can't be read, or is silent for too long.
 func (t *intake) attend(g *guest) {
 	err := lines(g, func() int { return t.longest(g) }, func(line []byte) error {
@@ -158,7 +173,7 @@
 
 // pong answers signs of life that were asked for.
 func (t *intake) pong(g *guest, n int) error {
-	if !t.fit() {
+	if !t.ready() {
 		return nil
 	}
 	_, err := g.Write(bytes.Repeat([]byte("pong\r\n"), n))
@@ -303,15 +318,23 @@
 func (t *intake) readNews(w *way) (opened bool, err error) {
 	var kind, data string
 	var at time.Time
-	standing := false
-	stop := w.open.Done()
-	err = stream(t.limits, w.address, "/v3/kv/stream", t.limits.SilentNews, t.limits.LineNews, func() error {
+	standing, began, skipped := false, false, false
+	begin := func() {
 		w.takeOver()
-		opened, at = true, time.Now()
+		began, at = true, time.Now()
+		give(newsOpened{}, t.inputs, w.open.Done())
+	}
+	err = stream(w.open, t.limits, w.address, "/v3/kv/stream", t.limits.SilentNews, t.limits.LineNews, func() error {
+		opened = true
 		t.book.add(newsOpens, 1)
-		give(newsOpened{}, t.inputs, stop)
+		if w.old == nil {
+			begin()
+		}
 		return nil
 	}, func(line []byte) error {
+		if !began { // guards against letting the old way go for one that brings nothing
+			begin()
+		}
 		text := string(line)
 		name, value, _ := strings.Cut(text, ":")
 		value = strings.TrimPrefix(value, " ")
@@ -329,7 +352,12 @@
 				t.book.add(spoilt, 1) // alone: a later mark settles it; a join or a leave that is lost would stay lost
 				return nil
 			} else if err != nil {
-				return err
+				t.book.add(spoilt, 1)
+				t.book.say("spoilt_news", "from", w.address, "error", err)
+				if skipped = true; w.spoilt() {
+					return err // the opening of the next tells it again
+				}
+				return nil
 			}
 			switch in.(type) {
 			case joined:
@@ -339,13 +367,17 @@
 			case applied:
 				t.book.add(appliedIn, 1)
 			}
-			if !give(in, t.inputs, stop) {
+			if !give(in, t.inputs, w.open.Done()) {
 				return errStop
 			}
 		case name == "": // a sign of life
 			if !standing && time.Since(at) >= t.limits.NewsOpening {
 				standing = true
-				give(newsStands{}, t.inputs, stop)
+				if skipped {
+					return nil // guards against taking for left who was told in what could not be read
+				}
+				w.sound()
+				give(newsStands{}, t.inputs, w.open.Done())
 			}
 		case name == "event" && strings.Trim(value, "abcdefghijklmnopqrstuvwxyz_") == "":
 			kind = value
@@ -357,7 +389,7 @@
 			return fmt.Errorf("%.40q is no line of an event stream", text)
 		}
 		return nil
-	}, stop)
+	})
 	return opened, err
 }
 
@@ -368,21 +400,36 @@
 	lowest int64 // a whole list that is older than held, told at the opening of the last watch
 }
 
+// watch reads discovery's watch once, to its end.
 func (t *intake) watch(w *way, held *lists) (opened bool, err error) {
-	first, stop := true, w.open.Done()
+	first, began := true, false
+	var gap time.Time // since when something that could not be read is missing
 	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.version(), 10)
-	err = stream(t.limits, w.address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
-		w.takeOver()
+	err = stream(w.open, t.limits, w.address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
 		opened = true
 		t.book.add(watchOpens, 1)
 		return nil
 	}, func(line []byte) error {
+		if !began { // guards against letting the old way go for one that brings nothing
+			began = true
+			w.takeOver()
+		}
+		if !gap.IsZero() && time.Since(gap) >= t.limits.GapMost {
+			return errGap
+		}
 		if len(bytes.TrimSpace(line)) == 0 {
 			return nil
 		}
 		in, unknown, err := t.words.list(line)
 		if err != nil {
-			return err
+			t.book.add(spoilt, 1)
+			t.book.say("spoilt_list", "from", w.address, "error", err)
+			if first = false; w.spoilt() {
+				return err
+			}
+			// asked for again it was spoilt again: what follows is taken meanwhile
+			gap = time.Now()
+			return nil
 		}
 		t.book.add(unknownNames, int64(unknown))
 		opening := first
@@ -395,18 +442,26 @@
 			}
 			return nil
 		}
-		if !in.whole && len(in.entries) == 0 {
-			return nil // nothing has changed
+		if in.whole || len(in.entries) > 0 { // else nothing has changed
+			t.book.add(listsIn, 1)
+			if !give(in, t.inputs, w.open.Done()) {
+				return errStop // it is not held: guards against a change that the next watch takes for an old one
+			}
+		}
+		if in.whole {
+			gap = time.Time{}
 		}
-		t.book.add(listsIn, 1)
-		if !give(in, t.inputs, stop) {
-			return errStop
+		if gap.IsZero() {
+			held.took(in)
+			w.sound()
 		}
 		return nil
-	}, stop)
+	})
 	return opened, err
 }
 
+var errGap = errors.New("what could not be read is asked for again")
+
 func (h *lists) version() int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -414,22 +469,28 @@
 }
 
 // admits tells whether a list is news. An older one never replaces a newer by accident: a whole
-// list with a lower version is taken only where two watches in a row open with it, as after
+// list with a lower version is taken only where two watches in a row open with one, as after
 // discovery began anew.
 func (h *lists) admits(in listed, opening bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	older := in.version < h.held || in.version == h.held && !in.whole && len(in.entries) > 0
-	if older && !(opening && in.whole && h.lowest == in.version) {
+	if older && !(opening && in.whole && h.lowest >= 0 && in.version >= h.lowest) {
 		if opening && in.whole {
 			h.lowest = in.version
 		}
 		return false
 	}
-	h.held, h.lowest = in.version, -1
 	return true
 }
 
+// took moves the version held to a list that was handed on.
+func (h *lists) took(in listed) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held, h.lowest = in.version, -1
+}
+
 type probe struct {
 	server  choice.ServerID
 	address string
@@ -451,13 +512,13 @@
 	out = probed{server: p.server, answer: choice.Silent, load: -1}
 	began := time.Now()
 	defer func() { out.took = time.Since(began) }()
-	conn, err := dial(t.limits, p.address, t.limits.ProbeAnswer)
+	conn, err := dial(context.Background(), t.limits, p.address, t.limits.ProbeAnswer)
 	if err != nil {
 		out.answer = choice.Unreached
 		return out, !onThisSide(err)
 	}
 	defer conn.Close()
-	c := client(t.limits, p.address, func() (net.Conn, error) { return conn, nil }, false, time.Second)
+	c := client(t.limits, p.address, conn, false)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -21,20 +21,20 @@
 
 func testIntake(stop chan struct{}, l config.Limits) *intake {
 	return &intake{limits: l, words: testWords(), inputs: make(chan any, 64), stop: stop, book: newBook(time.Hour, zerolog.Nop()),
-		fit: func() bool { return true }, chance: rand.New(rand.NewPCG(1, 1))}
+		ready: func() bool { return true }, chance: rand.New(rand.NewPCG(1, 1))}
 }
 
 func to(address string) *way { return newWay(context.Background(), address) }
 
 // listening is an intake that accepts; what it hands on comes out of the channel.
-func listening(t *testing.T, l config.Limits, fit bool) (*intake, string, chan any) {
+func listening(t *testing.T, l config.Limits, ready bool) (*intake, string, chan any) {
 	at, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	stop, inputs := make(chan struct{}), make(chan any, 64)
 	in := testIntake(stop, l)
-	in.inputs, in.fit = inputs, func() bool { return fit }
+	in.inputs, in.ready = inputs, func() bool { return ready }
 	go in.accept(at)
 	t.Cleanup(func() { close(stop); at.Close() })
 	return in, at.Addr().String(), inputs
@@ -74,12 +74,12 @@
 	}
 }
 
-func TestAttendAnswersPingOnceFit(t *testing.T) {
-	for _, fit := range []bool{true, false} {
-		_, address, _ := listening(t, limits, fit)
+func TestAttendAnswersPingOnceReady(t *testing.T) {
+	for _, ready := range []bool{true, false} {
+		_, address, _ := listening(t, limits, ready)
 		c := dialled(t, address, "ping\r\nsing\r\n")
-		if got, want := ended(c), map[bool]string{true: "pong\r\n", false: ""}[fit]; got != want {
-			t.Errorf("fit %v: %q", fit, got)
+		if got, want := ended(c), map[bool]string{true: "pong\r\n", false: ""}[ready]; got != want {
+			t.Errorf("ready %v: %q", ready, got)
 		}
 	}
 }
--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -76,11 +76,7 @@
 		if err != nil {
 			return nil, err
 		}
-		v.now = &ours{n, make(chan os.Signal, 8), make(chan struct{})}
-		go func(d *ours) {
-			defer close(d.ended)
-			d.Run(d.signals, read)
-		}(v.now)
+		v.now = begun(n, read)
 		return v.now, nil
 	})
 	if err != nil {
