--- a/choice/choice.go
+++ b/choice/choice.go
@@ -73,8 +73,8 @@
 	if most := float64(t.MessagesMost); most > 1 {
 		m.perProxy = [3]int{int(max(1, perBatch*most)), int(max(1, perUrgent*most)), int(most - 1)}
 	}
-	for g := range t.Groups {
-		m.byUtility = append(m.byUtility, GroupID(g))
+	for g, group := range t.Groups {
+		m.byUtility, m.mayTry = append(m.byUtility, GroupID(g)), append(m.mayTry, mayTry(t.UsualTries, group))
 	}
 	slices.SortStableFunc(m.byUtility, func(a, b GroupID) int {
 		// of equal utility, the shorter budget tells of less work
@@ -85,6 +85,13 @@
 	return m
 }
 
+// mayTry is the site's way of trying again as far as a group bears it. Guards against an effect twice: what
+// may have run is not sent once more, or only while its copies are still dropped.
+func mayTry(usual Tries, g Group) Tries {
+	again := g.Repeat == Retriable || g.Repeat == Deduped && g.Window >= g.Expiry
+	return either(again, usual, min(usual, TryUnrun))
+}
+
 // rules are gone through in this order after every input; each effect makes its condition false.
 var rules = []rule{
 	{(*Manager).unasked, (*Manager).listen},
@@ -438,9 +445,9 @@
 		return m.pinnedLevels(TableID(z))
 	}
 	// under overload each further try takes room from a first one
-	left, tries := m.line, either(math.IsInf(m.line, 1), m.usual, TryOnce)
+	left, open := m.line, math.IsInf(m.line, 1)
 	for _, g := range m.byUtility {
-		part := min(1, left/max(sums[g], 1e-9))
+		part, tries := min(1, left/max(sums[g], 1e-9)), either(open, m.mayTry[g], TryOnce)
 		l := Level{Table: TableID(z), Groups: 1 << g, Amount: m.amount(part, z, g), Tries: tries}
 		left = max(0, left-sums[g])
 		was, stands := m.tables[z].levels[l.Groups]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1082,3 +1082,31 @@
 		t.Errorf("a cold server is to take %.2f of its zone: %v", x, m.tables[0].wanted)
 	}
 }
+
+// Guards against a flow that takes effect twice on the manager's orders: also where the site's way is to try again after
+// any failure, a group that does not bear it is told otherwise, before a proxy is bound to the table.
+func TestTriesAreWhatAGroupBears(t *testing.T) {
+	groups := []Group{
+		{Budget: time.Second, Expiry: 4 * time.Second, Utility: 1, Repeat: Retriable},
+		{Budget: time.Second, Expiry: 4 * time.Second, Utility: 1, Repeat: Deduped, Window: 4 * time.Second},
+		{Budget: time.Second, Expiry: 4 * time.Second, Utility: 1, Repeat: Deduped, Window: 3 * time.Second},
+		{Budget: time.Second, Expiry: 4 * time.Second, Utility: 1},
+	}
+	for usual, want := range map[Tries][]Tries{TryOnce: {0, 0, 0, 0}, TryUnrun: {1, 1, 1, 1}, 2: {2, 2, 1, 1}, 3: {3, 3, 1, 1}} {
+		site := terms
+		site.Groups, site.UsualTries = groups, usual
+		m := New(1, site)
+		m.solved, m.tables[0].standing["a0"] = []float64{40, 40}, 1
+		for g, way := range want {
+			got := usual
+			for _, l := range m.levels(0, []float64{1, 1, 1, 1}) {
+				if l.level.Groups == 1<<g {
+					got = l.level.Tries
+				}
+			}
+			if got != way {
+				t.Errorf("the site's way %d, group %d: %d, not %d", usual, g, got, way)
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -93,6 +93,7 @@
 	budget                  []float64 // seconds, by traffic group
 	byUtility               []GroupID // most useful first
 	usual                   Tries
+	mayTry                  []Tries // by traffic group
 	admit                   AdmitBy
 	climbBase               float64
 	warmAfter               time.Duration
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -44,10 +44,11 @@
 	}
 	listFailed struct{}
 	probed     struct {
-		server choice.ServerID
-		answer choice.Answer
-		took   time.Duration
-		load   float64
+		server  choice.ServerID
+		address string
+		answer  choice.Answer
+		took    time.Duration
+		load    float64
 	}
 	again struct {
 		orders  choice.Orders
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -149,6 +149,10 @@
 	case listFailed:
 		r.decided(m.ListFailed(r.now))
 	case probed:
+		if r.servers[in.server] != in.address { // guards against an answer of what was there before
+			r.book.add(probesDropped, 1)
+			return
+		}
 		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
 	case settled:
 		m.Entered(r.now, in.mark)
@@ -160,8 +164,7 @@
 	case again:
 		r.carry() // what is decided so far waits behind
 		r.tick()
-		all := orders.Fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...)
-		all.Bind = slices.DeleteFunc(all.Bind, func(b choice.Place) bool { return !r.proxies[b.Proxy] })
+		all := r.present(orders.Fold(append([]choice.Orders{in.orders}, r.backlog.all()...)...))
 		n, mark := m.Again(r.now, in.from, in.carried, all)
 		in.reply <- later{orders.First(all, n, mark), orders.Skip(all, n)}
 		r.tick()
@@ -214,7 +217,7 @@
 	if len(r.decisions) == 0 {
 		return
 	}
-	o := orders.Fold(r.decisions...)
+	o := r.present(orders.Fold(r.decisions...))
 	r.decisions = nil
 	if r.chain != nil {
 		o = r.version(o)
@@ -224,6 +227,12 @@
 	}
 }
 
+// present leaves out the binding of who has left meanwhile: the relay would stop a call at it.
+func (r *router) present(o choice.Orders) choice.Orders {
+	o.Bind = slices.DeleteFunc(o.Bind, func(b choice.Place) bool { return !r.proxies[b.Proxy] })
+	return o
+}
+
 // version asks the chain what of some orders may go out. Where that is not all, the module hears what stands.
 func (r *router) version(o choice.Orders) choice.Orders {
 	r.chain.Laid(r.manager.Layout())
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -173,3 +173,54 @@
 		t.Error(r.wake)
 	}
 }
+
+// Guards against an answer of what was at an address before: it says nothing of the server that has the name now.
+func TestAProbeOfAnOldAddressSaysNothing(t *testing.T) {
+	r := testRouter(t)
+	r.take(listed{version: 2, entries: []choice.Entry{{Server: "s-1", Zone: "a", Weight: 1}},
+		addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:9"}})
+	before := r.book.counts[probesDropped].Load()
+	r.take(probed{server: "s-1", address: "127.0.0.1:1", answer: choice.Unreached})
+	if n := r.book.counts[probesDropped].Load() - before; n != 1 {
+		t.Errorf("%d dropped", n)
+	}
+	r.take(probed{server: "s-1", address: "127.0.0.1:9", answer: choice.Answered})
+	if n := r.book.counts[probesDropped].Load() - before; n != 1 {
+		t.Errorf("%d dropped with that of its address", n)
+	}
+}
+
+// A proxy that leaves and joins within one batch is bound anew; one whose number comes back in another zone is put on
+// that zone's table; one that joins and leaves is not bound.
+func TestGenerationsOfAProxyWithinOneBatch(t *testing.T) {
+	r := testRouter(t)
+	r.ordered()
+	r.tick()
+	for _, in := range []any{left{1}, joined{1, "a", 5}, left{2}, joined{2, "b", 5}, joined{3, "a", 5}, left{3}} {
+		r.take(in)
+	}
+	for range 3 {
+		r.now += time.Second
+		r.decided(r.manager.Woke(r.now))
+	}
+	o := r.ordered()
+	tables := map[choice.ProxyID]choice.TableID{}
+	for _, b := range o.Bind {
+		tables[b.Proxy] = b.Table
+	}
+	if len(tables) != 2 || tables[1] == tables[2] {
+		t.Errorf("%+v", o.Bind)
+	}
+}
+
+// Guards against an answer to a mark by who left and came back meanwhile, or was never there, that takes orders off the
+// books that have not left.
+func TestAMarkOfWhoIsNotJoinedSettlesNothing(t *testing.T) {
+	r := testRouter(t)
+	r.take(left{1})
+	r.take(applied{1, 1})
+	r.take(applied{7, 1})
+	if n := r.book.counts[unknownNames].Load(); n != 2 {
+		t.Errorf("%d unknown", n)
+	}
+}
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -509,7 +509,7 @@
 
 // probe asks one server whether it is alive, and for its load where servers tell it; false where it could not ask.
 func (t *intake) probe(p probe, path string) (out probed, asked bool) {
-	out = probed{server: p.server, answer: choice.Silent, load: -1}
+	out = probed{server: p.server, address: p.address, answer: choice.Silent, load: -1}
 	began := time.Now()
 	defer func() { out.took = time.Since(began) }()
 	conn, err := dial(context.Background(), t.limits, p.address, t.limits.ProbeAnswer)
