--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -388,3 +388,89 @@
 		t.Error("no end within 5 s")
 	}
 }
+
+// Guards against an outcome taken for known where a call is cut before or within its bytes.
+func TestACallCutWithinItself(t *testing.T) {
+	for _, cut := range []int{0, 1, 30, 150} {
+		address := server(t, func(c net.Conn) {
+			io.ReadFull(c, make([]byte, cut))
+			c.(*net.TCPConn).SetLinger(0)
+		})
+		r := newRelay(limits, address, groups, nil, testIntake(make(chan struct{}), limits))
+		if n, end := r.carry(lines2(1, 2)); n != 0 || end != unknown && !(cut == 0 && end == unsent) {
+			t.Errorf("%d bytes: %d orders, %s", cut, n, end)
+		}
+	}
+}
+
+// Guards against orders lost where the relay moves while a call is in flight: its outcome is settled first, and what
+// may be missing goes to the new address.
+func TestARelayThatMovesUnderACall(t *testing.T) {
+	inFlight, cut := make(chan struct{}), make(chan struct{})
+	before := server(t, func(c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		close(inFlight)
+		<-cut
+	})
+	r, calls := testRelay(t, limits)
+	after := r.address
+	r.address = before
+	settled := make(chan bool)
+	go func() { settled <- r.settle(lines2(1, 2)) }()
+	<-inFlight
+	r.moveTo(after)
+	close(cut)
+	if !<-settled {
+		t.Error("not settled")
+	}
+	expect(t, calls, "share,0,s-1,1;share,0,s-2,2;mark,2,0")
+}
+
+// Guards against an answer lost because the manager closes with bytes unread, which resets the connection.
+func TestAPongBeforeAClose(t *testing.T) {
+	_, address, _ := listening(t, limits, true)
+	for range 20 {
+		c := dialled(t, address, "ping\r\n"+strings.Repeat("x", 1<<18)+"\r\n")
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if line, err := bufio.NewReader(c).ReadString('\n'); line != "pong\r\n" {
+			t.Fatalf("%q %v", line, err)
+		}
+	}
+}
+
+// Guards against a collector that sends as fast as it can and keeps others, the list and the end from being heard.
+func TestAFloodKeepsNobodyOut(t *testing.T) {
+	site := stand.Usual(6, 20)
+	v := raise(t, site)
+	v.Relay.Join(0, 1, 2, 3)
+	soon(t, "bound", func() bool { return v.Relay.Counts().Bound == 4 })
+	flood, err := net.Dial("tcp", v.Manager)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer flood.Close()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		fmt.Fprintf(flood, "collector site=%s\r\n", site.Zone(0))
+		all := []byte(strings.Repeat("usage id=1 lane=quote count=4 fail=0 over=1000\r\n", 1000))
+		for {
+			if _, err := flood.Write(all); err != nil {
+				return
+			}
+		}
+	}()
+	soon(t, "flooded", func() bool { return v.now.book.counts[usagesIn].Load() > 50_000 })
+	c := dialled(t, v.Manager, "ping\r\n")
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "pong\r\n" {
+		t.Errorf("%q %v", line, err)
+	}
+	s := v.Servers[0]
+	v.Discovery.Change(s.Entry("draining"))
+	soon(t, "withdrawn", func() bool { return v.Relay.Flows(s.ID) == 0 })
+	v.now.Stop(false)
+	flood.Close()
+	<-over
+	allRules(t, v.Rig)
+}
