Errors name the line; a staff command at the end shares nothing; a pong before any close

Need: the log names key and line; crossings read in admin.go and hub.go.

Seen: a command at work when the end comes wrote into variables that who asked reads meanwhile (admin.go staff; the race detector tells, TestAnEndDuringACommand); with several cores a ping in the same piece as what ends the connection got no answer (hub.go bring), where one core answers it.

Change: what came of a command is handed over; answers go out before the close; an error of the file ends with its line, by its offset or by its key.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -111,7 +111,11 @@
 	if err != nil {
 		return Start{}, fmt.Errorf("PROXY_CONFIG: %v", err)
 	}
-	return parse(get, text, again)
+	s, err := parse(get, text, again)
+	if err != nil {
+		return Start{}, located(text, err)
+	}
+	return s, nil
 }
 
 // parse checks what is told; the environment wins over the file, but for discovery's address in a file that is
@@ -131,7 +135,7 @@
 		if faulty := terms.Faulty(err); faulty != err {
 			return s, faulty
 		}
-		return s, fmt.Errorf("PROXY_CONFIG: %v", err)
+		return s, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
 	for _, one := range []struct {
 		key, variable, told string
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -118,3 +120,26 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+func TestErrorsNameTheLine(t *testing.T) {
+	for was, want := range map[[2]string]string{
+		{`"queueCap":8600`, `"queueCap":-1`}:       "settings.domain.queueCap: -1 is not from 1e-06 to 1e+12 (line 5)",
+		{`"aimUs":2000000`, `"aimUs":0`}:           "settings.classes[0]: name, aimUs and hardLimitUs above 0 and worth from 0 are due (line 4)",
+		{`"sockets":1024`, `"sockets":1`}:          "limits.sockets: 1 is not from 64 up (line 2)",
+		{`"sockets":1024`, `"sockets":"x"`}:        "limits.sockets: a string stands where int is due (line 2)",
+		{`"address":"127.0.0.3:6400"`, `"at":"x"`}: "store.address: is missing (line 2)",
+		{`"known"`, `"knew"`}:                      "known: is missing",
+		{`"unknown":{"key":1}`, `"unknown":{]`}:    "PROXY_CONFIG: invalid character ']' looking for beginning of object key string (line 3)",
+		{`"warmAfterUs":16000000}}}`, ``}:          "PROXY_CONFIG: unexpected end of JSON input (line 5)",
+	} {
+		text := strings.Replace(told, was[0], was[1], 1)
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(func(key string) string { return map[string]string{"PROXY_CONFIG": path}[key] })
+		if err == nil || err.Error() != want {
+			t.Errorf("%s: %v, not %s", was[1], err, want)
+		}
+	}
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -88,28 +88,30 @@
 	json.NewEncoder(c).Encode(told)
 }
 
-// owner runs something as the module's owner and waits for it.
-func (n *Node) owner(do func(r *router)) error {
+// owner runs something as the module's owner and waits for it. What came of it is handed over, not shared: guards
+// against a command that is still at work when the end no longer waits for it.
+func (n *Node) owner(do func(r *router) ([]string, error)) (lines []string, err error) {
 	done := make(chan struct{})
-	if !give(command(func(r *router) { do(r); close(done) }), n.router.inputs, n.life.Done()) {
-		return errStop
+	var told []string
+	var failed error
+	if !give(command(func(r *router) { told, failed = do(r); close(done) }), n.router.inputs, n.life.Done()) {
+		return nil, errStop
 	}
 	select {
 	case <-done:
-		return nil
+		return told, failed
 	case <-n.life.Done():
-		return errStop
+		return nil, errStop
 	}
 }
 
-func (n *Node) staff(a Ask) (lines []string, err error) {
+func (n *Node) staff(a Ask) ([]string, error) {
 	id, err := versionID(a.Version)
 	other, bad := versionID(a.Other)
 	if err = errors.Join(err, bad); err != nil {
 		return nil, err
 	}
-	ended := n.owner(func(r *router) { lines, err = r.staff(a, id, other) })
-	return lines, errors.Join(ended, err)
+	return n.owner(func(r *router) ([]string, error) { return r.staff(a, id, other) })
 }
 
 // versionID reads EPOCH.NUMBER; empty is none.
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -474,3 +474,29 @@
 	<-over
 	allRules(t, v.Rig)
 }
+
+// Guards against a command of staff that an end reaches while it is at work: who asked is told, and reads nothing that
+// is still written.
+func TestAnEndDuringACommand(t *testing.T) {
+	n, err := New(testStart(t), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := begun(n, nil)
+	working, goOn, answered := make(chan struct{}), make(chan struct{}), make(chan error)
+	go func() {
+		_, err := n.owner(func(*router) ([]string, error) {
+			close(working)
+			<-goOn
+			return []string{"done"}, nil
+		})
+		answered <- err
+	}()
+	<-working
+	d.end()
+	if err := <-answered; err != errStop {
+		t.Errorf("%v", err)
+	}
+	close(goOn)
+	<-d.ended
+}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -409,8 +409,10 @@
 			w.since.Store(int64(h.now()))
 			continue
 		}
-		if answers > 0 && end == nil {
-			end = h.t.pong(c.guest, answers)
+		if answers > 0 { // also before a close, as where one core takes in
+			if err := h.t.pong(c.guest, answers); end == nil {
+				end = err
+			}
 		}
 		if end != nil {
 			c.guest.Close()
--- a/internal/node/hub_test.go
+++ b/internal/node/hub_test.go
@@ -303,3 +303,11 @@
 		})
 	}
 }
+
+// Guards against an answer that is lost by a close in the same piece.
+func TestAPongBeforeACloseOnOneOfSeveralCores(t *testing.T) {
+	_, address := hubbed(t, limits, quick(2))
+	if got := ended(dialled(t, address, "ping\r\nsing\r\n")); got != "pong\r\n" {
+		t.Errorf("%q", got)
+	}
+}
