A reader that fails over a message ends its connection, not the process

Need: a message that is spoilt never ends the process. Fuzzing and noise found no decoder that panics; the libraries under them are not ours, and a panic in any reader's goroutine ended the process with its log unwritten.

Change: collectors' readers, both streams, probes and calls turn a panic into an error of their connection, counted (readers_failed) and told once a second with the stack; the owner of the module still ends the process, since what it holds may be half done.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -502,3 +502,29 @@
 		<-d.ended
 	}
 }
+
+// Guards against a message that ends the process: whatever a reader fails over, its connection ends alone.
+func TestAReaderThatFailsEndsItsConnectionAlone(t *testing.T) {
+	in, address, _ := listening(t, limits, true)
+	in.words = nil // so that each decoder fails
+	for range 2 {
+		if got := ended(dialled(t, address, report)); got != "" {
+			t.Errorf("%q", got)
+		}
+	}
+	stream, _ := streaming(t, "event: left\ndata: id=17\n\n")
+	w := to(stream)
+	in.keep(w, "news", newsBreaks, func() (bool, error) {
+		defer w.letGo()
+		return in.readNews(w)
+	})
+	if n := in.book.counts[readersFailed].Load(); n != 3 {
+		t.Errorf("%d failed readers", n)
+	}
+	r := newRelay(limits, stream, groups, nil, in)
+	r.next.Store(nil)
+	r.address = "\x00"
+	if n, end := r.carry(lines2(1)); n != 0 || end == done {
+		t.Errorf("%d %s", n, end)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,7 +287,10 @@
 			}
 		}
 		asked = false
-		_, err := watch()
+		err := safely(t.book, "watch", func() error {
+			_, err := watch()
+			return err
+		})
 		if w.open.Err() != nil {
 			return
 		}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -104,7 +104,11 @@
 	}
 	text := encode(o, r.groups, r.limits.CallBytes)
 	r.book.add(callsSent, 1)
-	taken, err := r.call(strings.Join(text, ";"), len(text))
+	taken := 0
+	err := safely(r.book, "relay", func() (err error) {
+		taken, err = r.call(strings.Join(text, ";"), len(text))
+		return err
+	})
 	switch {
 	case errors.Is(err, errUnreached):
 		r.book.add(callsUnsent, 1)
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -15,6 +15,7 @@
 	"net"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -139,22 +140,23 @@
 
 // attend reads one guest's lines until it ends, says what can't be read, or is silent for too long.
 func (t *intake) attend(g *guest) {
-	err := lines(g, func() int { return t.longest(g) }, func(line []byte) error {
-		text := string(line)
-		kind, in, err := t.words.line(text)
-		in, ping, err := t.heed(g, time.Now(), text, kind, in, err)
-		t.count(in, 1)
-		switch {
-		case err != nil:
-			return err
-		case ping:
-			return t.pong(g, 1)
-		case in != nil && !t.give(in):
-			return errStop
-		}
-		return nil
-	})
-	t.part(g, err)
+	t.part(g, safely(t.book, "collector", func() error {
+		return lines(g, func() int { return t.longest(g) }, func(line []byte) error {
+			text := string(line)
+			kind, in, err := t.words.line(text)
+			in, ping, err := t.heed(g, time.Now(), text, kind, in, err)
+			t.count(in, 1)
+			switch {
+			case err != nil:
+				return err
+			case ping:
+				return t.pong(g, 1)
+			case in != nil && !t.give(in):
+				return errStop
+			}
+			return nil
+		})
+	}))
 }
 
 // start is what a log line shows of a message.
@@ -279,7 +281,11 @@
 	defer close(w.over)
 	for tries := 0; w.renew.Err() == nil; tries++ {
 		began := time.Now()
-		opened, err := open()
+		opened := false
+		err := safely(t.book, what, func() (err error) {
+			opened, err = open()
+			return err
+		})
 		if w.open.Err() != nil {
 			return
 		}
@@ -507,6 +513,19 @@
 	return false
 }
 
+// safely does what reads from outside, and turns a panic of it into an error that ends the connection alone. Guards
+// against a message that ends the process. The owner of the module is not among them: what it holds may be half done.
+func safely(b *book, what string, do func() error) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			b.add(readersFailed, 1)
+			b.say("reader_failed", "reader", what, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			err = errors.Join(errUnread, fmt.Errorf("the reader failed: %v", cause))
+		}
+	}()
+	return do()
+}
+
 // probe asks one server whether it is alive, and for its load where servers tell it; false where it could not ask.
 func (t *intake) probe(p probe, path string) (out probed, asked bool) {
 	out = probed{server: p.server, address: p.address, answer: choice.Silent, load: -1}
@@ -524,7 +543,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + p.address + path)
 	req.SetConnectionClose()
-	err = c.Do(req, resp)
+	err = safely(t.book, "probe", func() error { return c.Do(req, resp) })
 	switch status := resp.StatusCode(); {
 	case err != nil && conn.failed == nil:
 		out.answer = choice.Erred // something answers there, but not as a server does
