A generation that was never true is asked for again; lists, backoff in the field's words

Need: a spoilt line that can be read, and a list whose generation runs ahead.

Seen by reading: past a generation that is too high all that follows counts as old for as long as the watch lasts (takein.go watch, lists.admits), so that drains are lost. Ruled out: the opening, where two older whole lists in a row are taken.

Measured: TestAGenerationThatWasNeverTrue; tests of node, config and cmd green.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,23 +59,23 @@
 	IdleMost  int     // messages one after another that report nothing
 	FlowsMost float64 // a second in a report, and held by a server
 
-	Stranger, SilentNamed    time.Duration // from the start of a connection until it reports; then
-	Spoke                    time.Duration // how exactly it is known when a connection last spoke
-	SpanMost                 time.Duration // of a report
-	SilentNews, SilentWatch  time.Duration // past their signs of life
-	Opening                  time.Duration // until a stream begins
-	NewsOpening              time.Duration // a sign of life later than that ends what stands at the opening
-	Connect, Write           time.Duration
-	RelayAnswer, ProbeAnswer time.Duration
-	Look                     time.Duration // for what came while this process stood still
-	ReadyMost                time.Duration // after its start a manager is ready also without the relay
-	ListenMost               time.Duration // for an address that is still in use
-	Rereads                  int           // of a faulty file, after a signal,
-	RereadEvery              time.Duration // and the time between them
-	GapMost                  time.Duration // until what was spoilt in a stream is asked for again
-	Again, AgainMost         time.Duration // waits before a new try, by chance between them
-	LogEvery                 time.Duration // of lines of one kind
-	LogEnd                   time.Duration // for the last lines
+	Stranger, SilentNamed     time.Duration // from the start of a connection until it reports; then
+	Spoke                     time.Duration // how exactly it is known when a connection last spoke
+	SpanMost                  time.Duration // of a report
+	SilentNews, SilentWatch   time.Duration // past their signs of life
+	Opening                   time.Duration // until a stream begins
+	NewsOpening               time.Duration // a sign of life later than that ends what stands at the opening
+	Connect, Write            time.Duration
+	RelayAnswer, ProbeAnswer  time.Duration
+	Look                      time.Duration // for what came while this process stood still
+	ReadyMost                 time.Duration // after its start a manager is ready also without the relay
+	ListenMost                time.Duration // for an address that is still in use
+	Rereads                   int           // of a faulty file, after a signal,
+	RereadEvery               time.Duration // and the time between them
+	GapMost                   time.Duration // until what a stream could not tell is asked for again
+	BackoffLeast, BackoffMost time.Duration // waits before a new try, by chance between them
+	LogEvery                  time.Duration // of lines of one kind
+	LogEnd                    time.Duration // for the last lines
 }
 
 func limits(cores, memoryMB float64, sockets int) Limits {
@@ -90,7 +90,7 @@
 		Connect: 300 * time.Millisecond, Write: 300 * time.Millisecond,
 		RelayAnswer: 60 * time.Millisecond, ProbeAnswer: 600 * time.Millisecond, Look: 20 * time.Millisecond,
 		ReadyMost: 5 * time.Second, ListenMost: 2 * time.Second, Rereads: 5, RereadEvery: 200 * time.Millisecond,
-		GapMost: 2 * time.Second, Again: 50 * time.Millisecond, AgainMost: 200 * time.Millisecond, LogEvery: time.Second,
+		GapMost: time.Second, BackoffLeast: 50 * time.Millisecond, BackoffMost: 200 * time.Millisecond, LogEvery: time.Second,
 		LogWaits: 1024, Piece: 16 << 10, Pieces: 4, LogEnd: 200 * time.Millisecond,
 	}
 }
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -37,10 +37,10 @@
 		mark  choice.MarkID
 	}
 	listed struct {
-		version   int64
-		whole     bool
-		entries   []choice.Entry
-		addresses map[choice.ServerID]string
+		generation int64
+		snapshot   bool // the whole list, not changes of it
+		entries    []choice.Entry
+		addresses  map[choice.ServerID]string
 	}
 	listFailed struct{}
 	probed     struct {
@@ -312,7 +312,7 @@
 	if told.Generation == nil {
 		return in, 0, errors.New("generation: is missing")
 	}
-	in = listed{version: *told.Generation, whole: told.Reset, addresses: map[choice.ServerID]string{}}
+	in = listed{generation: *told.Generation, snapshot: told.Reset, addresses: map[choice.ServerID]string{}}
 	for i, t := range told.Instances {
 		e := choice.Entry{Server: choice.ServerID(t.InstanceID), Weight: 1}
 		switch t.Lifecycle {
--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -109,7 +109,7 @@
 		{"instanceId":"s-2","hostPort":"127.0.0.1:2","zone":"b","lifecycle":"draining","startedAtMs":0},
 		{"instanceId":"s-3","hostPort":"127.0.0.1:3","zone":"z","lifecycle":"up","startedAtMs":0},
 		{"instanceId":"s-4","zone":"b","lifecycle":"removed"}]}`))
-	if err != nil || unknown != 1 || !in.whole || in.version != 43 || len(in.entries) != 3 {
+	if err != nil || unknown != 1 || !in.snapshot || in.generation != 43 || len(in.entries) != 3 {
 		t.Fatalf("%+v %d %v", in, unknown, err)
 	}
 	if e := in.entries[0]; !e.Fresh || e.Started != 2500*time.Millisecond || e.Weight != 1.5 || in.addresses["s-1"] != "127.0.0.1:1" {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -41,11 +41,11 @@
 	soon(t, "a list waits to be handed on", func() bool { return in.book.counts[listsIn].Load() == 1 })
 	w.letGo()
 	<-over
-	if got := held.version(); got != 41 {
+	if got := held.generation(); got != 41 {
 		t.Fatalf("version %d is held, and was not handed on", got)
 	}
 	go in.watch(to(address), held)
-	if got := (<-inputs).(listed); got.version != 42 {
+	if got := (<-inputs).(listed); got.generation != 42 {
 		t.Errorf("%+v", got)
 	}
 }
@@ -136,8 +136,8 @@
 		for _, one := range drained(inputs) {
 			got = append(got, one.(listed).entries[0].Server)
 		}
-		if fmt.Sprint(got) != want[i] || held.version() != at || !strings.Contains(<-asked, "after=41") {
-			t.Errorf("watch %d: %v, version %d held", i+1, got, held.version())
+		if fmt.Sprint(got) != want[i] || held.generation() != at || !strings.Contains(<-asked, "after=41") {
+			t.Errorf("watch %d: %v, version %d held", i+1, got, held.generation())
 		}
 	}
 	if n := in.book.counts[spoilt].Load(); n != 3 {
@@ -528,3 +528,19 @@
 		t.Errorf("%d %s", n, end)
 	}
 }
+
+// Guards against a generation that was never true, as in a spoilt line that can be read, past which all that follows
+// counts as old for as long as the stream lasts.
+func TestAGenerationThatWasNeverTrue(t *testing.T) {
+	l := limits
+	l.GapMost = 0
+	held, all := &lists{held: 41, lowest: -1}, ""
+	for _, text := range []string{entry(93, false, "s-1") + entry(44, false, "s-2") + entry(45, false, "s-3") + "...",
+		entry(45, true, "s-4") + "...", entry(45, true, "s-5") + entry(46, false, "s-6")} {
+		ids, _ := watched(t, l, held, text)
+		all += fmt.Sprint(ids)
+	}
+	if all != "[s-1][][s-5 s-6]" || held.held != 46 {
+		t.Errorf("%s, %d held", all, held.held)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,7 +61,7 @@
 		return nil, fmt.Errorf("known: %v", err)
 	}
 	n.readiness.born, n.readiness.most = born, s.Limits.ReadyMost
-	n.born, n.known, n.held = born, known, &lists{held: known.version, lowest: -1}
+	n.born, n.known, n.held = born, known, &lists{held: known.generation, lowest: -1}
 	n.router = &router{
 		limits: s.Limits, born: born, manager: choice.New(s.Seed, s.Terms), inputs: make(chan any, s.Limits.Inputs),
 		backlog: newBacklog(s.Limits.CallsWait, n.book), probes: make(chan probe, s.Limits.ProbesWait),
@@ -147,7 +147,7 @@
 		n.hub = t.hub
 		go t.hub.oversee()
 	}
-	n.known.whole = true
+	n.known.snapshot = true
 	n.router.inputs <- n.known
 	go n.router.run(n.life.Done())
 	n.relay = newRelay(l, n.start.Relay, n.start.Groups, n.router.backlog, t)
@@ -180,7 +180,7 @@
 			return fmt.Errorf("status: %v", err)
 		}
 	}
-	n.book.tell("start", "name", n.start.Name, "listen", n.start.Listen, "version", n.known.version,
+	n.book.tell("start", "name", n.start.Name, "listen", n.start.Listen, "version", n.known.generation,
 		"servers", len(n.known.entries), "lanes", l.Lanes)
 	n.serve(ctx, t, signals, reread)
 	n.end()
@@ -251,7 +251,7 @@
 			return at, err
 		}
 		select {
-		case <-time.After(l.Again):
+		case <-time.After(l.BackoffLeast):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -71,7 +71,7 @@
 		if end != done {
 			r.book.say("relay", "outcome", string(end), "orders", rest.Count())
 		}
-		if n == 0 && (end != unknown || tries > 0) && !r.intake.rest(r.intake.stop) {
+		if n == 0 && (end != unknown || tries > 0) && !r.intake.backoff(r.intake.stop) {
 			return false
 		}
 		reply := make(chan later, 1)
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -144,7 +144,7 @@
 		r.decided(m.Applied(r.now, in.proxy, in.mark))
 	case listed:
 		maps.Copy(r.servers, in.addresses)
-		r.decided(m.Listed(r.now, in.whole, in.entries))
+		r.decided(m.Listed(r.now, in.snapshot, in.entries))
 		maps.DeleteFunc(r.servers, func(s choice.ServerID, _ string) bool { return !m.Knows(s) })
 	case listFailed:
 		r.decided(m.ListFailed(r.now))
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -17,7 +17,7 @@
 	Words: 64, LineUnnamed: 64, LineNamed: 1 << 10, LineNews: 1 << 10, LineList: 1 << 12, Answer: 1 << 10,
 	IdleMost: 3, FlowsMost: 10000, SpanMost: time.Minute, Stranger: time.Minute, SilentNamed: time.Minute, SilentNews: time.Minute, SilentWatch: time.Minute,
 	Opening: time.Minute, Connect: time.Second, Write: time.Second, RelayAnswer: time.Minute, ProbeAnswer: time.Minute,
-	Look: time.Millisecond, ReadyMost: time.Minute, GapMost: time.Minute, Again: time.Millisecond, AgainMost: 2 * time.Millisecond, LogEvery: time.Hour, LogWaits: 64, LogEnd: time.Minute,
+	Look: time.Millisecond, ReadyMost: time.Minute, GapMost: time.Minute, BackoffLeast: time.Millisecond, BackoffMost: 2 * time.Millisecond, LogEvery: time.Hour, LogWaits: 64, LogEnd: time.Minute,
 }
 
 var terms = choice.Terms{
@@ -33,7 +33,7 @@
 		probes: make(chan probe, limits.ProbesWait), listen: make(chan struct{}, 1), opened: func() {}, book: newBook(time.Hour, zerolog.Nop()),
 		proxies: map[choice.ProxyID]bool{}, unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{}}
 	r.backlog = newBacklog(limits.CallsWait, r.book)
-	r.take(listed{version: 1, whole: true, entries: []choice.Entry{{Server: "s-1", Zone: "a", Weight: 1}, {Server: "s-2", Zone: "b", Weight: 1}},
+	r.take(listed{generation: 1, snapshot: true, entries: []choice.Entry{{Server: "s-1", Zone: "a", Weight: 1}, {Server: "s-2", Zone: "b", Weight: 1}},
 		addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:1", "s-2": "127.0.0.1:2"}})
 	for p := range choice.ProxyID(2) {
 		r.take(joined{p + 1, "a", 5})
@@ -112,7 +112,7 @@
 	r := testRouter(t)
 	r.ordered()
 	r.now += time.Second
-	r.take(listed{version: 2, whole: true, entries: []choice.Entry{{Server: "s-2", Zone: "b", Weight: 1}}})
+	r.take(listed{generation: 2, snapshot: true, entries: []choice.Entry{{Server: "s-2", Zone: "b", Weight: 1}}})
 	if o := r.ordered(); !slices.Equal(o.Withdraw, []choice.ServerID{"s-1"}) {
 		t.Errorf("%+v", o)
 	}
@@ -138,7 +138,7 @@
 	for len(r.probes) > 0 {
 		<-r.probes
 	}
-	r.take(listed{version: 2, addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:9"}})
+	r.take(listed{generation: 2, addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:9"}})
 	r.decided(choice.Orders{Probe: []choice.ServerID{"s-1"}})
 	if p := <-r.probes; p.address != "127.0.0.1:9" {
 		t.Errorf("%+v", p)
@@ -153,7 +153,7 @@
 func TestAddressesFollowTheModule(t *testing.T) {
 	r := testRouter(t)
 	r.servers["s-gone"] = "127.0.0.1:3"
-	r.take(listed{version: 2, addresses: map[choice.ServerID]string{}})
+	r.take(listed{generation: 2, addresses: map[choice.ServerID]string{}})
 	if len(r.servers) != 2 {
 		t.Errorf("%v", r.servers)
 	}
@@ -177,7 +177,7 @@
 // Guards against an answer of what was at an address before: it says nothing of the server that has the name now.
 func TestAProbeOfAnOldAddressSaysNothing(t *testing.T) {
 	r := testRouter(t)
-	r.take(listed{version: 2, entries: []choice.Entry{{Server: "s-1", Zone: "a", Weight: 1}},
+	r.take(listed{generation: 2, entries: []choice.Entry{{Server: "s-1", Zone: "a", Weight: 1}},
 		addresses: map[choice.ServerID]string{"s-1": "127.0.0.1:9"}})
 	before := r.book.counts[probesDropped].Load()
 	r.take(probed{server: "s-1", address: "127.0.0.1:1", answer: choice.Unreached})
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -291,21 +291,21 @@
 		}
 		t.book.add(breaks, 1)
 		t.book.say(what, "lasted", millis(time.Since(began)), "opened", opened, "error", err)
-		if opened && time.Since(began) > t.limits.AgainMost {
+		if opened && time.Since(began) > t.limits.BackoffMost {
 			tries = 0
 		}
-		if tries > 0 && !t.rest(w.renew.Done()) {
+		if tries > 0 && !t.backoff(w.renew.Done()) {
 			return
 		}
 	}
 }
 
-// rest waits for a short time by chance; false where it is stopped meanwhile.
-func (t *intake) rest(stop <-chan struct{}) bool {
+// backoff waits for a short time by chance; false where it is stopped meanwhile.
+func (t *intake) backoff(stop <-chan struct{}) bool {
 	t.mu.Lock()
 	spread := t.chance.Float64()
 	t.mu.Unlock()
-	wait := t.limits.Again + time.Duration(spread*float64(t.limits.AgainMost-t.limits.Again))
+	wait := t.limits.BackoffLeast + time.Duration(spread*float64(t.limits.BackoffMost-t.limits.BackoffLeast))
 	select {
 	case <-time.After(wait):
 		return true
@@ -409,8 +409,8 @@
 // watch reads discovery's watch once, to its end.
 func (t *intake) watch(w *way, held *lists) (opened bool, err error) {
 	first, began := true, false
-	var gap time.Time // since when something that could not be read is missing
-	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.version(), 10)
+	var gap, stale time.Time // since when something that could not be read is missing; since when only older ones come
+	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.generation(), 10)
 	err = stream(w.open, t.limits, w.address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
 		opened = true
 		t.book.add(watchOpens, 1)
@@ -420,8 +420,10 @@
 			began = true
 			w.takeOver()
 		}
-		if !gap.IsZero() && time.Since(gap) >= t.limits.GapMost {
-			return errGap
+		for _, since := range []time.Time{gap, stale} {
+			if !since.IsZero() && time.Since(since) >= t.limits.GapMost {
+				return errGap
+			}
 		}
 		if len(bytes.TrimSpace(line)) == 0 {
 			return nil
@@ -442,19 +444,23 @@
 		first = false
 		if !held.admits(in, opening) {
 			t.book.add(listsOld, 1)
-			t.book.say("old_list", "version", in.version, "held", held.version())
-			if opening && in.whole {
+			t.book.say("old_list", "version", in.generation, "held", held.generation())
+			if opening && in.snapshot {
 				return errors.New("an older list than the one held")
 			}
+			if stale.IsZero() { // guards against all that follows a generation that was never true counting as old
+				stale = time.Now()
+			}
 			return nil
 		}
-		if in.whole || len(in.entries) > 0 { // else nothing has changed
+		stale = time.Time{}
+		if in.snapshot || len(in.entries) > 0 { // else nothing has changed
 			t.book.add(listsIn, 1)
 			if !give(in, t.inputs, w.open.Done()) {
 				return errStop // it is not held: guards against a change that the next watch takes for an old one
 			}
 		}
-		if in.whole {
+		if in.snapshot {
 			gap = time.Time{}
 		}
 		if gap.IsZero() {
@@ -466,9 +472,9 @@
 	return opened, err
 }
 
-var errGap = errors.New("what could not be read is asked for again")
+var errGap = errors.New("what is missing is asked for again")
 
-func (h *lists) version() int64 {
+func (h *lists) generation() int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.held
@@ -480,10 +486,10 @@
 func (h *lists) admits(in listed, opening bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	older := in.version < h.held || in.version == h.held && !in.whole && len(in.entries) > 0
-	if older && !(opening && in.whole && h.lowest >= 0 && in.version >= h.lowest) {
-		if opening && in.whole {
-			h.lowest = in.version
+	older := in.generation < h.held || in.generation == h.held && !in.snapshot && len(in.entries) > 0
+	if older && !(opening && in.snapshot && h.lowest >= 0 && in.generation >= h.lowest) {
+		if opening && in.snapshot {
+			h.lowest = in.generation
 		}
 		return false
 	}
@@ -494,7 +500,7 @@
 func (h *lists) took(in listed) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.held, h.lowest = in.version, -1
+	h.held, h.lowest = in.generation, -1
 }
 
 type probe struct {
--- a/internal/node/takein_test.go
+++ b/internal/node/takein_test.go
@@ -323,7 +323,7 @@
 
 func TestKeepOpensAtOnceThatWhichHadOpened(t *testing.T) {
 	l := limits
-	l.Again, l.AgainMost = time.Hour, time.Hour
+	l.BackoffLeast, l.BackoffMost = time.Hour, time.Hour
 	n, w := 0, to("")
 	testIntake(nil, l).keep(w, "news", newsBreaks, func() (bool, error) {
 		if n++; n == 2 {
