--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,6 +137,7 @@
 	} else if err != nil {
 		return fmt.Errorf("listen: %v", err)
 	}
+	defer at.Close()
 	defer n.end()
 	n.router.opened = n.readiness.open
 	t := &intake{limits: l, words: n.words, inputs: n.router.inputs, stop: n.life.Done(), book: n.book, ready: n.readiness.ready,
--- a/internal/node/takein.go
+++ b/internal/node/takein.go
@@ -404,13 +404,14 @@
 	mu     sync.Mutex
 	held   int64
 	lowest int64 // a whole list that is older than held, told at the opening of the last watch
+	behind int   // watches in a row that brought only what is older
 }
 
 // watch reads discovery's watch once, to its end.
 func (t *intake) watch(w *way, held *lists) (opened bool, err error) {
 	first, began := true, false
 	var gap, stale time.Time // since when something that could not be read is missing; since when only older ones come
-	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.generation(), 10)
+	path := "/discovery/hosts?watch=1&after=" + strconv.FormatInt(held.from(), 10)
 	err = stream(w.open, t.limits, w.address, path, t.limits.SilentWatch, t.limits.LineList, func() error {
 		opened = true
 		t.book.add(watchOpens, 1)
@@ -420,10 +421,11 @@
 			began = true
 			w.takeOver()
 		}
-		for _, since := range []time.Time{gap, stale} {
-			if !since.IsZero() && time.Since(since) >= t.limits.GapMost {
-				return errGap
-			}
+		if !gap.IsZero() && time.Since(gap) >= t.limits.GapMost {
+			return errGap
+		} else if !stale.IsZero() && time.Since(stale) >= t.limits.GapMost {
+			held.fellBehind()
+			return errGap
 		}
 		if len(bytes.TrimSpace(line)) == 0 {
 			return nil
@@ -480,6 +482,20 @@
 	return h.held
 }
 
+// from is the generation to ask from: that held, or the beginning where discovery brings only what is older. Guards
+// against a generation that was never true, which a discovery may take for news to come.
+func (h *lists) from() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return either(h.behind > 1, 0, h.held)
+}
+
+func (h *lists) fellBehind() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.behind++
+}
+
 // admits tells whether a list is news. An older one never replaces a newer by accident: a whole
 // list with a lower version is taken only where two watches in a row open with one, as after
 // discovery began anew.
@@ -500,7 +516,7 @@
 func (h *lists) took(in listed) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.held, h.lowest = in.generation, -1
+	h.held, h.lowest, h.behind = in.generation, -1, 0
 }
 
 type probe struct {
