Who is told again still costs its table's lines; groups that keep to their zone get tables

At fault: choice/state.go Joined took a proxy that is told again for one without a table, so lines to that table cost it nothing on the books until it was bound again, and all on the channel. internal/terms did not read domain.homeOnly, and every proxy was bound to one table for all groups.

Change: who is told again counts among its table's users until it is bound anew. Elsewhere no order changes: the golden digests stay, printed in their old form.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,6 +75,7 @@
 	}
 	for g, group := range t.Groups {
 		m.byUtility, m.mayTry = append(m.byUtility, GroupID(g)), append(m.mayTry, mayTry(t.UsualTries, group))
+		m.home, m.roaming = m.home|either[uint](group.Home, 1<<g, 0), m.roaming|either[uint](group.Home, 0, 1<<g)
 	}
 	slices.SortStableFunc(m.byUtility, func(a, b GroupID) int {
 		// of equal utility, the shorter budget tells of less work
@@ -257,6 +258,7 @@
 // lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
 func (m *Manager) lookForBare() {
 	m.bareWaits, m.drains = slices.ContainsFunc(m.tables, m.bare), m.leaving() != nil
+	m.urgent = m.urgent || slices.ContainsFunc(m.tables, m.homeless)
 	m.urgent = m.urgent || m.bareWaits
 }
 
@@ -446,18 +448,30 @@
 	}
 	// under overload each further try takes room from a first one
 	left, open := m.line, math.IsInf(m.line, 1)
+	flows, homes := max(sum(sums), 1e-9), 0.0
+	for g := range sums {
+		homes += either(m.home&(1<<g) != 0, sums[g], 0)
+	}
+	// guards servers of a zone that lost most of them: what keeps to it is let in as far as they get flows
+	home := 1.0
+	if homes > 0 {
+		home = min(1, coldFill*m.homePart(m.tables[z])*flows/homes)
+	}
 	for _, g := range m.byUtility {
 		part, tries := min(1, left/max(sums[g], 1e-9)), either(open, m.mayTry[g], TryOnce)
 		l := Level{Table: TableID(z), Groups: 1 << g, Amount: m.amount(part, z, g), Tries: tries}
 		left = max(0, left-sums[g])
+		if m.home&(1<<g) != 0 {
+			l.Amount = m.amount(min(part, home), z, g)
+		}
 		was, stands := m.tables[z].levels[l.Groups]
 		if !stands {
 			was = Level{Amount: m.amount(1, z, g), Tries: m.usual}
 		}
 		moved := math.Abs(l.Amount-was.Amount) / max(l.Amount, was.Amount, 1e-9)
 		if moved > levelStep || l.Tries != was.Tries || part == 1 && l.Amount != was.Amount {
-			flows := m.solved[z] * sums[g] / max(sum(sums), 1e-9) * max(moved, levelStep)
-			moves = append(moves, move{Line: Line{Table: l.Table}, level: l, flows: flows})
+			moves = append(moves, move{Line: Line{Table: l.Table}, level: l,
+				flows: m.solved[z] * sums[g] / flows * max(moved, levelStep)})
 		}
 	}
 	return moves
@@ -543,10 +557,28 @@
 		clear(t.wanted)
 		least := leastLine * m.solved[z]
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
+		m.keepHome(t)
 		m.keepPinned(TableID(z), t, anyIn)
 	}
 }
 
+// keepHome wants a little of its own zone's servers in a table that would name none, where groups keep to it:
+// guards against proxies without a server for these while one is listed, whatever became of the zone.
+func (m *Manager) keepHome(t *table) {
+	if m.home == 0 || m.homePart(t) >= leastLine {
+		return
+	}
+	var own []*server
+	for _, s := range m.servers {
+		if m.ours(t.id, s) && m.open(s) && (!s.out || t.standing[s.id] > 0) {
+			own = append(own, s)
+		}
+	}
+	for _, s := range own {
+		t.wanted[s.id] = max(t.wanted[s.id], leastLine/float64(len(own)))
+	}
+}
+
 // keepPinned wants what staff hold a table at, of the servers that may get flows; a cold one gets its part by
 // its climb. Where too little of the weight is warm, the table is solved as ever. Guards against a hold that
 // leaves proxies without a server, or cold servers with the flows of their lost peers.
@@ -650,9 +682,9 @@
 	users, worth, moves := make([][]*proxy, len(m.tables)), make([]float64, len(m.tables)), []move{}
 	rest, held, late := false, false, false // waits: at all, urgent, for messages
 	sums := m.demands()
-	book := func(t TableID, need urgency) bool {
-		if m.room(users[t], 1, need) {
-			m.post(users[t], 1)
+	book := func(t TableID, lines float64, need urgency) bool {
+		if m.room(users[t], lines, need) {
+			m.post(users[t], lines)
 			return true
 		} else if rest = true; need == draining {
 			held, late = true, late || !m.mayWrite(users[t], need)
@@ -678,17 +710,18 @@
 	for i := 0; i < len(moves); i++ {
 		l, s, t := moves[i], m.server(moves[i].Server), m.tables[moves[i].Table]
 		if s == nil {
-			if book(l.Table, calm) {
+			if book(l.Table, 1, calm) {
 				m.setLevel(t, l.level)
 			}
 			continue
 		}
 		others, raised := m.usable(t, s), l.Weight > t.standing[s.id]
+		lines, need := either(m.ours(l.Table, s), 2.0, 1), either(math.IsInf(l.flows, 1), draining, calm)
 		early := l.Weight == 0 && others == 0 && !s.withdrawn ||
 			s.climbing && raised && l.Weight > coldMost*t.wanted[s.id]*(others+l.Weight)
 		if early && l.flows >= 0 {
 			moves = append(moves, move{Line: l.Line, flows: -1}) // guards against tables bare, or cold, meanwhile
-		} else if early || !book(l.Table, either(math.IsInf(l.flows, 1), draining, calm)) {
+		} else if early || !book(l.Table, lines, need) {
 			rest, s.unlaid = true, s.unlaid || l.Weight < t.standing[s.id]
 		} else {
 			m.stand(l.Line, s, t)
@@ -729,7 +762,7 @@
 // A table never becomes empty: without any server to name it stays as it is.
 func (m *Manager) differences(id TableID) (moves []move) {
 	t := m.tables[id]
-	scale, guards := t.scale(), m.bare(t) || m.floods(id)
+	scale, guards := t.scale(), m.bare(t) || m.homeless(t) || m.floods(id)
 	for _, s := range m.named(t) {
 		if s.withdrawn && !m.open(s) && !m.past(s) {
 			continue // its line does no harm
@@ -767,7 +800,12 @@
 	p := m.waitingProxy()
 	m.put(p)
 	m.post([]*proxy{p}, m.whole(m.tables[p.block]))
-	m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block)})
+	if m.home == 0 || m.roaming != 0 {
+		m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block), either(m.home == 0, 0, m.roaming)})
+	}
+	if m.home != 0 {
+		m.o.Bind = append(m.o.Bind, Place{p.id, HomeTables + TableID(p.block), m.home})
+	}
 }
 
 // Again tells how many of the orders that go out once more, or late, may go now, and their mark: they need
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -341,7 +341,7 @@
 
 func TestJoinedIsBoundOnlyToATableWithLines(t *testing.T) {
 	m := manager(2)
-	if o := m.Joined(time.Second, 7, "a", 5); len(o.Bind) != 1 || o.Bind[0] != (Place{7, 0}) {
+	if o := m.Joined(time.Second, 7, "a", 5); len(o.Bind) != 1 || o.Bind[0] != (Place{Proxy: 7}) {
 		t.Errorf("bound %v", o.Bind)
 	}
 	clear(m.tables[0].standing)
@@ -642,7 +642,7 @@
 func TestAgainCountsRepeatsAgainstTheQueue(t *testing.T) {
 	m := manager(2)
 	m.soon[pressing], m.rooms[pressing] = 15, 15
-	o := Orders{Lines: []Line{{0, "a0", 1}, {0, "a1", 2}, {1, "b0", 1}, {1, "b1", 1}}, Bind: []Place{{0, 0}, {9, 0}}}
+	o := Orders{Lines: []Line{{0, "a0", 1}, {0, "a1", 2}, {1, "b0", 1}, {1, "b1", 1}}, Bind: []Place{{Proxy: 0}, {Proxy: 9}}}
 	n, mark := m.Again(time.Second, 0, false, o)
 	if n != 4 || mark != 1 || m.waiting() != 4+2*5 {
 		t.Errorf("%d orders under mark %d, %v lines wait", n, mark, m.waiting())
@@ -1110,3 +1110,129 @@
 		}
 	}
 }
+
+// Guards against a queue that is overrun after a gap in the news: who is told again may never have left, and holds the
+// table that lines are sent to before it is bound again.
+func TestWhoIsToldAgainStillCosts(t *testing.T) {
+	m := manager(4)
+	m.place()
+	m.parted = false // so that nobody is bound meanwhile
+	before, held := len(m.users(0)), len(m.holders(m.server("a0")))
+	m.Joined(m.now+1, 0, "a", 5)
+	if p := m.proxy(0); p.bound {
+		t.Fatal("bound before its table was sent")
+	}
+	if got := len(m.users(0)); got != before || before == 0 {
+		t.Errorf("lines are booked for %d proxies, not %d", got, before)
+	}
+	if got := len(m.holders(m.server("a0"))); got != held {
+		t.Errorf("a withdrawal is booked for %d proxies, not %d", got, held)
+	}
+	m.Left(m.now+1, 0)
+	m.Joined(m.now+1, 0, "a", 5)
+	if got := len(m.users(0)); got != before-1 {
+		t.Errorf("who left is counted: %d", got)
+	}
+}
+
+// homely is a site whose second group keeps to its zone.
+func homely(n int) *Manager {
+	m := manager(n)
+	m.home, m.roaming = 2, 1
+	return m
+}
+
+// Guards against flows that leave the zone that they keep to: their table names their own zone's servers alone, whatever
+// the split spills, and proxies are put on it for them.
+func TestGroupsThatKeepToTheirZone(t *testing.T) {
+	site := terms
+	site.Groups = []Group{terms.Groups[0], terms.Groups[1]}
+	site.Groups[1].Home = true
+	m := New(1, site)
+	m.Listed(0, true, []Entry{{Server: "a0", Zone: "a", Weight: 1}, {Server: "b0", Zone: "b", Weight: 9}, {Server: "b1", Zone: "b", Weight: 9}})
+	var all Orders
+	take := func(o Orders) {
+		all.Lines, all.Levels, all.Bind = append(all.Lines, o.Lines...), append(all.Levels, o.Levels...), append(all.Bind, o.Bind...)
+	}
+	take(m.Joined(time.Second, 1, "a", 50))
+	take(m.Joined(time.Second, 2, "b", 5))
+	for i := range 5 {
+		at := time.Duration(i+2) * time.Second
+		for g := range GroupID(2) {
+			take(m.Used(at-1, Usage{Proxy: 1, Group: g, Flows: 50, Span: time.Second}))
+			take(m.Used(at-1, Usage{Proxy: 2, Group: g, Flows: 5, Span: time.Second}))
+		}
+		take(m.Woke(at))
+	}
+	of := map[ServerID]int{"a0": 0, "b0": 1, "b1": 1}
+	home, spilt := map[TableID]int{}, 0
+	for _, l := range all.Lines {
+		if l.Table >= HomeTables {
+			home[l.Table]++
+			if zone := int(l.Table-HomeTables) / m.blocks; of[l.Server] != zone {
+				t.Errorf("%s in the home table of zone %d", l.Server, zone)
+			}
+		} else if of[l.Server] != int(l.Table)/m.blocks {
+			spilt++
+		}
+	}
+	if len(home) != 2 || spilt == 0 {
+		t.Errorf("home tables %v, %d lines spilt: the test says nothing", home, spilt)
+	}
+	want := map[Place]bool{{1, 0, 1}: true, {1, HomeTables, 2}: true, {2, 1, 1}: true, {2, HomeTables + 1, 2}: true}
+	for _, b := range all.Bind {
+		if !want[b] {
+			t.Errorf("%+v", b)
+		}
+		delete(want, b)
+	}
+	if len(want) > 0 {
+		t.Errorf("not bound: %v", want)
+	}
+}
+
+// Guards against a zone's few servers that get all that keeps to it, and against a table that names none of them.
+func TestAZoneThatLostItsServersStillHasALine(t *testing.T) {
+	m := homely(4)
+	for _, id := range []ServerID{"a0", "a1", "a2", "a3"} {
+		m.server(id).out = true
+	}
+	m.cause, m.batch = "silence", true
+	m.solve()
+	if part := m.homePart(m.tables[0]); part < leastLine/2 || part > 2*leastLine {
+		t.Errorf("a lost zone's part of its table: %v", part)
+	}
+	for _, mv := range m.levels(0, []float64{30, 10}) {
+		if mv.level.Groups == 2 && mv.level.Amount > 0.1 {
+			t.Errorf("let in: %+v", mv.level)
+		}
+		if mv.level.Groups == 1 {
+			t.Errorf("a group that may leave its zone is held back: %+v", mv.level)
+		}
+	}
+	if m.solve(); m.homePart(m.tables[1]) < 0.3 {
+		t.Errorf("the other zone keeps %v", m.homePart(m.tables[1]))
+	}
+}
+
+// Levels of groups that keep to their zone go to its table, and what a proxy is put on costs both.
+func TestHomeTablesHaveTheirLevelsAndTheirCost(t *testing.T) {
+	m, plain := homely(4), manager(4)
+	m.setLevel(m.tables[1], Level{Table: 1, Groups: 2, Amount: 0.5})
+	m.setLevel(m.tables[1], Level{Table: 1, Groups: 1, Amount: 0.5})
+	if l := m.o.Levels; l[0].Table != HomeTables+1 || l[1].Table != 1 || len(m.tables[1].levels) != 2 {
+		t.Errorf("%+v", l)
+	}
+	if got, want := m.whole(m.tables[0]), plain.whole(plain.tables[0])+1+4; got != want {
+		t.Errorf("%v lines, not %v", got, want)
+	}
+	if m.homeless(m.tables[0]) {
+		t.Error("homeless with its lines standing")
+	}
+	for _, id := range []ServerID{"a0", "a1", "a2", "a3"} {
+		m.server(id).withdrawn = true
+	}
+	if !m.homeless(m.tables[0]) || plain.homeless(plain.tables[0]) {
+		t.Error("not homeless with all of its zone withdrawn, or where no group keeps to it")
+	}
+}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -332,15 +332,44 @@
 	if t.cost == 0 {
 		n := 1 + len(t.standing) + len(t.levels)
 		for id := range t.standing {
-			if s := m.server(id); s != nil && s.withdrawn {
-				n++
+			if s := m.server(id); s != nil {
+				ours := m.ours(t.id, s)
+				n += either(s.withdrawn, 1, 0) + either(ours, 1, 0) + either(ours && s.withdrawn, 1, 0)
 			}
 		}
-		t.cost = float64(n)
+		t.cost = float64(n + either(m.home != 0, 1, 0))
 	}
 	return t.cost
 }
 
+// ours tells whether a server is of a table's zone, where some groups keep to it.
+func (m *Manager) ours(id TableID, s *server) bool { return m.home != 0 && s.zone == int(id)/m.blocks }
+
+// homePart is the part of its wanted lines that a table has in its own zone.
+func (m *Manager) homePart(t *table) (part float64) {
+	for _, s := range m.named(t) {
+		if m.ours(t.id, s) {
+			part += t.wanted[s.id]
+		}
+	}
+	return part
+}
+
+// homeless tells whether no line of a table's own zone can be picked, and one is wanted.
+func (m *Manager) homeless(t *table) bool {
+	wanted := false
+	for id, w := range t.wanted {
+		s := m.server(id)
+		if s == nil || !m.ours(t.id, s) {
+			continue
+		}
+		if wanted = wanted || w > 0; t.standing[id] > 0 && !s.withdrawn {
+			return false
+		}
+	}
+	return wanted
+}
+
 // bare tells whether no line of a table can be picked.
 func (m *Manager) bare(t *table) bool {
 	for id, w := range t.standing {
--- a/choice/golden_test.go
+++ b/choice/golden_test.go
@@ -49,10 +49,38 @@
 	}
 }
 
+// asBefore prints orders in the form of when the digests were taken: a place had no groups, and has none where no group
+// keeps to its zone.
+func asBefore(o choice.Orders) any {
+	type place struct {
+		Proxy choice.ProxyID
+		Table choice.TableID
+	}
+	var bind []place
+	for _, b := range o.Bind {
+		if b.Groups != 0 {
+			return o
+		}
+		bind = append(bind, place{b.Proxy, b.Table})
+	}
+	return struct {
+		Withdraw []choice.ServerID
+		Lines    []choice.Line
+		Levels   []choice.Level
+		Readmit  []choice.ServerID
+		Bind     []place
+		Mark     choice.MarkID
+		Probe    []choice.ServerID
+		Listen   bool
+		Wake     time.Duration
+		Notes    []string
+	}{o.Withdraw, o.Lines, o.Levels, o.Readmit, bind, o.Mark, o.Probe, o.Listen, o.Wake, o.Notes}
+}
+
 func digest(s model.Shape, seed uint64) string {
 	f, sum, orders := model.New(s, seed), blake3.New(), 0
 	f.Seen = func(now time.Duration, o choice.Orders) {
-		fmt.Fprintf(sum, "%d %v\n", now, o)
+		fmt.Fprintf(sum, "%d %v\n", now, asBefore(o))
 		orders += o.Count()
 	}
 	f.Open()
--- a/choice/index.go
+++ b/choice/index.go
@@ -161,12 +161,13 @@
 // put notes that a proxy is bound to its block's table.
 func (m *Manager) put(p *proxy) {
 	m.place()
-	p.bound, m.waits = true, without(m.waits, p)
+	p.bound, p.holds, m.waits = true, false, without(m.waits, p)
 }
 
 // setLevel notes that a level was ordered.
 func (m *Manager) setLevel(t *table, l Level) {
 	t.levels[l.Groups], t.cost, m.least = l, 0, 0
+	l.Table += either(l.Groups&m.home != 0, HomeTables, 0)
 	m.o.Levels = append(m.o.Levels, l)
 }
 
@@ -185,15 +186,16 @@
 	}
 	if len(s.tables) > 0 {
 		slices.SortFunc(to, byNumber)
+		to = slices.Compact(to) // who waits may hold a table still
 	}
 	return to
 }
 
-// users are the proxies bound to a table, by number.
+// users are the proxies bound to a table, or that may be, by number.
 func (m *Manager) users(z int) (to []*proxy) {
 	m.place()
 	for _, p := range m.tables[z].dealt {
-		if p.bound {
+		if p.bound || p.holds {
 			to = append(to, p)
 		}
 	}
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -144,15 +144,15 @@
 	if n >= len(o.Withdraw) {
 		switch n -= len(o.Withdraw); {
 		case n < len(o.Lines):
-			return m.users(int(o.Lines[n].Table)), 1
+			return m.users(int(o.Lines[n].Table &^ HomeTables)), 1
 		case n < len(o.Lines)+len(o.Levels):
-			return m.users(int(o.Levels[n-len(o.Lines)].Table)), 1
+			return m.users(int(o.Levels[n-len(o.Lines)].Table &^ HomeTables)), 1
 		case n >= len(o.Lines)+len(o.Levels)+len(o.Readmit):
 			b := o.Bind[n-len(o.Lines)-len(o.Levels)-len(o.Readmit)]
 			if p := m.proxy(b.Proxy); p != nil {
 				to = []*proxy{p}
 			}
-			return to, m.whole(m.tables[b.Table])
+			return to, m.whole(m.tables[b.Table&^HomeTables])
 		}
 		n += len(o.Withdraw) - len(o.Lines) - len(o.Levels)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -44,6 +44,7 @@
 	rate     float64 // as told when it joined
 	joinedAt time.Duration
 	bound    bool
+	holds    bool            // what it was bound to before it was told again, for all that is known
 	sent     []time.Duration // messages within the span that a limit counts
 	flows    [][]figure      // by traffic group, the last samples
 }
@@ -62,6 +63,7 @@
 }
 
 type table struct {
+	id               TableID
 	wanted, standing map[ServerID]float64
 	levels           map[uint]Level // standing, by mask of groups
 	held             float64        // weight that staff hold it at; 0: none
@@ -94,6 +96,8 @@
 	byUtility               []GroupID // most useful first
 	usual                   Tries
 	mayTry                  []Tries // by traffic group
+	home                    uint    // mask of the groups that keep to their zone,
+	roaming                 uint    // and of the others
 	admit                   AdmitBy
 	climbBase               float64
 	warmAfter               time.Duration
@@ -207,7 +211,7 @@
 
 func (m *Manager) addTables() {
 	for len(m.tables) < len(m.zones)*m.blocks {
-		m.tables = append(m.tables, &table{wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
+		m.tables = append(m.tables, &table{id: TableID(len(m.tables)), wanted: map[ServerID]float64{}, standing: map[ServerID]float64{},
 			levels: map[uint]Level{}})
 	}
 }
@@ -265,6 +269,7 @@
 		clear(t.levels)
 		maps.Copy(t.standing, lines[TableID(z)])
 		maps.Copy(t.levels, levels[TableID(z)])
+		maps.Copy(t.levels, levels[HomeTables+TableID(z)])
 	}
 	for _, s := range m.servers {
 		s.withdrawn = pulled(s.id)
@@ -310,7 +315,8 @@
 	p.block = m.blockFor(p.zone)
 	if was := m.proxy(id); was != nil {
 		if p.flows, p.sent = was.flows, was.sent; p.zone == was.zone {
-			p.block = was.block
+			// guards against lines that cost nothing on the books, after a gap in the news, and go to all who never left
+			p.block, p.holds = was.block, was.bound || was.holds
 		}
 		m.leave(was)
 	}
@@ -402,6 +408,9 @@
 func (m *Manager) stand(l Line, s *server, t *table) {
 	m.place()
 	m.o.Lines, t.cost, m.least = append(m.o.Lines, l), 0, 0
+	if m.ours(l.Table, s) {
+		m.o.Lines = append(m.o.Lines, Line{HomeTables + l.Table, l.Server, l.Weight})
+	}
 	i, names := slices.BinarySearch(s.tables, l.Table)
 	if !names {
 		s.quietFrom = m.now
--- a/choice/types.go
+++ b/choice/types.go
@@ -48,6 +48,7 @@
 	Utility float64
 	Repeat  Repeat
 	Window  time.Duration
+	Home    bool // its flows keep to the servers of their proxy's zone
 }
 
 // AdmitBy says in what unit proxies take a level.
@@ -128,12 +129,17 @@
 	Tries  Tries
 }
 
-// Place puts a proxy on a table for all groups.
+// Place puts a proxy on a table for the groups of a mask.
 type Place struct {
-	Proxy ProxyID
-	Table TableID
+	Proxy  ProxyID
+	Table  TableID
+	Groups uint // 0: all
 }
 
+// HomeTables is from where on tables name only servers of their proxies' zone, for groups that keep to it: what is added
+// to the number of the table that they are part of.
+const HomeTables TableID = 1 << 15
+
 // Orders is what one call decided, to be carried out in the order of the fields.
 type Orders struct {
 	Withdraw []ServerID
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for _, b := range o.Bind {
-		if !put("bind", strconv.Itoa(int(b.Proxy)), strconv.Itoa(int(b.Table)), "*") {
+		if !put("bind", strconv.Itoa(int(b.Proxy)), strconv.Itoa(int(b.Table)), masked(b.Groups, groups)) {
 			return text
 		}
 	}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -12,7 +12,7 @@
 func Empty(o choice.Orders) bool { return o.Count() == 0 && o.Mark == 0 }
 
 // Fold gives the latest state that orders, one after another, come to: by table and server, table
-// and groups, proxy and server. Drains stay first and the last mark last. It keeps what the order
+// and groups, proxy and groups, and server. Drains stay first and the last mark last. It keeps what the order
 // guards: a server is let back in and a proxy bound only after the lines that they are to find.
 func Fold(all ...choice.Orders) choice.Orders {
 	if len(all) == 1 {
@@ -24,7 +24,11 @@
 		groups uint
 	}
 	var f choice.Orders
-	out, proxies, seen := map[choice.ServerID]bool{}, map[choice.ProxyID]bool{}, map[place]bool{}
+	type bound struct {
+		proxy  choice.ProxyID
+		groups uint
+	}
+	out, proxies, seen := map[choice.ServerID]bool{}, map[bound]bool{}, map[place]bool{}
 	// from the last back, the first that names a thing is its latest state; turned round at the end
 	for i := len(all) - 1; i >= 0; i-- {
 		o := all[i]
@@ -32,8 +36,8 @@
 			f.Mark = o.Mark
 		}
 		for j := len(o.Bind) - 1; j >= 0; j-- {
-			if b := o.Bind[j]; !proxies[b.Proxy] {
-				proxies[b.Proxy], f.Bind = true, append(f.Bind, b)
+			if b := o.Bind[j]; !proxies[bound{b.Proxy, b.Groups}] {
+				proxies[bound{b.Proxy, b.Groups}], f.Bind = true, append(f.Bind, b)
 			}
 		}
 		for j := len(o.Readmit) - 1; j >= 0; j-- {
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -270,7 +270,7 @@
 		fmt.Fprintf(h.out, "PULL\t%d\t%s\t0\n", who, s)
 	}
 	for _, b := range o.Bind {
-		fmt.Fprintf(h.out, "SUBSCRIBE_TO\t%d\t0\t%d\t%d\n", who, b.Proxy, b.Table)
+		fmt.Fprintf(h.out, "SUBSCRIBE_TO\t%d\t%d\t%d\t%d\n", who, b.Groups, b.Proxy, b.Table)
 	}
 	if o.Mark > 0 {
 		one.manager.Entered(one.now, o.Mark) // a reply takes effect at once
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -33,6 +33,7 @@
 			EgressPerS, Envelope, QueueCap float64
 			LineFee                        float64
 			ReloadSpanUs                   int64
+			HomeOnly                       []bool
 		}
 		Limits struct {
 			Probing    bool
@@ -97,7 +98,7 @@
 			return t, nil, fmt.Errorf("classes[%d]: name, aimUs and hardLimitUs above 0 and worth from 0 are due", i)
 		}
 		group := choice.Group{Budget: span(g.AimUs), Expiry: span(g.HardLimitUs),
-			Utility: g.Worth, Window: span(g.WindowUs)}
+			Utility: g.Worth, Window: span(g.WindowUs), Home: i < len(in.Domain.HomeOnly) && in.Domain.HomeOnly[i]}
 		switch {
 		case g.Repeat == "idempotent":
 			group.Repeat = choice.Retriable
