--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -30,7 +30,9 @@
 		{"discovery is silent", true, func(v *versioned) { v.Discovery.Silence(true) }},
 		{"discovery is out of reach", true, func(v *versioned) { v.Discovery.Close() }},
 		{"the relay is busy", true, func(v *versioned) {
-			v.Relay.Fault = func(call int) stand.Fault { return either(call%3 != 0, stand.Busy, stand.None) }
+			v.Relay.Set(func(r *stand.Relay) {
+				r.Fault = func(call int) stand.Fault { return either(call%3 != 0, stand.Busy, stand.None) }
+			})
 		}},
 		{"the relay is silent", false, func(v *versioned) {
 			v.Relay.Address = server(t, func(c net.Conn) { io.Copy(io.Discard, c) })
@@ -43,13 +45,15 @@
 			soon(t, "all joined", func() bool { return v.now.book.counts[joinsIn].Load() == proxies })
 			v.now.Stop(false)
 			bound, done := map[string]bool{}, make(chan struct{})
-			v.Relay.Ordered = func(_ time.Time, kind, about string) {
-				if kind == "bind" && !bound[about] {
-					if bound[about] = true; len(bound) == proxies {
-						close(done)
+			v.Relay.Set(func(r *stand.Relay) {
+				r.Ordered = func(_ time.Time, kind, about string) {
+					if kind == "bind" && !bound[about] {
+						if bound[about] = true; len(bound) == proxies {
+							close(done)
+						}
 					}
 				}
-			}
+			})
 			one.trouble(v)
 			began := time.Now()
 			if err := v.Rig.Begin(); err != nil {
--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -120,6 +120,13 @@
 	r.server.Close()
 }
 
+// Set changes what it does, or tells, while calls may be under way.
+func (r *Relay) Set(change func(r *Relay)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r)
+}
+
 // Knows names servers that discovery told.
 func (r *Relay) Knows(entries ...Entry) {
 	r.mu.Lock()
