Withdrawals go once more alone, before all that waited for a relay out of reach

Log of n1: event=relay outcome=unsent at 13.24, 14.48 and 15.94 with 2, 287 and 408 orders, news reset at 16.882, no unsent after; so the relay was back by 17.1 s and the first call held withdrawals and 408 lines, levels and bindings: one message for each proxy, as long as all of that, in a channel of some thousand lines a second.

Ruled out: dials that wait (no unsent after 16.94).

At fault: choice.go Again, which let all go under one mark; differences and lay, for groups that keep to their zone.

Change: where withdrawals go once more, nothing goes with them; what is kept of a zone that does not answer is not raised, and its last line goes after those beside it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -717,7 +717,7 @@
 		}
 		others, raised := m.usable(t, s), l.Weight > t.standing[s.id]
 		lines, need := either(m.ours(l.Table, s), 2.0, 1), either(math.IsInf(l.flows, 1), draining, calm)
-		early := l.Weight == 0 && others == 0 && !s.withdrawn ||
+		early := l.Weight == 0 && (others == 0 || m.lastOurs(t, s)) && !s.withdrawn ||
 			s.climbing && raised && l.Weight > coldMost*t.wanted[s.id]*(others+l.Weight)
 		if early && l.flows >= 0 {
 			moves = append(moves, move{Line: l.Line, flows: -1}) // guards against tables bare, or cold, meanwhile
@@ -769,6 +769,9 @@
 		}
 		was, weight := t.standing[s.id], math.Round(t.wanted[s.id]*scale*1000)/1000
 		differs := either(t.held > 0, 0, m.lineDiffers)
+		if m.home != 0 && s.out && weight > was && m.anyIn() {
+			continue // what is kept of a lost zone is what stands
+		}
 		moved := (weight == 0) != (was == 0) || math.Abs(weight-was) > differs*max(weight, was)
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
@@ -813,7 +816,8 @@
 func (m *Manager) Again(now time.Duration, from MarkID, carried bool, o Orders) (n int, mark MarkID) {
 	m.now = now
 	m.unbook(from, carried)
-	for n < o.Count() {
+	// withdrawals go before all else: guards against drains kept late by the length of what goes with them
+	for n < o.Count() && (n == 0 || n != len(o.Withdraw)) {
 		to, lines := m.concerned(o, n)
 		if !m.room(to, lines, either(n < len(o.Withdraw), draining, pressing)) {
 			break
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1236,3 +1236,37 @@
 		t.Error("not homeless with all of its zone withdrawn, or where no group keeps to it")
 	}
 }
+
+// Guards against drains that are kept late once the relay is back: each proxy's message would be as long as all that
+// waited, and the last would get its withdrawals seconds later.
+func TestWithdrawalsGoOnceMoreBeforeAllElse(t *testing.T) {
+	m := manager(4)
+	o := Orders{Withdraw: []ServerID{"a0", "a1"}, Lines: []Line{{0, "a2", 1}, {0, "a3", 2}}}
+	if n, mark := m.Again(m.now+1, 0, false, o); n != 2 || mark == 0 {
+		t.Errorf("%d orders at first, mark %d", n, mark)
+	}
+	o.Withdraw = nil
+	if n, _ := m.Again(m.now+1, 0, false, o); n != 2 {
+		t.Errorf("%d orders then", n)
+	}
+}
+
+// Guards against a home table that loses its last line before another is laid, and against raising what is kept of a
+// zone that does not answer.
+func TestTheLastLineOfAZoneGoesAfterOthers(t *testing.T) {
+	m := homely(2)
+	if m.lastOurs(m.tables[0], m.server("a0")) {
+		t.Error("a1 stands too")
+	}
+	if m.server("a1").withdrawn = true; !m.lastOurs(m.tables[0], m.server("a0")) || m.lastOurs(m.tables[0], m.server("b0")) {
+		t.Error("a0 is the last of zone a, b0 is not of it")
+	}
+	m = homely(2)
+	m.server("a0").out, m.server("a1").out = true, true
+	m.tables[0].standing["a0"], m.tables[0].wanted["a0"] = 1e-3, 0.5
+	for _, mv := range m.differences(0) {
+		if mv.Server == "a0" {
+			t.Errorf("raised: %+v", mv)
+		}
+	}
+}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -355,6 +355,19 @@
 	return part
 }
 
+// lastOurs tells whether a server's line is the last of its table's own zone that can be picked.
+func (m *Manager) lastOurs(t *table, but *server) bool {
+	if !m.ours(t.id, but) {
+		return false
+	}
+	for id, w := range t.standing {
+		if s := m.server(id); s != nil && s != but && w > 0 && !s.withdrawn && m.ours(t.id, s) {
+			return false
+		}
+	}
+	return true
+}
+
 // homeless tells whether no line of a table's own zone can be picked, and one is wanted.
 func (m *Manager) homeless(t *table) bool {
 	wanted := false
