--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,7 +48,8 @@
 	queueBatch, perBatch        = 0.5, 0.6      // of the queue and a proxy's messages: for batches,
 	queueUrgent, perUrgent      = 0.75, 0.8     // joining proxies and tables that must change at once,
 	queueDrain                  = 0.9           // and drains;
-	soonCalm, soonUrgent        = 1.0, 2.0      // seconds of lines, against a queue that holds a minute's
+	soonCalm, soonUrgent        = 1.0, 2.0      // seconds of lines, against a queue that holds a minute's,
+	soonAlong                   = 0.5           // and with what may go along with drains that go out late
 	pressureLow, pressureHigh   = 0.26, 0.32    // of the budget: the line moves up, and down
 	calmLow, calmHigh, calmMost = 1.5, 2.0, 0.3 // of the calmest so far, this at most, if that is more
 	dropsHigh                   = 0.25          // share of drops at which it moves down between them
@@ -803,12 +804,6 @@
 	p := m.waitingProxy()
 	m.put(p)
 	m.post([]*proxy{p}, m.whole(m.tables[p.block]))
-	if m.home == 0 || m.roaming != 0 {
-		m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block), either(m.home == 0, 0, m.roaming)})
-	}
-	if m.home != 0 {
-		m.o.Bind = append(m.o.Bind, Place{p.id, HomeTables + TableID(p.block), m.home})
-	}
 }
 
 // Again tells how many of the orders that go out once more, or late, may go now, and their mark: they need
@@ -816,10 +811,12 @@
 func (m *Manager) Again(now time.Duration, from MarkID, carried bool, o Orders) (n int, mark MarkID) {
 	m.now = now
 	m.unbook(from, carried)
-	// withdrawals go before all else: guards against drains kept late by the length of what goes with them
-	for n < o.Count() && (n == 0 || n != len(o.Withdraw)) {
+	for n < o.Count() {
 		to, lines := m.concerned(o, n)
-		if !m.room(to, lines, either(n < len(o.Withdraw), draining, pressing)) {
+		drain := n < len(o.Withdraw)
+		// guards against drains kept late by all that goes with them: a proxy's message is as long as that
+		along := drain || len(o.Withdraw) == 0 || m.waiting() <= soonAlong*m.soon[calm]
+		if !along || !m.room(to, lines, either(drain, draining, pressing)) {
 			break
 		}
 		m.post(to, lines)
--- a/choice/index.go
+++ b/choice/index.go
@@ -158,10 +158,16 @@
 	}
 }
 
-// put notes that a proxy is bound to its block's table.
+// put notes that a proxy was bound to its block's table, and to its part for the groups that keep to their zone.
 func (m *Manager) put(p *proxy) {
 	m.place()
 	p.bound, p.holds, m.waits = true, false, without(m.waits, p)
+	if m.home == 0 || m.roaming != 0 {
+		m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block), either(m.home == 0, 0, m.roaming)})
+	}
+	if m.home != 0 {
+		m.o.Bind = append(m.o.Bind, Place{p.id, HomeTables + TableID(p.block), m.home})
+	}
 }
 
 // setLevel notes that a level was ordered.
