A table that staff hold keeps a line of its own zone too

Seen by reading: keepPinned empties what keepHome put into a table, so that a held table could name none of its zone's servers.

Change: keepHome comes after it. No order changes where no group keeps to its zone (golden digests).

Measured: tests of choice green.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -558,25 +558,8 @@
 		clear(t.wanted)
 		least := leastLine * m.solved[z]
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
-		m.keepHome(t)
 		m.keepPinned(TableID(z), t, anyIn)
-	}
-}
-
-// keepHome wants a little of its own zone's servers in a table that would name none, where groups keep to it:
-// guards against proxies without a server for these while one is listed, whatever became of the zone.
-func (m *Manager) keepHome(t *table) {
-	if m.home == 0 || m.homePart(t) >= leastLine {
-		return
-	}
-	var own []*server
-	for _, s := range m.servers {
-		if m.ours(t.id, s) && m.open(s) && (!s.out || t.standing[s.id] > 0) {
-			own = append(own, s)
-		}
-	}
-	for _, s := range own {
-		t.wanted[s.id] = max(t.wanted[s.id], leastLine/float64(len(own)))
+		m.keepHome(t)
 	}
 }
 
@@ -602,6 +585,23 @@
 	}
 }
 
+// keepHome wants a little of its own zone's servers in a table that would name none, where groups keep to it:
+// guards against proxies without a server for these while one is listed, whatever became of the zone.
+func (m *Manager) keepHome(t *table) {
+	if m.home == 0 || m.homePart(t) >= leastLine {
+		return
+	}
+	var own []*server
+	for _, s := range m.servers {
+		if m.ours(t.id, s) && m.open(s) && (!s.out || t.standing[s.id] > 0) {
+			own = append(own, s)
+		}
+	}
+	for _, s := range own {
+		t.wanted[s.id] = max(t.wanted[s.id], leastLine/float64(len(own)))
+	}
+}
+
 // counts is what a proxy's flows count for in the split. Guards, while servers climb, against tables full of
 // cold servers for a zone of which little is heard, when the rest comes.
 func (m *Manager) counts(p *proxy, heard float64, cold bool) float64 {
