--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -289,11 +289,7 @@
 func TestAnEndBeforeTheStartIsDone(t *testing.T) {
 	s := testStart(t)
 	s.Limits.ListenMost = time.Hour
-	before, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer before.Close()
+	occupied(t, s.Listen)
 	n, err := New(s, io.Discard)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,6 +23,17 @@
 		Terms: terms, Groups: []string{"lookup"}, Known: json.RawMessage(`{"generation":41,"instances":[]}`)}
 }
 
+// occupied has something listen at an address until the test ends.
+func occupied(t *testing.T, address string) net.Listener {
+	t.Helper()
+	at, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { at.Close() })
+	return at
+}
+
 func TestRunEndsOnSIGTERMWithItsCounters(t *testing.T) {
 	var text bytes.Buffer
 	s := testStart(t)
@@ -67,10 +78,7 @@
 func TestRunWaitsForItsAddress(t *testing.T) {
 	s := testStart(t)
 	s.Limits.ListenMost = time.Minute
-	before, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		t.Fatal(err)
-	}
+	before := occupied(t, s.Listen)
 	tried := time.AfterFunc(20*time.Millisecond, func() { before.Close() })
 	defer tried.Stop()
 	at, err := listen(context.Background(), s.Listen, s.Limits)
@@ -84,11 +92,7 @@
 func TestAnEndReachesAStartThatWaitsForItsAddress(t *testing.T) {
 	s := testStart(t)
 	s.Limits.ListenMost = time.Hour
-	before, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer before.Close()
+	occupied(t, s.Listen)
 	ctx, end := context.WithCancel(context.Background())
 	end()
 	if at, err := listen(ctx, s.Listen, s.Limits); err == nil {
