The form of measured slopes: costs, axes, shapes

Need: the measurement and the capacity page are built side by side and share one file format. Change: internal/scale holds the types of a report; nothing measures yet. Measured: builds.

--- /dev/null
+++ b/internal/scale/slopes.go
@@ -0,0 +1,120 @@
+// Package scale measures how the cost of a manager, and of the control side that serves it, grows along each axis of
+// a fleet, one axis at a time, and fits a base and a slope to what it measured. It must never be imported by the daemon.
+package scale
+
+import "math"
+
+// ReportVersion is the version of the file format of a Report.
+const ReportVersion = 1
+
+// Axis is one dimension of a fleet's size.
+type Axis string
+
+// Axes along which costs are measured.
+const (
+	Servers         Axis = "servers"
+	Proxies         Axis = "proxies"
+	Zones           Axis = "zones"
+	TrafficGroups   Axis = "traffic-groups"
+	Managers        Axis = "managers" // that read one list
+	ListChanges     Axis = "list-changes-per-second"
+	Reports         Axis = "reports-per-second"
+	RestartsAtOnce  Axis = "restarts-at-once"
+	OpeningListSize Axis = "opening-list-size" // entries
+)
+
+// Cost names what is measured.
+type Cost string
+
+// Costs of one manager, but for the last four, which are the control side's for all managers that it serves.
+const (
+	CPUPerInput            Cost = "cpu-per-input"             // seconds
+	CPUPerQuietSecond      Cost = "cpu-per-quiet-second"      // seconds, no input in it
+	CPUPerBusySecond       Cost = "cpu-per-busy-second"       // seconds, with the reference inputs
+	CPUPerListChange       Cost = "cpu-per-list-change"       // seconds
+	CPUPerOpening          Cost = "cpu-per-opening"           // seconds
+	LongestDecision        Cost = "longest-decision"          // seconds
+	HeapBytes              Cost = "heap-bytes"                // bytes held after a collection
+	BytesOfOpening         Cost = "bytes-of-opening"          // bytes of a whole list
+	BytesOfListChange      Cost = "bytes-of-list-change"      // bytes of one change on the wire
+	BytesOfReport          Cost = "bytes-of-report"           // bytes of one collector's line on a server
+	BytesOfUsage           Cost = "bytes-of-usage"            // bytes of one collector's line on a proxy
+	BytesOfNews            Cost = "bytes-of-news"             // bytes of one event of the relay
+	BytesOfCalls           Cost = "bytes-of-calls"            // bytes of a second's calls to the relay
+	BytesOfProbe           Cost = "bytes-of-probe"            // bytes of one probe and its answer
+	BytesOfHeartbeat       Cost = "bytes-of-heartbeat"        // bytes of a second's signs of life
+	ChangeInForceMedian    Cost = "change-in-force-p50"       // seconds until half of the managers' orders carry it
+	ChangeInForceTail      Cost = "change-in-force-p99"       // seconds, 99 in 100
+	ChangeInForceLast      Cost = "change-in-force-last"      // seconds, the last manager
+	ControlCPUPerManager   Cost = "control-cpu-per-manager"   // seconds of an opening
+	ControlHeapPerManager  Cost = "control-heap-per-manager"  // bytes
+	ControlBytesPerManager Cost = "control-bytes-per-manager" // bytes of an opening
+	ControlConnections     Cost = "control-connections"       // connections open
+)
+
+// Shape is the form of curve that fits best.
+type Shape string
+
+// Shapes that are tried, the simplest first.
+const (
+	Constant     Shape = "constant"
+	Linear       Shape = "linear"
+	Linearithmic Shape = "n-log-n"
+	Quadratic    Shape = "quadratic"
+)
+
+// Of is the shape's value at a size.
+func (s Shape) Of(size float64) float64 {
+	switch s {
+	case Linear:
+		return size
+	case Linearithmic:
+		return size * math.Log2(max(size, 1))
+	case Quadratic:
+		return size * size
+	}
+	return 0
+}
+
+// Point holds what the runs at one size gave, in the cost's unit.
+type Point struct {
+	Size float64   `json:"size"`
+	Runs []float64 `json:"runs"`
+}
+
+// Slope is how one cost grows along one axis, all other axes at the report's reference: Base + PerUnit*Shape.Of(size).
+type Slope struct {
+	Cost       Cost    `json:"cost"`
+	Axis       Axis    `json:"axis"`
+	Unit       string  `json:"unit"` // seconds, bytes or connections
+	Shape      Shape   `json:"shape"`
+	Base       float64 `json:"base"`
+	PerUnit    float64 `json:"perUnit"`
+	WorstError float64 `json:"worstError"` // largest relative distance of a point's median from the curve
+	Spread     float64 `json:"spread"`     // largest relative spread of runs at one size
+	Hollow     bool    `json:"hollow"`     // measured on hollow managers, not on real processes
+	Points     []Point `json:"points"`
+}
+
+// At is the fitted cost at a size.
+func (s Slope) At(size float64) float64 { return s.Base + s.PerUnit*s.Shape.Of(size) }
+
+// Report is what one run of the measurement found.
+type Report struct {
+	Version   int              `json:"version"`
+	Seed      uint64           `json:"seed"`
+	Cores     int              `json:"cores"`
+	GoVersion string           `json:"goVersion"`
+	Reference map[Axis]float64 `json:"reference"` // sizes of the axes that are held while one grows
+	Slopes    []Slope          `json:"slopes"`
+}
+
+// Find gives the slope of a cost along an axis; false where it was not measured.
+func (r Report) Find(cost Cost, axis Axis) (Slope, bool) {
+	for _, s := range r.Slopes {
+		if s.Cost == cost && s.Axis == axis {
+			return s, true
+		}
+	}
+	return Slope{}, false
+}
