Proxies of a lost manager are bound while servers drain, the first joined first

Cause: a trace of the survivor's calls (trial on a scratch copy): withdrawals went out at 16.97 s, proxy 200 joined at 17.32 s, so it got none of them; its binding waited for the next second (18.11, weigh held all newcomers while servers climb), then for the queue's room behind proxies of lower numbers that had joined later (19.20), and came into force at 20.24 s. Ruled out: withdrawals late or lost (all went in one call at once), restarted managers (they were not there before 19.88 s). Each part taken out turns a test red.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -494,12 +494,14 @@
 
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
 // guards against a table laid for a zone without proxies, as after a cut, that names cold servers only. It
-// waits for the next second, with the tables that it holds: hundreds join one by one after a restart.
-func (m *Manager) newcomer() bool { return m.joined }
+// waits for the next second, with the tables that it holds: hundreds join one by one after a restart. While
+// servers drain, which other managers' tables may name, it waits only where its own is colder than the fleet.
+func (m *Manager) newcomer() bool { return m.joined != nil }
 func (m *Manager) weigh() {
-	m.joined = false
-	if m.climbs() {
-		m.cause, m.unweighed = "join", true
+	t := m.joined
+	if m.joined = nil; m.climbs() {
+		m.cause = "join"
+		t.unweighed = t.unweighed || m.sets().drained == 0 || m.coldPart(t) > coldMost*m.coldShare
 	}
 }
 
@@ -519,8 +521,7 @@
 }
 
 func (m *Manager) solve() {
-	m.cause, m.batch, m.relisted, m.unweighed, m.heldBy = "", true, false, false, 0
-	m.solved = m.volumes()
+	m.cause, m.batch, m.relisted, m.heldBy, m.solved = "", true, false, 0, m.volumes()
 	var parts []part
 	var in []*server
 	anyIn := m.anyIn() // health never takes the last server of all
@@ -553,9 +554,11 @@
 		// guards against a sound server that gets the flows of all its weak peers, as after its climb
 		parts[i].target = min(parts[i].target, shareMost*all*max(s.weight, 1e-6)/listed)
 	}
+	m.coldShare = either(steady == 0, 1, cold/all)
 	shares := split(m.solved, parts, m.nearest(), m.closed)
 	for z, t := range m.tables {
 		clear(t.wanted)
+		t.unweighed = false
 		least := leastLine * m.solved[z]
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 		m.keepPinned(TableID(z), t, anyIn)
@@ -786,19 +789,19 @@
 	return moves
 }
 
-// A proxy that joins is put on its block's table as soon as the channel has room.
+// A proxy that joins is put on its block's table once the channel has room, the first that joined first.
 func (m *Manager) waitingProxy() *proxy {
 	spare := m.spare(pressing)
 	for _, p := range m.unboundWithin(spare) {
 		t := m.tables[p.block]
-		if !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
+		if !t.unweighed && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
 			return p
 		}
 	}
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool { return m.parted && !m.unweighed && m.waitingProxy() != nil }
+func (m *Manager) proxyWaits() bool { return m.parted && m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -372,6 +372,47 @@
 	}
 }
 
+// A release drains servers while another manager is lost: its proxies join one by one, and their tables may still name
+// the servers that drain.
+func TestProxiesOfALostManagerAreBoundWhileServersDrain(t *testing.T) {
+	m := manager(4)
+	m.due, m.servers[1].climbing, m.servers[1].startedAt = 2*time.Second, true, 0
+	m.tables[0].standing["a1"], m.coldShare = 10, 0.1
+	drained := Entry{Server: "a0", Zone: "a", Weight: 1, State: Draining}
+	if o := m.Listed(time.Second, false, []Entry{drained}); len(o.Withdraw) != 1 {
+		t.Fatalf("withdrawn %v", o.Withdraw)
+	}
+	for i := range 20 {
+		now := time.Second + time.Duration(i+1)*20*time.Millisecond
+		if o := m.Joined(now, ProxyID(10+i), "a", 5); len(o.Bind) != 1 {
+			t.Fatalf("proxy %d, which joined at %v, is not bound at once: %v", 10+i, now, o.Bind)
+		}
+	}
+}
+
+func TestAProxyWaitsForATableColderThanTheFleetAlsoWhileServersDrain(t *testing.T) {
+	m := manager(4)
+	m.servers[1].climbing, m.coldShare = true, 0.1
+	m.Listed(time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if o := m.Joined(time.Second+time.Millisecond, 10, "a", 5); len(o.Bind) != 0 {
+		t.Errorf("bound to a table with a third of cold servers: %v", o.Bind)
+	}
+	if o := m.Joined(time.Second+2*time.Millisecond, 11, "b", 5); len(o.Bind) != 1 {
+		t.Error("the other zone's table makes wait")
+	}
+}
+
+func TestWhoJoinedFirstIsBoundFirst(t *testing.T) {
+	m := manager(2)
+	m.soon[pressing], m.rooms[pressing] = 0, 0
+	m.Joined(time.Second, 9, "a", 5)
+	m.Joined(time.Second+time.Millisecond, 8, "a", 5)
+	m.soon[pressing], m.rooms[pressing] = 8, 8
+	if o := m.Woke(time.Second + 2*time.Millisecond); len(o.Bind) != 1 || o.Bind[0].Proxy != 9 {
+		t.Errorf("bound %v", o.Bind)
+	}
+}
+
 func TestRoomTakesTheChannelForSlowUntilMarksAreAnswered(t *testing.T) {
 	m := manager(2)
 	m.post(m.proxies, 240)
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -398,12 +398,8 @@
 
 // coldRise is by how much withdrawals raise the part of a table that its cold servers get, over what they were to get.
 func (m *Manager) coldRise(t *table) float64 {
-	cold, all, wantedCold, wanted := 0.0, 0.0, 0.0, 0.0
-	for id, w := range t.standing {
-		if s := m.server(id); s != nil && !s.withdrawn {
-			all, cold = all+w, cold+either(s.climbing, w, 0)
-		}
-	}
+	wantedCold, wanted := 0.0, 0.0
+	cold, all := m.standingWeights(t)
 	if cold == 0 {
 		return 0
 	}
@@ -415,6 +411,22 @@
 	return cold / all * wanted / max(wantedCold, leastLine*wanted)
 }
 
+// standingWeights sums the weights of a table's lines that can be picked: of the servers that climb, and of all.
+func (m *Manager) standingWeights(t *table) (cold, all float64) {
+	for id, w := range t.standing {
+		if s := m.server(id); s != nil && !s.withdrawn {
+			all, cold = all+w, cold+either(s.climbing, w, 0)
+		}
+	}
+	return cold, all
+}
+
+// coldPart is the part of a table's weights that servers have which climb.
+func (m *Manager) coldPart(t *table) float64 {
+	cold, all := m.standingWeights(t)
+	return cold / max(all, 1e-9)
+}
+
 // usable is the weight of a table's lines that can be picked, but for one server's.
 func (m *Manager) usable(t *table, but *server) (all float64) {
 	for id, w := range t.standing {
--- a/choice/index.go
+++ b/choice/index.go
@@ -14,7 +14,7 @@
 	sorted   bool // the sets of servers are as the servers are
 	kept     sets
 	placed   bool     // proxies are dealt to their tables, and servers know the tables that name them
-	waits    []*proxy // without a table, by number
+	waits    []*proxy // without a table, by when they joined
 	least    float64  // lines of the cheapest table that they wait for, bare ones left out; 0: to be counted anew
 	inside   float64  // lines of the queue that entered the channel, as marks show it,
 	outside  float64  // and that have not
@@ -26,6 +26,7 @@
 	leave    []*server // to be withdrawn
 	comeBack []*server // withdrawn, and may get flows
 	climb    int       // may get flows, and climb
+	drained  int       // withdrawn, and may get none
 }
 
 func (m *Manager) sets() *sets {
@@ -37,6 +38,8 @@
 				m.kept.leave = append(m.kept.leave, s)
 			case s.withdrawn && open:
 				m.kept.comeBack = append(m.kept.comeBack, s)
+			case s.withdrawn:
+				m.kept.drained++
 			}
 			if m.cold(s) {
 				m.kept.climb++
@@ -111,17 +114,22 @@
 			m.waits = append(m.waits, p)
 		}
 	}
+	slices.SortFunc(m.waits, byJoin)
 }
 
 func byNumber(p, q *proxy) int { return cmp.Compare(p.id, q.id) }
 
-func with(x []*proxy, p *proxy) []*proxy {
-	i, _ := slices.BinarySearchFunc(x, p, byNumber)
+func byJoin(p, q *proxy) int {
+	return cmp.Or(cmp.Compare(p.joinedAt, q.joinedAt), cmp.Compare(p.id, q.id))
+}
+
+func with(x []*proxy, p *proxy, order func(p, q *proxy) int) []*proxy {
+	i, _ := slices.BinarySearchFunc(x, p, order)
 	return slices.Insert(x, i, p)
 }
 
-func without(x []*proxy, p *proxy) []*proxy {
-	if i, ok := slices.BinarySearchFunc(x, p, byNumber); ok {
+func without(x []*proxy, p *proxy, order func(p, q *proxy) int) []*proxy {
+	if i, ok := slices.BinarySearchFunc(x, p, order); ok {
 		return slices.Delete(x, i, i+1)
 	}
 	return x
@@ -130,9 +138,9 @@
 // enter takes in a proxy that has no table.
 func (m *Manager) enter(p *proxy) {
 	m.place()
-	m.proxies, m.byNumber[p.id] = with(m.proxies, p), p
+	m.proxies, m.byNumber[p.id] = with(m.proxies, p, byNumber), p
 	t := m.tables[p.block]
-	t.dealt, m.waits = with(t.dealt, p), with(m.waits, p)
+	t.dealt, m.waits = with(t.dealt, p, byNumber), with(m.waits, p, byJoin)
 	m.weighLoad(t)
 	if m.least > 0 && !m.bare(t) {
 		m.least = min(m.least, m.whole(t))
@@ -141,10 +149,10 @@
 
 func (m *Manager) leave(p *proxy) {
 	m.place()
-	m.proxies = without(m.proxies, p)
+	m.proxies = without(m.proxies, p, byNumber)
 	delete(m.byNumber, p.id)
 	t := m.tables[p.block]
-	t.dealt, m.waits = without(t.dealt, p), without(m.waits, p)
+	t.dealt, m.waits = without(t.dealt, p, byNumber), without(m.waits, p, byJoin)
 	m.weighLoad(t)
 }
 
@@ -161,7 +169,7 @@
 // put notes that a proxy was bound to its block's table, and to its part for the groups that keep to their zone.
 func (m *Manager) put(p *proxy) {
 	m.place()
-	p.bound, p.holds, m.waits = true, false, without(m.waits, p)
+	p.bound, p.holds, m.waits = true, false, without(m.waits, p, byJoin)
 	if m.home == 0 || m.roaming != 0 {
 		m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block), either(m.home == 0, 0, m.roaming)})
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -70,6 +70,7 @@
 	cost             float64        // lines that a proxy put on it gets; 0: to be counted anew
 	dealt            []*proxy       // its block's, bound or not, by number
 	load             float64        // flows a second that those told
+	unweighed        bool           // a proxy that waits for it joined since it was solved, and is to wait for that
 }
 
 // owed is what was ordered at one time and no answered mark shows to have left the channel.
@@ -143,11 +144,11 @@
 	mark       MarkID
 	markedAt   time.Duration
 	asked      bool
-	relisted   bool // since the tables were solved
-	drains     bool // some server may have to be withdrawn
-	joined     bool // a proxy has
-	unweighed  bool // its flows are in no table
-	bareWaits  bool // some table has no line that can be picked
+	relisted   bool    // since the tables were solved
+	drains     bool    // some server may have to be withdrawn
+	joined     *table  // a proxy that is to be put on it has joined
+	coldShare  float64 // of all flows, that of the servers that climb, as the tables were solved last
+	bareWaits  bool    // some table has no line that can be picked
 	listedOnce bool
 	askFrom    time.Duration
 	doubted    int             // a zone that may be lost; below 0: none
@@ -321,7 +322,7 @@
 		m.leave(was)
 	}
 	m.enter(p)
-	m.joined = true
+	m.joined = m.tables[p.block]
 	return m.decide()
 }
 
