Newcomers wait for the next second while nothing drains: the rule by name, with its test

Need: the guard that keeps newcomers waiting while servers climb and none drains was found by no test; names of the rule were our own. Change: TestAProxyWaitsForTheNextSecondWhileServersClimbAndNoneDrains (red without it); proxyJoined, awaitSolve, awaitsSolve.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -101,7 +101,7 @@
 	{(*Manager).zoneDoubted, (*Manager).askZone},
 	{(*Manager).unstarted, (*Manager).start},
 	{(*Manager).secondOver, (*Manager).openSecond},
-	{(*Manager).newcomer, (*Manager).weigh},
+	{(*Manager).proxyJoined, (*Manager).awaitSolve},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
 	{(*Manager).readmitWaits, (*Manager).readmit},
@@ -496,12 +496,12 @@
 // guards against a table laid for a zone without proxies, as after a cut, that names cold servers only. It
 // waits for the next second, with the tables that it holds: hundreds join one by one after a restart. While
 // servers drain, which other managers' tables may name, it waits only where its own is colder than the fleet.
-func (m *Manager) newcomer() bool { return m.joined != nil }
-func (m *Manager) weigh() {
-	t := m.joined
-	if m.joined = nil; m.climbs() {
+func (m *Manager) proxyJoined() bool { return m.joinedTable != nil }
+func (m *Manager) awaitSolve() {
+	t := m.joinedTable
+	if m.joinedTable = nil; m.climbs() {
 		m.cause = "join"
-		t.unweighed = t.unweighed || m.sets().drained == 0 || m.coldPart(t) > coldMost*m.coldShare
+		t.awaitsSolve = t.awaitsSolve || m.sets().drained == 0 || m.coldPart(t) > coldMost*m.coldShare
 	}
 }
 
@@ -558,7 +558,7 @@
 	shares := split(m.solved, parts, m.nearest(), m.closed)
 	for z, t := range m.tables {
 		clear(t.wanted)
-		t.unweighed = false
+		t.awaitsSolve = false
 		least := leastLine * m.solved[z]
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 		m.keepPinned(TableID(z), t, anyIn)
@@ -794,7 +794,7 @@
 	spare := m.spare(pressing)
 	for _, p := range m.unboundWithin(spare) {
 		t := m.tables[p.block]
-		if !t.unweighed && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
+		if !t.awaitsSolve && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
 			return p
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -390,6 +390,17 @@
 	}
 }
 
+func TestAProxyWaitsForTheNextSecondWhileServersClimbAndNoneDrains(t *testing.T) {
+	m := manager(4)
+	m.due, m.servers[1].climbing, m.coldShare = 2*time.Second, true, 0.9
+	if o := m.Joined(time.Second, 10, "a", 5); len(o.Bind) != 0 {
+		t.Errorf("bound to a table that was solved without its flows: %v", o.Bind)
+	}
+	if o := m.Woke(2 * time.Second); len(o.Bind) != 1 {
+		t.Errorf("not bound in the next second: %v", o.Bind)
+	}
+}
+
 func TestAProxyWaitsForATableColderThanTheFleetAlsoWhileServersDrain(t *testing.T) {
 	m := manager(4)
 	m.servers[1].climbing, m.coldShare = true, 0.1
--- a/choice/state.go
+++ b/choice/state.go
@@ -70,7 +70,7 @@
 	cost             float64        // lines that a proxy put on it gets; 0: to be counted anew
 	dealt            []*proxy       // its block's, bound or not, by number
 	load             float64        // flows a second that those told
-	unweighed        bool           // a proxy that waits for it joined since it was solved, and is to wait for that
+	awaitsSolve      bool           // proxies that are to be put on it wait until it is solved anew
 }
 
 // owed is what was ordered at one time and no answered mark shows to have left the channel.
@@ -119,50 +119,50 @@
 
 type Manager struct {
 	bounds
-	chance     uint64
-	now        time.Duration
-	o          Orders
-	zones      []ZoneID
-	servers    []*server // by id
-	proxies    []*proxy  // by number
-	tables     []*table  // by block
-	blocks     int       // that a zone is cut into
-	parted     bool      // it is settled
-	pairs      [][]pair  // by zone of proxies, of servers
-	solved     []float64 // volumes last solved with
-	cause      string    // why the tables are to be solved anew
-	urgent     bool
-	heldAt     time.Duration // the batch found no room then
-	heldBy     int           // proxies of the least that was left of it; 0: it is tried again with each input
-	batch      bool          // a second has passed
-	due        time.Duration // when the next has
-	reportAt   time.Duration // the last came then
-	used       bool
-	queue      []owed
-	sent       float64 // lines that left of what entered the channel, until sentFrom
-	sentFrom   time.Duration
-	mark       MarkID
-	markedAt   time.Duration
-	asked      bool
-	relisted   bool    // since the tables were solved
-	drains     bool    // some server may have to be withdrawn
-	joined     *table  // a proxy that is to be put on it has joined
-	coldShare  float64 // of all flows, that of the servers that climb, as the tables were solved last
-	bareWaits  bool    // some table has no line that can be picked
-	listedOnce bool
-	askFrom    time.Duration
-	doubted    int             // a zone that may be lost; below 0: none
-	zoneAsked  []time.Duration // as a whole, by zone
-	line       float64         // flows a second that are let in, the most useful first
-	lineMoved  time.Duration
-	lineOf     float64   // what the proxies heard of told, times the weight able, as the line was moved last
-	calmest    float64   // the least latency over budget so far
-	peaks      []float64 // flows delivered a second, lately
-	hold       float64   // part of a climb below which cold servers wait
-	answers    []figure  // seconds that probes took, lately
-	loadTold   bool
-	wakeAt     time.Duration
-	pins       *pins // what staff hold the tables at
+	chance      uint64
+	now         time.Duration
+	o           Orders
+	zones       []ZoneID
+	servers     []*server // by id
+	proxies     []*proxy  // by number
+	tables      []*table  // by block
+	blocks      int       // that a zone is cut into
+	parted      bool      // it is settled
+	pairs       [][]pair  // by zone of proxies, of servers
+	solved      []float64 // volumes last solved with
+	cause       string    // why the tables are to be solved anew
+	urgent      bool
+	heldAt      time.Duration // the batch found no room then
+	heldBy      int           // proxies of the least that was left of it; 0: it is tried again with each input
+	batch       bool          // a second has passed
+	due         time.Duration // when the next has
+	reportAt    time.Duration // the last came then
+	used        bool
+	queue       []owed
+	sent        float64 // lines that left of what entered the channel, until sentFrom
+	sentFrom    time.Duration
+	mark        MarkID
+	markedAt    time.Duration
+	asked       bool
+	relisted    bool    // since the tables were solved
+	drains      bool    // some server may have to be withdrawn
+	joinedTable *table  // a proxy that is to be put on it has joined
+	coldShare   float64 // of all flows, that of the servers that climb, as the tables were solved last
+	bareWaits   bool    // some table has no line that can be picked
+	listedOnce  bool
+	askFrom     time.Duration
+	doubted     int             // a zone that may be lost; below 0: none
+	zoneAsked   []time.Duration // as a whole, by zone
+	line        float64         // flows a second that are let in, the most useful first
+	lineMoved   time.Duration
+	lineOf      float64   // what the proxies heard of told, times the weight able, as the line was moved last
+	calmest     float64   // the least latency over budget so far
+	peaks       []float64 // flows delivered a second, lately
+	hold        float64   // part of a climb below which cold servers wait
+	answers     []figure  // seconds that probes took, lately
+	loadTold    bool
+	wakeAt      time.Duration
+	pins        *pins // what staff hold the tables at
 	index
 }
 
@@ -322,7 +322,7 @@
 		m.leave(was)
 	}
 	m.enter(p)
-	m.joined = m.tables[p.block]
+	m.joinedTable = m.tables[p.block]
 	return m.decide()
 }
 
