A zone of hundreds of even servers gets lines: the least is bounded by the largest

Cause: solve drops lines under 0.005 of a table; an even share of 273 is 0.0037. Change: the bound is at most half of the table's largest line.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	usualVolume                 = 0.5           // of what a proxy usually gets, while servers climb
 	volumeMoved                 = 0.2           // part by which a volume moves before a new split
 	lineDiffers, linePriced     = 0.1, 1.5      // part by which a weight moves, more for what a line costs
-	leastLine                   = 0.005         // part of a table below which a server has no line
+	leastLine, leastOfLargest   = 0.005, 0.5    // part of a table, and of its largest line, below which there is none
 	levelStep                   = 0.04          // part by which a level moves before it is sent
 	fullTries, enoughTries      = 6, 3          // that make figures full, and a server a peer
 	slowLatency                 = 1.25          // of the peers' median latency, not yet slow
@@ -559,7 +559,7 @@
 	for z, t := range m.tables {
 		clear(t.wanted)
 		t.awaitsSolve = false
-		least := leastLine * m.solved[z]
+		least := min(leastLine*m.solved[z], leastOfLargest*shares.largest(z)) // guards against hundreds of even ones
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 		m.keepPinned(TableID(z), t, anyIn)
 		m.keepHome(t)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1346,3 +1346,14 @@
 		}
 	}
 }
+
+// An even share of a zone of many servers is less than a line is usually worth.
+func TestATableOfHundredsOfEvenServersHasLines(t *testing.T) {
+	m := manager(300)
+	m.solve()
+	for z, table := range m.tables {
+		if len(table.wanted) != 300 {
+			t.Errorf("table %d has %d lines of 300 even servers", z, len(table.wanted))
+		}
+	}
+}
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -519,6 +519,17 @@
 	return s.given[z][i] + s.left[z]*s.by[i]/s.all
 }
 
+// largest is at most the largest share of a zone, and at least half of it.
+func (s shares) largest(z int) (largest float64) {
+	for _, x := range s.given[z] {
+		largest = max(largest, x)
+	}
+	if s.left[z] > 0 && len(s.by) > 0 {
+		largest = max(largest, s.left[z]*slices.Max(s.by)/s.all)
+	}
+	return largest
+}
+
 // above calls with all shares of a zone that are more than a bound. Where no part of what is left reaches the
 // bound by itself, only what was given is looked at: a fleet of thousands is not gone through for each table.
 func (s shares) above(z int, bound float64, take func(i int, x float64)) {
