--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,6 +64,7 @@
 	rateOpen                    = 1e6
 )
 
+// New makes a manager of a site; the same seed and the same inputs give the same orders.
 func New(seed uint64, t Terms) *Manager {
 	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, calmest: math.Inf(1)}
 	m.markedAt, m.heldAt, m.doubted, m.due = -1, -1, -1, time.Duration(m.random()*float64(batchEvery))
@@ -109,6 +110,7 @@
 	{(*Manager).unwoken, (*Manager).setWake},
 }
 
+// Listed takes the list of servers, whole or as changes of it.
 func (m *Manager) Listed(now time.Duration, whole bool, entries []Entry) Orders {
 	m.now = now
 	seen := map[ServerID]bool{}
@@ -172,6 +174,7 @@
 	return s.state == Ready || s.state == Gone && m.goneStays && m.probes
 }
 
+// Probed takes the outcome of a probe, how long it took, and the flows held that the server told; -1 without.
 func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, load float64) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && m.open(s) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -116,6 +116,7 @@
 	managers                float64
 }
 
+// Manager decides which servers each proxy zone uses; one goroutine owns it.
 type Manager struct {
 	bounds
 	chance     uint64
@@ -325,6 +326,7 @@
 	return m.decide()
 }
 
+// Left takes that a proxy has left.
 func (m *Manager) Left(now time.Duration, id ProxyID) Orders {
 	m.now = now
 	if p := m.proxy(id); p != nil {
@@ -333,6 +335,7 @@
 	return m.decide()
 }
 
+// Heard takes a collector's report of how tries of a server went.
 func (m *Manager) Heard(now time.Duration, r Report) Orders {
 	m.now = now
 	s := m.server(r.Server)
@@ -354,6 +357,7 @@
 	return m.decide()
 }
 
+// Used takes a report of a proxy's flows of one traffic group.
 func (m *Manager) Used(now time.Duration, u Usage) Orders {
 	m.now = now
 	if p := m.proxy(u.Proxy); p != nil && u.Span > 0 && int(u.Group) < len(m.budget) {
@@ -371,6 +375,7 @@
 	return m.decide()
 }
 
+// Woke takes that the time which was asked for by Orders.Wake has come.
 func (m *Manager) Woke(now time.Duration) Orders {
 	m.now = now
 	return m.decide()
--- a/choice/types.go
+++ b/choice/types.go
@@ -5,20 +5,29 @@
 import "time"
 
 type (
+	// ServerID names a server.
 	ServerID string
-	ZoneID   string
-	ProxyID  int
-	GroupID  int // position of a traffic group in what the site states
-	TableID  int
-	MarkID   int
+	// ZoneID names a zone.
+	ZoneID string
+	// ProxyID is the number of a proxy.
+	ProxyID int
+	// GroupID is the number of a traffic group.
+	GroupID int // position of a traffic group in what the site states
+	// TableID is the number of a table of servers and their weights.
+	TableID int
+	// MarkID is the number of a mark, which shows that the orders before it have left the channel.
+	MarkID int
 )
 
 // Condition is what the list says of a server.
 type Condition int
 
 const (
+	// Ready to take flows.
 	Ready Condition = iota
+	// Draining takes no new flows.
 	Draining
+	// Gone from the list.
 	Gone
 )
 
@@ -36,8 +45,10 @@
 type Repeat int
 
 const (
+	// NonRetriable flows run once.
 	NonRetriable Repeat = iota
 	Deduped             // copies are dropped by all servers within Window
+	// Retriable flows may run again.
 	Retriable
 )
 
@@ -55,8 +66,11 @@
 type AdmitBy int
 
 const (
+	// AdmitNone: proxies take no level.
 	AdmitNone AdmitBy = iota
+	// AdmitShare is a share of the flows.
 	AdmitShare
+	// AdmitRate is flows a second.
 	AdmitRate
 )
 
@@ -108,9 +122,13 @@
 type Tries int
 
 const (
+	// TryOnce never tries another server.
 	TryOnce Tries = iota
+	// TryUnrun tries another server where the first did not run the flow.
 	TryUnrun
+	// TryTwice tries up to two servers.
 	TryTwice
+	// TryThrice tries up to three servers.
 	TryThrice
 )
 
@@ -158,7 +176,9 @@
 type Answer int
 
 const (
+	// Answered as a server that is alive does.
 	Answered Answer = iota
+	// Erred: something answers there, but not as a live server does.
 	Erred
 	Full      // turned away by a server that runs
 	Silent    // no answer, or a broken connection; from here on nothing answers
--- a/client/tables/delta.go
+++ b/client/tables/delta.go
@@ -14,6 +14,7 @@
 	Epoch, Number uint64
 }
 
+// String is EPOCH.NUMBER.
 func (id ID) String() string { return fmt.Sprintf("%d.%d", id.Epoch, id.Number) }
 
 // Before tells whether a version is older than another.
--- a/client/tables/holder.go
+++ b/client/tables/holder.go
@@ -11,6 +11,7 @@
 type Outcome int
 
 const (
+	// Applied: the holder runs the version.
 	Applied     Outcome = iota
 	Again               // it is held already; nothing changed
 	Spoilt              // its form can't be read
@@ -24,6 +25,7 @@
 
 var outcomes = []string{"applied", "again", "spoilt", "unauthentic", "older epoch", "gap", "unknown base", "wrong digest", "conflict"}
 
+// String is the name of an outcome.
 func (o Outcome) String() string { return outcomes[o] }
 
 // Held is the version that a holder runs.
--- a/client/tables/state.go
+++ b/client/tables/state.go
@@ -18,6 +18,7 @@
 // Digest names a state by its content: BLAKE3-256 of its canonical form.
 type Digest [32]byte
 
+// String is the first six bytes in hex, for people.
 func (d Digest) String() string { return fmt.Sprintf("%x", d[:6]) }
 
 // Level is what a table lets in of some traffic groups: a share or a rate, and how a proxy tries again.
@@ -48,6 +49,7 @@
 	SetLine  Kind = 1 + iota // a weight; 0 takes the line out
 	SetLevel                 // what is let in of a mask of groups
 	Withdraw                 // a server, from all tables
+	// Readmit a withdrawn server.
 	Readmit
 	Clear // a table, its lines and levels
 )
--- a/internal/lanes/fold.go
+++ b/internal/lanes/fold.go
@@ -64,6 +64,7 @@
 	return into
 }
 
+// Len is how many samples wait.
 func (m *Mail) Len() int { return len(m.waits) }
 
 func (m *Mail) fold() {
--- a/internal/lanes/types.go
+++ b/internal/lanes/types.go
@@ -7,7 +7,9 @@
 import "time"
 
 type (
+	// LaneID is the number of a lane.
 	LaneID int
+	// ConnID is the number of a connection.
 	ConnID uint64
 	// Epoch counts the owners that a connection had. What an owner of an older epoch brings is not taken.
 	Epoch uint64
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -17,7 +17,7 @@
 	JSON = "json"
 )
 
-// Levels, as the operator's settings name them, from the most told to the least.
+// Levels are the log levels as the operator's settings name them, from the most told to the least.
 var Levels = []string{"debug", "info", "warn", "error"}
 
 const stamp = "2006-01-02T15:04:05.000000Z07:00"
@@ -71,6 +71,7 @@
 	return o
 }
 
+// Write hands a line on without waiting; where too many wait it is dropped.
 func (o *Outlet) Write(line []byte) (int, error) {
 	select {
 	case o.waits <- append([]byte{}, line...):
--- a/internal/search/rules.go
+++ b/internal/search/rules.go
@@ -15,6 +15,7 @@
 	What string
 }
 
+// String says which rule was broken, when, by whom and how.
 func (b *Break) String() string {
 	return fmt.Sprintf("%s: broken at %.3fs by %s: %s", b.Rule, b.At.Seconds(), b.Whom, b.What)
 }
--- a/internal/search/script.go
+++ b/internal/search/script.go
@@ -37,6 +37,7 @@
 var kinds = []string{"crash", "silence", "slow", "errors", "drain", "zone-lost", "zone-cut", "deaf", "unreachable", "lost-answers",
 	"slow-channel", "restart", "stall", "rejoin", "wrong-list", "doubled", "late-list", "rollback"}
 
+// String is the name of a kind.
 func (k Kind) String() string { return kinds[k] }
 
 // Fault is one thing that befalls a run.
--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -17,6 +17,7 @@
 type Fault int
 
 const (
+	// None: the call is carried out and answered.
 	None     Fault = iota
 	Lost           // carried out, and the connection breaks before the answer
 	Undone         // the connection breaks, and nothing was carried out
@@ -29,6 +30,7 @@
 
 var faultNames = []string{"none", "lost", "undone", "mute", "garbled", "busy", "slow"}
 
+// String is the name of a fault.
 func (f Fault) String() string { return faultNames[f] }
 
 // level is what a table lets in of some groups, and its tries.
--- a/internal/stand/rig.go
+++ b/internal/stand/rig.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -182,7 +181,6 @@
 type process struct {
 	cmd   *exec.Cmd
 	ended chan struct{}
-	once  sync.Once
 }
 
 // Process starts a program as the manager, with its log in a file.
--- a/internal/stand/servers.go
+++ b/internal/stand/servers.go
@@ -13,6 +13,7 @@
 type Mood int32
 
 const (
+	// Well answers as a live server does.
 	Well   Mood = iota
 	Full        // answers 503
 	Silent      // takes connections and says nothing
--- a/internal/stand/site.go
+++ b/internal/stand/site.go
@@ -7,7 +7,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"time"
 )
 
@@ -96,5 +95,3 @@
 	}
 	return text
 }
-
-func chance(seed, of uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, of)) }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/blake3"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"tamarindshore/client/tables"
 )
@@ -149,9 +150,9 @@
 	defer guard(&err)()
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: l.Lock, ReadOnly: readOnly, OpenFile: open, FreelistType: bbolt.FreelistMapType, NoFreelistSync: true})
 	switch {
-	case errors.Is(err, bbolt.ErrTimeout):
+	case errors.Is(err, bbolterrors.ErrTimeout):
 		return nil, ErrLocked
-	case errors.Is(err, bbolt.ErrInvalid), errors.Is(err, bbolt.ErrChecksum), errors.Is(err, bbolt.ErrVersionMismatch):
+	case errors.Is(err, bbolterrors.ErrInvalid), errors.Is(err, bbolterrors.ErrChecksum), errors.Is(err, bbolterrors.ErrVersionMismatch):
 		return nil, fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
 	return db, err
