--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	usualVolume                 = 0.5           // of what a proxy usually gets, while servers climb
 	volumeMoved                 = 0.2           // part by which a volume moves before a new split
 	lineDiffers, linePriced     = 0.1, 1.5      // part by which a weight moves, more for what a line costs
-	leastLine, leastOfLargest   = 0.005, 0.5    // part of a table, and of its largest line, below which there is none
+	leastLine, leastOfLargest   = 0.005, 0.5    // part of a table, of its largest line: less is no line
 	levelStep                   = 0.04          // part by which a level moves before it is sent
 	fullTries, enoughTries      = 6, 3          // that make figures full, and a server a peer
 	slowLatency                 = 1.25          // of the peers' median latency, not yet slow
@@ -228,8 +228,7 @@
 		}
 	}
 	for _, s := range m.servers {
-		fell := lost[s.zone] >= max(zoneLeast, zoneLost*all[s.zone])
-		if fell && s.missed && !s.out && told(s) {
+		if s.missed && !s.out && told(s) && lost[s.zone] >= max(zoneLeast, zoneLost*all[s.zone]) {
 			m.takeOut(s, "zone")
 		}
 	}
@@ -262,8 +261,7 @@
 // lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
 func (m *Manager) lookForBare() {
 	m.bareWaits, m.drains = slices.ContainsFunc(m.tables, m.bare), m.leaving() != nil
-	m.urgent = m.urgent || slices.ContainsFunc(m.tables, m.homeless)
-	m.urgent = m.urgent || m.bareWaits
+	m.urgent = m.urgent || m.bareWaits || slices.ContainsFunc(m.tables, m.homeless)
 }
 
 func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
@@ -562,7 +560,7 @@
 	for z, t := range m.tables {
 		clear(t.wanted)
 		t.awaitsSolve = false
-		least := min(leastLine*m.solved[z], leastOfLargest*shares.largest(z)) // guards against hundreds of even ones
+		least := min(leastLine*m.solved[z], leastOfLargest*shares.largest(z)) // guards hundreds of even ones
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 		m.keepPinned(TableID(z), t, anyIn)
 		m.keepHome(t)
@@ -783,8 +781,7 @@
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
 			// what guards a rule goes first, with the drains' room, then what is lost
-			lost := weight < was && (s.climbing || weight == 0)
-			guard := guards || s.climbing && weight < was/coldMost
+			lost, guard := weight < was && (s.climbing || weight == 0), guards || s.climbing && weight < was/coldMost
 			flows = either(guard, math.Inf(1), either(lost, math.MaxFloat64, flows))
 			moves = append(moves, move{Line: Line{id, s.id, weight}, flows: flows})
 		}
