--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -143,3 +143,13 @@
 		}
 	}
 }
+
+// A list of 24,000 servers, at 200 bytes each, fits a manager with 256 MB; a small one keeps 1 MiB.
+func TestTheBoundOfAWholeListFollowsTheMemory(t *testing.T) {
+	if most := limits(1, 256, 1024).LineList; most < 24000*200 {
+		t.Errorf("%d bytes with 256 MB", most)
+	}
+	if most := limits(1, 16, 1024).LineList; most != minListLine {
+		t.Errorf("%d bytes with 16 MB", most)
+	}
+}
