--- a/internal/node/decode_fuzz_test.go
+++ b/internal/node/decode_fuzz_test.go
@@ -97,29 +97,20 @@
 	}
 }
 
-func FuzzLine(f *testing.F) {
-	for _, s := range lineSeeds {
-		f.Add(s)
+// fuzzDecoder checks what a decoder makes of texts like the seeds.
+func fuzzDecoder(f *testing.F, seeds []string, check func(t *testing.T, d *decoder, text string)) {
+	for _, seed := range seeds {
+		f.Add(seed)
 	}
-	w := testDecoder()
-	f.Fuzz(func(t *testing.T, text string) { checkLine(t, w, text) })
+	d := testDecoder()
+	f.Fuzz(func(t *testing.T, text string) { check(t, d, text) })
 }
 
-func FuzzEvent(f *testing.F) {
-	for _, s := range eventSeeds {
-		f.Add(s)
-	}
-	w := testDecoder()
-	f.Fuzz(func(t *testing.T, data string) { checkEvent(t, w, data) })
-}
+func FuzzLine(f *testing.F) { fuzzDecoder(f, lineSeeds, checkLine) }
 
-func FuzzList(f *testing.F) {
-	for _, s := range listSeeds {
-		f.Add(s)
-	}
-	w := testDecoder()
-	f.Fuzz(func(t *testing.T, text string) { checkList(t, w, text) })
-}
+func FuzzEvent(f *testing.F) { fuzzDecoder(f, eventSeeds, checkEvent) }
+
+func FuzzList(f *testing.F) { fuzzDecoder(f, listSeeds, checkList) }
 
 func FuzzAnswer(f *testing.F) {
 	for _, s := range answerSeeds {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -62,8 +62,8 @@
 	return keys, nil
 }
 
-func newFeed(keys tables.Keys, most int, b *metrics) *feed {
-	f := &feed{metrics: b, born: time.Now(), most: most, trying: versions.UsualTrying(), newer: make(chan struct{}), encoded: map[encodedKey][]byte{}}
+func newFeed(keys tables.Keys, most int, m *metrics) *feed {
+	f := &feed{metrics: m, born: time.Now(), most: most, trying: versions.UsualTrying(), newer: make(chan struct{}), encoded: map[encodedKey][]byte{}}
 	f.keys.Store(&keys)
 	return f
 }
--- a/internal/node/lane_conn.go
+++ b/internal/node/lane_conn.go
@@ -150,11 +150,3 @@
 	}
 	return pushWake
 }
-
-// signalPieceDone wakes the reader of the connection.
-func (c *laneConn) signalPieceDone() {
-	select {
-	case c.pieceDone <- struct{}{}:
-	default:
-	}
-}
--- a/internal/node/moves_test.go
+++ b/internal/node/moves_test.go
@@ -34,6 +34,19 @@
 	return d
 }
 
+// beginManager starts a manager with the configuration that read gives, and reads it anew for a reload.
+func beginManager(read func() (config.Start, error)) (*ours, error) {
+	start, err := read()
+	if err != nil {
+		return nil, err
+	}
+	n, err := New(start, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	return begun(n, read), nil
+}
+
 func (d *ours) Ended() <-chan struct{}   { return d.ended }
 func (d *ours) Signal(s os.Signal) error { d.reload <- s; return nil }
 func (d *ours) Stop(bool) error {
@@ -57,16 +70,9 @@
 			}
 			return s, err
 		}
-		s, err := read()
-		if err != nil {
-			return nil, err
-		}
-		n, err := New(s, io.Discard)
-		if err != nil {
-			return nil, err
-		}
-		d = begun(n, read)
-		return d, nil
+		var err error
+		d, err = beginManager(read)
+		return d, err
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/sample_queue.go
+++ b/internal/node/sample_queue.go
@@ -57,7 +57,7 @@
 		q.spaceFreed = make(chan struct{})
 	}
 	if q.samples.Len() > 0 {
-		q.signal()
+		signal(q.filled)
 	}
 	return into
 }
@@ -71,12 +71,5 @@
 // noteChange counts what was folded since and wakes the router. mu is held.
 func (q *sampleQueue) noteChange(foldsBefore int) {
 	q.metrics.add(samplesFolded, int64(q.samples.Folds-foldsBefore))
-	q.signal()
-}
-
-func (q *sampleQueue) signal() {
-	select {
-	case q.filled <- struct{}{}:
-	default:
-	}
+	signal(q.filled)
 }
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -22,8 +22,8 @@
 	metrics *metrics
 }
 
-func newBacklog(most int, b *metrics) *backlog {
-	return &backlog{most: most, filled: make(chan struct{}, 1), metrics: b}
+func newBacklog(most int, m *metrics) *backlog {
+	return &backlog{most: most, filled: make(chan struct{}, 1), metrics: m}
 }
 
 func (b *backlog) push(o choice.Orders) {
@@ -34,10 +34,7 @@
 		b.waits = []choice.Orders{orders.Fold(b.waits...)}
 	}
 	b.mu.Unlock()
-	select {
-	case b.filled <- struct{}{}:
-	default:
-	}
+	signal(b.filled)
 }
 
 // next takes the oldest; false without any.
--- a/internal/node/vault.go
+++ b/internal/node/vault.go
@@ -31,34 +31,27 @@
 
 const vaultMost = 64 // versions that wait; past that only the newest is saved, whole
 
-func newVault(s *store.Store, kept store.Kept, b *metrics, stop <-chan struct{}) *vault {
-	v := &vault{store: s, metrics: b, stop: stop, again: 5 * time.Second, filled: make(chan struct{}, 1), ended: make(chan struct{}),
+func newVault(s *store.Store, kept store.Kept, m *metrics, stop <-chan struct{}) *vault {
+	v := &vault{store: s, metrics: m, stop: stop, again: 5 * time.Second, filled: make(chan struct{}, 1), ended: make(chan struct{}),
 		saved: kept.State.Digest(), drains: kept.Drains}
 	go v.run()
 	return v
 }
 
-func (v *vault) signal() {
-	select {
-	case v.filled <- struct{}{}:
-	default:
-	}
-}
-
 func (v *vault) version(one *versions.Version) {
 	v.mu.Lock()
 	if v.waits = append(v.waits, one); len(v.waits) > vaultMost {
 		v.waits = v.waits[len(v.waits)-1:]
 	}
 	v.mu.Unlock()
-	v.signal()
+	signal(v.filled)
 }
 
 func (v *vault) done(d versions.Done) {
 	v.mu.Lock()
 	v.dones = append(v.dones, d)
 	v.mu.Unlock()
-	v.signal()
+	signal(v.filled)
 }
 
 func (v *vault) run() {
@@ -74,9 +67,9 @@
 		if !v.save() {
 			select {
 			case <-time.After(v.again):
-				v.signal()
+				signal(v.filled)
 			case <-v.stop:
-				v.signal()
+				signal(v.filled)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/node/versions_rig_test.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tamarindshore/client/follow"
+	"tamarindshore/client/tables"
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/stand"
+)
+
+var testKey = bytes.Repeat([]byte{5}, 32)
+
+func keyOf(t testing.TB, secret []byte) tables.Key {
+	k, err := tables.NewKey(secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// versioned is a rig whose manager has an admin socket, a store and a listener for holders.
+type versioned struct {
+	*stand.Rig
+	socket, feed string
+	now          *ours
+}
+
+func raise(t testing.TB, site stand.Site) *versioned {
+	t.Helper()
+	dir := t.TempDir()
+	v := &versioned{socket: filepath.Join(dir, "s"), feed: freeAddress(t)}
+	keys := filepath.Join(dir, "keys")
+	if err := os.WriteFile(keys, []byte(hex.EncodeToString(testKey)+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	settings := fmt.Sprintf("(admin (socket %q)) (store (path %q)) (tables (listen %q) (keys %q))", v.socket, filepath.Join(dir, "v.db"), v.feed, keys)
+	r, err := stand.Raise(site, stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 1, Settings: settings}, func(start, settings string) (stand.Daemon, error) {
+		o, err := config.ReadOperator(settings)
+		if err != nil {
+			return nil, err
+		}
+		read := func() (config.Start, error) {
+			s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
+			if err != nil {
+				return s, err
+			}
+			return s.With(o)
+		}
+		v.now, err = beginManager(read)
+		return v.now, err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.Rig = r
+	t.Cleanup(r.Close)
+	return v
+}
+
+func freeAddress(t testing.TB) string {
+	at, err := stand.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return at
+}
+
+func (v *versioned) ask(t testing.TB, a Ask) (string, error) {
+	t.Helper()
+	c, err := net.Dial("unix", v.socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	json.NewEncoder(c).Encode(a)
+	var told Told
+	if err := json.NewDecoder(c).Decode(&told); err != nil {
+		t.Fatal(err)
+	}
+	if told.Error != "" {
+		return "", fmt.Errorf("%s", told.Error)
+	}
+	return strings.Join(told.Lines, "\n"), nil
+}
+
+// versions are those kept, newest first.
+func (v *versioned) versions(t testing.TB) (all []string) {
+	t.Helper()
+	text, err := v.ask(t, Ask{Do: "log"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(text, "\n") {
+		if f := strings.Fields(line); len(f) > 1 && f[0] != "held" {
+			all = append(all, f[0])
+		}
+	}
+	return all
+}
+
+func (v *versioned) show(t testing.TB, id string) string {
+	t.Helper()
+	text, err := v.ask(t, Ask{Do: "show", Version: id})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// bound joins all proxies and waits until the tables are laid.
+func (v *versioned) bound(t testing.TB) {
+	t.Helper()
+	ids := make([]int, v.Site.Proxies)
+	for i := range ids {
+		ids[i] = i
+	}
+	v.Relay.Join(ids...)
+	for late := time.Now().Add(10 * time.Second); v.Relay.Counts().Bound < v.Site.Proxies; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("not all bound within 10 s")
+		}
+	}
+}
+
+// tail follows the feed with a holder.
+func tail(t testing.TB, address string, n int, changed func(tables.Held)) *tables.Holder {
+	h := tables.NewHolder(tables.Keys{keyOf(t, testKey)}, tables.Patience{First: 50 * time.Millisecond, Most: time.Second}, uint64(n))
+	f := &follow.Follower{Name: fmt.Sprint("h", n), Keys: tables.Keys{keyOf(t, testKey)}, Holder: h, Most: 200 * time.Millisecond,
+		Dial:    func(ctx context.Context) (net.Conn, error) { return (&net.Dialer{}).DialContext(ctx, "tcp", address) },
+		Changed: func(held tables.Held, _ *tables.State) { changed(held) }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return h
+}
+
+// latest keeps what each of some holders runs.
+type latest struct {
+	mu   sync.Mutex
+	held map[int]tables.Held
+	n    map[int]map[tables.ID]int
+}
+
+func newLatest() *latest { return &latest{held: map[int]tables.Held{}, n: map[int]map[tables.ID]int{}} }
+
+func (l *latest) of(i int) func(tables.Held) {
+	return func(h tables.Held) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.n[i] == nil {
+			l.n[i] = map[tables.ID]int{}
+		}
+		l.held[i] = h
+		l.n[i][h.ID]++
+	}
+}
+
+// all tells whether so many run a version.
+func (l *latest) all(n int, id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range n {
+		if l.held[i].ID.String() != id {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *versioned) versionLines(t testing.TB) []string {
+	text, err := v.ask(t, Ask{Do: "log"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(text, "\n")
+}
+
+// between passes bytes on to the feed's holders and spoils some of them.
+func between(t *testing.T, address string, spoil *atomic.Bool) string {
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { at.Close() })
+	go func() {
+		for n := uint64(0); ; n++ {
+			c, err := at.Accept()
+			if err != nil {
+				return
+			}
+			chance := rand.New(rand.NewPCG(n, 5))
+			go func() {
+				defer c.Close()
+				to, err := net.Dial("tcp", address)
+				if err != nil {
+					return
+				}
+				defer to.Close()
+				go func() { io.Copy(to, c); to.Close() }()
+				in := bufio.NewReader(to)
+				for {
+					kind, body, err := follow.Read(in, tables.Longest)
+					if err != nil {
+						return
+					}
+					if kind == follow.Version && spoil.Load() && chance.IntN(2) == 0 {
+						switch chance.IntN(3) {
+						case 0:
+							body[chance.IntN(len(body))] ^= 1 << chance.IntN(8)
+						case 1:
+							body = body[:chance.IntN(len(body))]
+						case 2:
+							return // cut between a push and its acknowledgement
+						}
+					}
+					if follow.Write(c, kind, body) != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return at.Addr().String()
+}
--- a/internal/node/worker.go
+++ b/internal/node/worker.go
@@ -32,10 +32,7 @@
 	w.mu.Lock()
 	w.queue = append(w.queue, conn)
 	w.mu.Unlock()
-	select {
-	case w.filled <- struct{}{}:
-	default:
-	}
+	signal(w.filled)
 }
 
 // next takes the connection that has waited longest; nil without one.
@@ -195,7 +192,7 @@
 	if end != nil {
 		conn.abort(end)
 	}
-	conn.signalPieceDone()
+	signal(conn.pieceDone)
 }
 
 // commitOutcome is what became of a decoded piece.
