A manager uses a subset of the servers where its operator asks for it

Cause: the decision module holds, hears and looks at all listed servers, whatever its proxies need.

The router hands the module what internal/subset selects: (subset (spill N)) in the operator's settings, off by default. Reports about servers outside are counted apart (outside_subset). A withdrawal of a server that left the subset and that the module has forgotten is lifted, so that it can return.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Loads                                                 bool            // servers tell their load when probed
 	Known                                                 json.RawMessage // the list as last held, in discovery's form
 	LogLevel, LogForm, Status, Admin, Store, Tables, Keys string          // by the operator's settings
+	Spill                                                 int             // servers of other zones in a subset; 0: all servers are used
 	coresTold                                             bool
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -23,9 +23,13 @@
 	Tables   string // address at which holders of versioned tables connect; empty: none
 	Keys     string // file of the keys that sign versions
 	Store    string // file that survives a crash; empty: none
+	Spill    int    // servers of other zones than its proxies' that a manager uses; 0: it uses all that are listed
 	line     map[string]*sexp.Node
 }
 
+// mostSpill is the largest number of spill servers that may be stated.
+const mostSpill = 1 << 20
+
 // Defaults are the settings without a file.
 func Defaults() Operator { return Operator{Lanes: 1, LogLevel: "info", LogForm: logs.Text} }
 
@@ -76,6 +80,11 @@
 		}),
 		note("store", func(n *sexp.Node) error {
 			return sexp.Read(n, n.Args(), note("path", func(n *sexp.Node) error { return n.Text(&o.Store) }))
+		}),
+		note("subset", func(n *sexp.Node) error {
+			spill := note("spill", func(n *sexp.Node) error { return n.Whole(&o.Spill, 1, mostSpill) })
+			spill.Must = true
+			return sexp.Read(n, n.Args(), spill)
 		}))
 	if err != nil {
 		return o, err
@@ -111,6 +120,6 @@
 	s.Limits.Lanes, s.Limits.Keeper = o.Lanes, lanes.Usual(o.Lanes)
 	s.Limits.Cores = max(s.Limits.Cores, o.Lanes)
 	s.LogLevel, s.LogForm, s.Status, s.Admin, s.Store = o.LogLevel, o.LogForm, o.Status, o.Admin, o.Store
-	s.Tables, s.Keys = o.Tables, o.Keys
+	s.Tables, s.Keys, s.Spill = o.Tables, o.Keys, o.Spill
 	return s, nil
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -29,12 +29,34 @@
 		"(tamarindshore\n (cores 0))":                         "f:2: cores: 0 is no whole number from 1 to 64",
 		"(tamarindshore\n (log (level loud)))":                "f:2: level: loud is none of debug, info, warn, error",
 		"(tamarindshore\n (listen (status \"10.0.0.1:80\")))": "f:2: status: 10.0.0.1:80 is not on loopback: it tells of the fleet without asking who reads",
-		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen, admin, tables, store",
-		"(other)":                                             "f:1: one form (tamarindshore ...) is due",
-		"(tamarindshore) (tamarindshore)":                     "f:1: one form (tamarindshore ...) is due",
+		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen, admin, tables, store, subset",
+		"(tamarindshore\n (subset))":                          "f:2: spill: is missing",
+		"(tamarindshore\n (subset\n  (spill 0)))":             "f:3: spill: 0 is no whole number from 1 to 1048576",
+		"(tamarindshore\n (subset (spill -3)))":               "f:2: spill: -3 is no whole number from 1 to 1048576",
+		"(tamarindshore\n (subset (spill many)))":             "f:2: spill: many is no whole number from 1 to 1048576",
+		"(tamarindshore\n (subset (spill 1) (spill 2)))":      "f:2: spill: stands twice",
+		"(tamarindshore\n (subset (managers 5)))":             "f:2: managers: is no key here; known are spill",
+		"(other)":                         "f:1: one form (tamarindshore ...) is due",
+		"(tamarindshore) (tamarindshore)": "f:1: one form (tamarindshore ...) is due",
 	} {
 		if _, err := ParseOperator("f", []byte(text)); err == nil || err.Error() != want {
 			t.Errorf("%q: %v, not %s", text, err, want)
 		}
 	}
 }
+
+func TestASubsetIsOffUnlessItIsAskedFor(t *testing.T) {
+	for text, want := range map[string]int{"(tamarindshore)": 0, "(tamarindshore (subset (spill 100)))": 100} {
+		o, err := ParseOperator("f", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := parse(none, []byte(told), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err = s.With(o); err != nil || s.Spill != want {
+			t.Errorf("%s: %d, %v", text, s.Spill, err)
+		}
+	}
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -129,7 +129,7 @@
 }
 
 func (r *router) staff(a Ask, id, other tables.ID) (lines []string, err error) {
-	c, see := r.chain, sight{r.manager}
+	c, see := r.chain, r.sight()
 	did := func(d versions.Done, fresh bool, err error) ([]string, error) {
 		if err != nil {
 			return nil, err
--- a/internal/node/book.go
+++ b/internal/node/book.go
@@ -63,6 +63,7 @@
 	versionsRefused
 	holdersRefused
 	readersFailed
+	outsideSubset
 	counters
 )
 
@@ -74,7 +75,7 @@
 	"orders_sent", "orders_refused", "marks_sent", "probes_sent", "probes_answered", "probes_failed", "probes_dropped", "log_dropped",
 	"spoilt", "strangers_late", "reloads", "reloads_faulty", "lane_moves", "lanes_renewed", "lines_fatal", "samples_folded",
 	"versions_made", "versions_held", "store_failed",
-	"versions_sent", "versions_acked", "versions_refused", "holders_refused", "readers_failed",
+	"versions_sent", "versions_acked", "versions_refused", "holders_refused", "readers_failed", "outside_subset",
 }
 
 type book struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,9 @@
 		listen: make(chan struct{}, 1), book: n.book, proxies: map[choice.ProxyID]bool{},
 		unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{},
 	}
+	if s.Spill > 0 {
+		n.router.subset = newSubsetter(s)
+	}
 	epoch, kept := uint64(born.UnixMilli()), store.Kept{}
 	if s.Store != "" {
 		var err error
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -35,6 +35,7 @@
 	opened  func()        // news has been opened
 	last    func()        // writes what is left of the log
 	book    *book
+	subset  *subsetter // which servers the module needs; nil: all that are listed
 
 	now       time.Duration
 	wake      time.Duration // 0: none
@@ -98,6 +99,7 @@
 			r.decided(r.manager.Woke(r.now))
 		}
 		r.lookAtHold()
+		r.lookAtSubset()
 		r.carry()
 	}
 }
@@ -129,11 +131,13 @@
 		// one that is told again after a gap may have left and come back: the module binds it again
 		delete(r.unseen, in.proxy)
 		r.proxies[in.proxy] = true
+		r.joinSubset(in)
 		r.decided(m.Joined(r.now, in.proxy, in.zone, in.rate))
 	case left:
 		delete(r.unseen, in.proxy)
 		if r.proxies[in.proxy] {
 			delete(r.proxies, in.proxy)
+			r.leaveSubset(in)
 			r.decided(m.Left(r.now, in.proxy))
 		}
 	case applied:
@@ -143,9 +147,7 @@
 		}
 		r.decided(m.Applied(r.now, in.proxy, in.mark))
 	case listed:
-		maps.Copy(r.servers, in.addresses)
-		r.decided(m.Listed(r.now, in.snapshot, in.entries))
-		maps.DeleteFunc(r.servers, func(s choice.ServerID, _ string) bool { return !m.Knows(s) })
+		r.listed(in)
 	case listFailed:
 		r.decided(m.ListFailed(r.now))
 	case probed:
@@ -171,9 +173,25 @@
 	}
 }
 
+// listed hands the module a list, or what a subset needs of it.
+func (r *router) listed(in listed) {
+	if r.subset != nil {
+		r.handOn(r.subset.listed(r.now, in))
+		return
+	}
+	maps.Copy(r.servers, in.addresses)
+	r.decided(r.manager.Listed(r.now, in.snapshot, in.entries))
+	r.forgetAddresses()
+}
+
+// forgetAddresses drops those of servers that the module does not know.
+func (r *router) forgetAddresses() {
+	maps.DeleteFunc(r.servers, func(s choice.ServerID, _ string) bool { return !r.manager.Knows(s) })
+}
+
 func (r *router) heard(in choice.Report) {
 	if _, known := r.servers[in.Server]; !known {
-		r.book.add(unknownNames, 1)
+		r.book.add(r.notNeeded(in.Server), 1)
 		return
 	}
 	r.decided(r.manager.Heard(r.now, in))
@@ -236,7 +254,7 @@
 // version asks the chain what of some orders may go out. Where that is not all, the module hears what stands.
 func (r *router) version(o choice.Orders) choice.Orders {
 	r.chain.Laid(r.manager.Layout())
-	res := r.chain.Propose(r.now, o, cause(o), sight{r.manager})
+	res := r.chain.Propose(r.now, o, cause(o), r.sight())
 	for _, n := range res.Notes {
 		r.book.tell("version", "note", n)
 	}
@@ -268,7 +286,7 @@
 		return
 	}
 	r.lookAt = r.now + time.Second
-	ended, notes := r.chain.Looked(r.now, sight{r.manager})
+	ended, notes := r.chain.Looked(r.now, r.sight())
 	for _, n := range notes {
 		r.book.tell("version", "note", n)
 	}
@@ -288,11 +306,21 @@
 }
 
 // sight is the module's view of the fleet, as the chain asks for it.
-type sight struct{ m *choice.Manager }
+type sight struct {
+	m      *choice.Manager
+	lifted map[choice.ServerID]bool // servers that the module has forgotten, whose withdrawals are lifted
+}
+
+func (r *router) sight() sight {
+	if r.subset == nil {
+		return sight{m: r.manager}
+	}
+	return sight{m: r.manager, lifted: r.subset.lifted}
+}
 
 func (s sight) Sees(id choice.ServerID) versions.Sight {
 	known, open, climbed := s.m.Sees(id)
-	return versions.Sight{Known: known, Open: open, Climbed: climbed}
+	return versions.Sight{Known: known, Open: open || !known && s.lifted[id], Climbed: climbed}
 }
 func (s sight) Flows(id choice.TableID) float64 { return s.m.Flows(id) }
 func (s sight) Ready() (all, warm int)          { return s.m.Ready() }
