--- /dev/null
+++ b/internal/node/subset_process_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/stand"
+)
+
+// raiseSubset starts a manager with a subset before stand-ins of discovery, relay, proxies and servers.
+func raiseSubset(t *testing.T, site stand.Site) *stand.Rig {
+	t.Helper()
+	how := stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 1, Settings: "(subset (spill 10))"}
+	rig, err := stand.Raise(site, how, func(start, settings string) (stand.Daemon, error) {
+		operator, err := config.ReadOperator(settings)
+		if err != nil {
+			return nil, err
+		}
+		read := func() (config.Start, error) {
+			s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
+			if err != nil {
+				return s, err
+			}
+			return s.With(operator)
+		}
+		s, err := read()
+		if err != nil {
+			return nil, err
+		}
+		n, err := New(s, io.Discard)
+		if err != nil {
+			return nil, err
+		}
+		return begun(n, read), nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(rig.Close)
+	return rig
+}
+
+// A manager with a subset, on sockets: its proxies' zone gets flows, a drain is withdrawn, a restart finds the same
+// servers, and no rule is broken.
+func TestAManagerWithASubsetOnSockets(t *testing.T) {
+	site := stand.Usual(60, 2)
+	site.Zones = []string{"a", "b", "c", "d", "e", "f"}
+	site.Proxies = 1 // of zone a
+	rig := raiseSubset(t, site)
+	rig.Relay.Join(0)
+	used := func() (home, others int) {
+		for _, s := range rig.Servers {
+			if rig.Relay.Flows(s.ID) > 0 {
+				if s.Zone == "a" {
+					home++
+				} else {
+					others++
+				}
+			}
+		}
+		return home, others
+	}
+	soon(t, "all of the home zone get flows", func() bool { home, _ := used(); return home == 10 })
+	if _, others := used(); others > 13 {
+		t.Errorf("%d servers of other zones get flows", others)
+	}
+	drained := rig.Servers[0] // of zone a
+	rig.Discovery.Change(drained.Entry("draining"))
+	soon(t, "withdrawn", func() bool { return rig.Relay.Pulled(drained.ID) && rig.Relay.Flows(drained.ID) == 0 })
+	if err := rig.Daemon.Stop(false); err != nil {
+		t.Fatal(err)
+	}
+	if err := rig.Begin(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	home, others := used()
+	if home != 9 || others > 13 || rig.Relay.Flows(drained.ID) > 0 {
+		t.Errorf("after a restart %d servers of the home zone and %d others get flows, %.1f the one that drains", home, others, rig.Relay.Flows(drained.ID))
+	}
+	for _, rule := range rig.Relay.Rules.Verdict() {
+		if !rule.OK() {
+			t.Errorf("%+v", rule)
+		}
+	}
+}
