--- /dev/null
+++ b/internal/model/subset_test.go
@@ -0,0 +1,206 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/subset"
+)
+
+// subsetted is a decider that hands the decision module a subset, as the real manager does.
+type subsetted struct {
+	*choice.Manager
+	subset *subset.Subset
+	zones  map[choice.ProxyID]choice.ZoneID
+	lookAt time.Duration
+}
+
+func newSubsetted(s Shape, seed uint64, spill int) *subsetted {
+	terms := s.Terms()
+	settings := subset.Settings{Manager: fmt.Sprint("n", seed), Spill: spill, WarmAfter: terms.WarmAfter}
+	return &subsetted{Manager: choice.New(seed, terms), subset: subset.New(settings), zones: map[choice.ProxyID]choice.ZoneID{}}
+}
+
+func (d *subsetted) Listed(now time.Duration, whole bool, entries []choice.Entry) choice.Orders {
+	var servers []subset.Server
+	for _, e := range entries {
+		servers = append(servers, subset.Server{Entry: e})
+	}
+	return d.handOn(now, d.subset.Listed(now, whole, servers))
+}
+
+func (d *subsetted) Joined(now time.Duration, id choice.ProxyID, zone choice.ZoneID, rate float64) choice.Orders {
+	var first choice.Orders
+	if _, known := d.zones[id]; !known {
+		d.zones[id] = zone
+		first = d.handOn(now, d.subset.Joined(now, zone))
+	}
+	return join(first, d.Manager.Joined(now, id, zone, rate))
+}
+
+func (d *subsetted) Left(now time.Duration, id choice.ProxyID) choice.Orders {
+	if zone, known := d.zones[id]; known {
+		delete(d.zones, id)
+		d.subset.Left(now, zone)
+	}
+	return d.Manager.Left(now, id)
+}
+
+func (d *subsetted) Woke(now time.Duration) choice.Orders {
+	first := d.Manager.Woke(now)
+	if now < d.lookAt {
+		return first
+	}
+	d.lookAt = now + time.Second
+	return join(first, d.handOn(now, d.subset.Looked(now, d.Manager)))
+}
+
+func (d *subsetted) handOn(now time.Duration, u subset.Update) (o choice.Orders) {
+	if u.Empty() {
+		return o
+	}
+	var entries []choice.Entry
+	for _, one := range u.Servers {
+		entries = append(entries, one.Entry)
+	}
+	if u.Whole || len(entries) > 0 {
+		o = d.Manager.Listed(now, u.Whole, entries)
+	}
+	o.Readmit = append(u.Readmit, o.Readmit...)
+	return o
+}
+
+// join puts the orders of one input behind those of another of the same time.
+func join(a, b choice.Orders) choice.Orders {
+	a.Withdraw = append(a.Withdraw, b.Withdraw...)
+	a.Lines = append(a.Lines, b.Lines...)
+	a.Levels = append(a.Levels, b.Levels...)
+	a.Readmit = append(a.Readmit, b.Readmit...)
+	a.Bind = append(a.Bind, b.Bind...)
+	a.Probe = append(a.Probe, b.Probe...)
+	a.Mark = max(a.Mark, b.Mark)
+	if a.Wake == 0 || b.Wake > 0 && b.Wake < a.Wake {
+		a.Wake = b.Wake
+	}
+	return a
+}
+
+const (
+	qualitySeconds = 60
+	qualitySeeds   = 20
+	lostAt, backAt = 15, 30 // seconds, of a home zone
+)
+
+// day is a shape, how many zones have proxies, and whether a home zone is lost for a while.
+type day struct {
+	Shape
+	homes int
+	lost  bool
+}
+
+var days = []day{
+	{Shape: Shape{Name: "calm", Zones: 8, Servers: 320, Proxies: 160, Rate: 2, Capacity: 16}, homes: 1},
+	{Shape: Shape{Name: "home overloaded", Zones: 8, Servers: 320, Proxies: 160, Rate: 6, Capacity: 16}, homes: 1},
+	{Shape: Shape{Name: "two homes", Zones: 8, Servers: 320, Proxies: 160, Rate: 4, Capacity: 12}, homes: 2},
+	{Shape: Shape{Name: "rolling restart", Zones: 8, Servers: 320, Proxies: 160, Rate: 2, Capacity: 16, Draining: 0.1}, homes: 1},
+	{Shape: Shape{Name: "slow servers", Zones: 8, Servers: 320, Proxies: 160, Rate: 3, Capacity: 16, Slow: 0.25}, homes: 1},
+	{Shape: Shape{Name: "home lost and back", Zones: 8, Servers: 320, Proxies: 160, Rate: 2, Capacity: 16}, homes: 1, lost: true},
+}
+
+// play runs a day; spill 0 uses the whole list.
+func (d day) play(seed uint64, spill int) Tally {
+	f := New(d.Shape, seed)
+	for i, p := range f.proxies {
+		p.zone = i % d.homes
+	}
+	if spill > 0 {
+		f.Manager = newSubsetted(d.Shape, seed, spill)
+	}
+	f.Open()
+	for n := range qualitySeconds {
+		if d.lost && n == lostAt {
+			f.loseZone(0)
+		}
+		if d.lost && n == backAt {
+			f.returnZone(0)
+		}
+		f.Second(n, qualitySeconds)
+	}
+	return f.Tally
+}
+
+// loseZone stops a zone's servers without a word of the list.
+func (f *Fleet) loseZone(zone int) {
+	for _, s := range f.servers {
+		if s.zone == zone {
+			s.state = choice.Gone
+		}
+	}
+}
+
+// returnZone starts them again, and the list tells it.
+func (f *Fleet) returnZone(zone int) {
+	for _, s := range f.servers {
+		if s.zone == zone {
+			f.list(s, choice.Ready)
+		}
+	}
+}
+
+// quality is what became of the flows that were asked.
+type quality struct{ dropped, blocked, inZone float64 }
+
+func (d day) quality(seeds, spill int) (mean quality) {
+	var sum Tally
+	for seed := range seeds {
+		t := d.play(uint64(seed+1), spill)
+		sum.Asked += t.Asked
+		sum.Dropped += t.Dropped
+		sum.Blocked += t.Blocked
+		sum.Crossed += t.Crossed
+	}
+	return quality{sum.Dropped / sum.Asked, sum.Blocked / sum.Asked, 1 - sum.Crossed/(sum.Asked-sum.Blocked)}
+}
+
+// BenchmarkSubsetQuality weighs the whole list against subsets, over seeds: what is dropped, what is not let in, and
+// what stays in its zone.
+func BenchmarkSubsetQuality(b *testing.B) {
+	for _, d := range days {
+		for _, spill := range []int{0, 20, 40, 100} {
+			b.Run(fmt.Sprintf("%s/%d", d.Name, spill), func(b *testing.B) {
+				for b.Loop() {
+					q := d.quality(qualitySeeds, spill)
+					b.ReportMetric(100*q.dropped, "%dropped")
+					b.ReportMetric(100*q.blocked, "%blocked")
+					b.ReportMetric(100*q.inZone, "%in-zone")
+				}
+			})
+		}
+	}
+}
+
+// A subset drops hardly more than the whole list does, and keeps more in its zone; where a home zone is lost, the
+// servers that are left are few until the subset is widened.
+func TestASubsetLosesLittleQuality(t *testing.T) {
+	const seeds, spill = 2, 20
+	for _, d := range days {
+		more := 0.01
+		if d.lost {
+			more = 0.10
+		}
+		whole, some := d.quality(seeds, 0), d.quality(seeds, spill)
+		if some.dropped+some.blocked > whole.dropped+whole.blocked+more || some.inZone < whole.inZone {
+			t.Errorf("%s: %+v with the whole list, %+v with a subset", d.Name, whole, some)
+		}
+	}
+}
+
+// The same seed gives the same run, with a subset as without.
+func TestARunWithASubsetIsRepeatable(t *testing.T) {
+	d := days[len(days)-1]
+	if a, b := d.play(3, 20), d.play(3, 20); a != b {
+		t.Errorf("%+v and %+v", a, b)
+	}
+}
--- a/internal/subset/balance_test.go
+++ b/internal/subset/balance_test.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"testing"
+	"time"
 
 	"tamarindshore/choice"
 )
@@ -58,6 +60,39 @@
 	return perServer, perManager, zonesCovered
 }
 
+// planList is the whole list at the plan's size, with strings of its own.
+func planList() (servers []Server) {
+	for n := range planServers {
+		one := serverOf(n%planZones, n/planZones)
+		one.Server = planServerID(n)
+		servers = append(servers, one)
+	}
+	return servers
+}
+
+// heap is what is in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// The entries outside the subset are kept in a few megabytes: a manager may use 256.
+func TestMemoryAtThePlansSize(t *testing.T) {
+	const most = 12 << 20
+	before := heap()
+	s := New(Settings{Manager: "n1", Spill: planSpill, WarmAfter: 16 * time.Second})
+	s.Listed(0, true, planList())
+	s.Joined(0, zoneName(0))
+	used := heap() - before
+	t.Logf("%.1f MB for %d listed servers, %d of them members", float64(used)/(1<<20), planServers, s.Counts().Members)
+	if used > most {
+		t.Errorf("%d bytes, %d at most", used, most)
+	}
+	runtime.KeepAlive(s)
+}
+
 // At the plan's size, names with a running number put each server into as many subsets as any other; other names
 // leave none out either.
 func TestBalanceAtThePlansSize(t *testing.T) {
--- a/internal/subset/failure_test.go
+++ b/internal/subset/failure_test.go
@@ -85,11 +85,7 @@
 		t.Errorf("%d of %d members %v after the zone is warm", n, wide, calmFor)
 	}
 	for range 600 {
-		before := len(r.members())
-		r.seconds(1)
-		if left := before - len(r.members()); left > max(leaveAtLeast, int(leavePart*float64(before))) {
-			t.Errorf("%d of %d members left in one second", left, before)
-		}
+		r.mustLeaveFewByFew(t)
 	}
 	if !maps.Equal(r.members(), narrow) {
 		t.Errorf("%d members in the end, %d before", len(r.members()), len(narrow))
@@ -99,6 +95,16 @@
 	}
 }
 
+// mustLeaveFewByFew plays a second, in which a small part of the members may leave.
+func (r *run) mustLeaveFewByFew(t *testing.T) {
+	t.Helper()
+	before := len(r.members())
+	r.seconds(1)
+	if left := before - len(r.members()); left > max(leaveAtLeast, int(leavePart*float64(before))) {
+		t.Errorf("%d of %d members left in one second", left, before)
+	}
+}
+
 // One that leaves drains first, then is gone, and once it is forgotten its withdrawal is lifted.
 func TestAServerThatLeavesDrainsAndIsLetBackIn(t *testing.T) {
 	servers := fleetOf(20, 100)
@@ -267,7 +273,9 @@
 	}
 	r.join(zoneName(1)) // the news had a gap
 	r.subset.Left(r.now, zoneName(1))
-	r.seconds(300)
+	for range 300 {
+		r.mustLeaveFewByFew(t)
+	}
 	for id := range r.members() {
 		if record := r.subset.records[id]; record.server.Zone == zoneName(1) && !r.subset.limit.covers(record.distance) {
 			t.Errorf("%s is a member still", id)
@@ -328,12 +336,7 @@
 // An input costs what it changes: a change of the list does not walk it.
 func BenchmarkChangeOfTheList(b *testing.B) {
 	r := newRun("n1", planSpill)
-	var servers []Server
-	for n := range planServers {
-		one := serverOf(n%planZones, n/planZones)
-		one.Server = planServerID(n)
-		servers = append(servers, one)
-	}
+	servers := planList()
 	r.list(true, servers...)
 	r.join(zoneName(0))
 	for i := 0; b.Loop(); i++ {
@@ -342,12 +345,7 @@
 }
 
 func BenchmarkOpening(b *testing.B) {
-	var servers []Server
-	for n := range planServers {
-		one := serverOf(n%planZones, n/planZones)
-		one.Server = planServerID(n)
-		servers = append(servers, one)
-	}
+	servers := planList()
 	b.ReportAllocs()
 	for b.Loop() {
 		r := newRun("n1", planSpill)
@@ -358,12 +356,7 @@
 
 func BenchmarkLook(b *testing.B) {
 	r := newRun("n1", planSpill)
-	var servers []Server
-	for n := range planServers {
-		one := serverOf(n%planZones, n/planZones)
-		one.Server = planServerID(n)
-		servers = append(servers, one)
-	}
+	servers := planList()
 	r.list(true, servers...)
 	r.join(zoneName(0))
 	b.ReportAllocs()
