--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,9 @@
 	n.known = known
 	n.watchState = &watchState{version: known.generation, lowestReset: noReset}
 	n.router = newRouter(start, born, n.metrics)
+	if start.Spill > 0 {
+		n.router.subset = newSubsetter(start)
+	}
 	if err := n.openStore(); err != nil {
 		return nil, err
 	}
