--- a/cmd/tamarindshore/main.go
+++ b/cmd/tamarindshore/main.go
@@ -30,6 +30,7 @@
 	Store   storeCmd  `cmd:"" help:"The file in which versions survive a crash."`
 	Search  searchCmd `cmd:"" help:"Play seeded faults on a virtual clock until a rule breaks."`
 	Replay  replayCmd `cmd:"" help:"Play one script or seed again, with its trace; --shrink makes it smaller."`
+	Scale   scaleCmd  `cmd:"" help:"Measure how costs grow with the size of a fleet, on hollow managers."`
 	Version version   `cmd:"" help:"Say which version this is."`
 }
 
--- /dev/null
+++ b/internal/node/hollow.go
@@ -0,0 +1,301 @@
+package node
+
+// A hollow manager is the manager without its process: the decoders, the router with the decision module and the chain
+// of versions, and the encoder of calls, driven step by step on a virtual clock. It serves measurements of how the
+// manager's cost grows; the daemon never makes one. docs/design/scale.md lists what is left out.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/orders"
+)
+
+// MessageKind says which peer a message comes from or goes to.
+type MessageKind int
+
+// Kinds of messages.
+const (
+	ListMessage      MessageKind = iota // a line of discovery's watch
+	NewsMessage                         // an event of the relay's stream
+	ReportMessage                       // a collector's line on a server
+	UsageMessage                        // a collector's line on a proxy
+	ProbeMessage                        // a probe and its answer
+	CallMessage                         // a call to the relay and its answer
+	HeartbeatMessage                    // a sign of life on a stream
+	NewsOpened                          // the relay's stream has opened; it has no bytes of its own
+	NewsComplete                        // the relay's stream has told all that stands; it has no bytes of its own
+	messageKinds     int                = iota
+)
+
+// Message is one message to a hollow manager.
+type Message struct {
+	Kind  MessageKind
+	Event string // the event's name, for news
+	Text  string // the message as on the wire, without its framing
+	Probe choice.ServerID
+}
+
+// Traffic counts the messages and bytes of one kind. TCP and IP headers are not counted.
+type Traffic struct {
+	Messages int64
+	In, Out  int64 // bytes
+}
+
+// Result is what a hollow manager did in one step.
+type Result struct {
+	Calls  []choice.Orders   // in the order in which the relay gets them
+	Probes []choice.ServerID // that the manager asks for
+}
+
+// relayRetry is how long orders wait that the module's limits hold back: the mean of the relay stage's backoff.
+const relayRetry = 125 * time.Millisecond
+
+// Hollow is a manager without a process. It isn't safe for concurrent use.
+type Hollow struct {
+	node    *Node
+	traffic [messageKinds]Traffic
+	waiting choice.Orders // held back by the module's limits
+	mark    choice.MarkID // of the call that the waiting orders were cut from
+	retryAt time.Duration // 0: nothing waits
+	result  Result
+	// Observe is called with each input before and after the router takes it, where it is set.
+	Observe func(before bool)
+}
+
+// NewHollow makes a hollow manager from a daemon's start. Times in lists are counted from epoch.
+func NewHollow(start config.Start, epoch time.Time) (*Hollow, error) {
+	start.Store, start.Tables, start.Admin, start.Status = "", "", "", ""
+	node, err := New(start, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	node.words.born = epoch
+	// The router's own reading of the clock is never later than the virtual time: its tick only makes times differ.
+	node.router.born = time.Now().Add(hollowFuture)
+	node.router.opened = func() {}
+	return &Hollow{node: node}, nil
+}
+
+// hollowFuture is longer than any run lasts.
+const hollowFuture = 365 * 24 * time.Hour
+
+// Close ends what the manager started. It must not be used after that.
+func (h *Hollow) Close() {
+	h.node.end()
+	h.node.out.End(time.Second)
+}
+
+// Next is the time at which the manager wants to be stepped without a message; 0: not before one comes.
+func (h *Hollow) Next() time.Duration {
+	wake := h.node.router.wake
+	if h.retryAt > 0 && (wake == 0 || h.retryAt < wake) {
+		return h.retryAt
+	}
+	return wake
+}
+
+// Traffic is what was counted of a kind so far.
+func (h *Hollow) Traffic(kind MessageKind) Traffic { return h.traffic[kind] }
+
+// Step hands messages that come together to the router at a time since the start, lets it decide, and sends what it
+// ordered. The relay takes each call at once.
+func (h *Hollow) Step(at time.Duration, messages ...Message) (Result, error) {
+	router := h.node.router
+	router.now = max(router.now+1, at)
+	h.result = Result{}
+	for _, message := range messages {
+		input, err := h.decode(message)
+		if err != nil {
+			return h.result, fmt.Errorf("%.80q: %w", message.Text, err)
+		}
+		if input != nil {
+			h.observed(func() { router.take(input) })
+		}
+	}
+	if router.wake > 0 && router.now >= router.wake {
+		router.wake = 0
+		h.observed(func() { router.decided(router.manager.Woke(router.now)) })
+	}
+	router.lookAtHold()
+	router.carry()
+	h.send()
+	h.takeProbes()
+	return h.result, nil
+}
+
+func (h *Hollow) observed(do func()) {
+	if h.Observe == nil {
+		do()
+		return
+	}
+	h.Observe(true)
+	do()
+	h.Observe(false)
+}
+
+// decode counts a message and decodes it as the daemon's readers do; nil where the router isn't told of it.
+func (h *Hollow) decode(message Message) (input any, err error) {
+	words := h.node.words
+	switch message.Kind {
+	case ListMessage:
+		h.count(message.Kind, chunked(len(message.Text)+len("\n")), 0)
+		list, _, err := words.list([]byte(message.Text))
+		return list, err
+	case NewsMessage:
+		size := len("event: \ndata: \n\n") + len(message.Event) + len(message.Text)
+		h.count(message.Kind, chunked(size), 0)
+		return words.event(message.Event, message.Text)
+	case ReportMessage, UsageMessage:
+		h.count(message.Kind, len(message.Text)+len("\r\n"), 0)
+		_, input, err = words.line(message.Text)
+		return input, err
+	case ProbeMessage:
+		address := h.node.router.servers[message.Probe]
+		size := ProbeTraffic(address)
+		h.count(message.Kind, int(size.In), int(size.Out))
+		return probed{server: message.Probe, address: address, answer: choice.Answered, took: time.Millisecond, load: -1}, nil
+	case HeartbeatMessage:
+		h.count(message.Kind, chunked(len(message.Text)), 0)
+		return nil, nil
+	case NewsOpened:
+		return newsOpened{}, nil
+	case NewsComplete:
+		return newsStands{}, nil
+	}
+	return nil, fmt.Errorf("kind %d is none that comes in", message.Kind)
+}
+
+func (h *Hollow) count(kind MessageKind, in, out int) {
+	h.traffic[kind].Messages++
+	h.traffic[kind].In += int64(in)
+	h.traffic[kind].Out += int64(out)
+}
+
+// chunked is how many bytes a piece of a stream has on the wire.
+func chunked(size int) int { return len(fmt.Sprintf("%x\r\n", size)) + size + len("\r\n") }
+
+// What a probe and the answers to probes and calls are on the wire, without the server's address.
+const (
+	probeRequest = "GET /metrics/load HTTP/1.1\r\nUser-Agent: fasthttp\r\nHost: \r\nConnection: close\r\n\r\n"
+	answerHeader = "HTTP/1.1 200 OK\r\nDate: Thu, 01 Jan 2026 00:00:00 GMT\r\nContent-Length: 84\r\n" +
+		"Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
+	probeAnswer = answerHeader + "TEXT inflight=3, queue=0, util=0.50"
+	callAnswer  = answerHeader + `<?xml version="1.0"?><Response><items><item><taken>100</taken></item></items></Response>`
+)
+
+// ProbeTraffic is what one probe of an address and its answer are on the wire.
+func ProbeTraffic(address string) Traffic {
+	return Traffic{Messages: 1, In: int64(len(probeAnswer)), Out: int64(len(probeRequest) + len(address))}
+}
+
+// send does what the relay stage does where each call is taken: it sends what waits, and asks the module for room for
+// what a call can't hold.
+func (h *Hollow) send() {
+	if h.retryAt > 0 {
+		if h.node.router.now < h.retryAt {
+			return
+		}
+		h.retryAt = 0
+		next := h.again(h.waiting, h.mark, false)
+		h.waiting = choice.Orders{}
+		if !h.settle(next.now, next.rest) {
+			return
+		}
+	}
+	for {
+		next, waits := h.node.router.backlog.next()
+		if !waits || !h.settle(next, choice.Orders{}) {
+			return
+		}
+	}
+}
+
+// settle sends orders until nothing of them is missing; false where the rest has to wait.
+func (h *Hollow) settle(now, rest choice.Orders) bool {
+	for {
+		sent := h.call(now)
+		missing := orders.Fold(orders.Skip(now, sent), rest)
+		if missing.Count() == 0 {
+			return true
+		}
+		if sent == 0 {
+			h.waiting, h.mark = missing, now.Mark
+			h.retryAt = h.node.router.now + relayRetry
+			return false
+		}
+		next := h.again(missing, now.Mark, true)
+		now, rest = next.now, next.rest
+	}
+}
+
+func (h *Hollow) again(missing choice.Orders, from choice.MarkID, carried bool) later {
+	reply := make(chan later, 1)
+	h.node.router.take(again{missing, from, carried, reply})
+	return <-reply
+}
+
+// call encodes as many orders as a call holds and gives how many those are. The router learns that they were taken.
+func (h *Hollow) call(o choice.Orders) (sent int) {
+	if orders.Empty(o) {
+		return 0
+	}
+	text := encode(o, h.node.start.Groups, h.node.start.Limits.CallBytes)
+	h.count(CallMessage, len(callAnswer), callSize(h.node.start.Relay, strings.Join(text, ";")))
+	sent = len(text)
+	if o.Mark > 0 {
+		sent--
+	}
+	h.result.Calls = append(h.result.Calls, orders.First(o, sent, o.Mark))
+	if o.Mark > 0 && sent == o.Count() {
+		h.node.router.take(settled{o.Mark, true})
+	}
+	return sent
+}
+
+// callSize is how many bytes a call has on the wire.
+func callSize(address, text string) int {
+	request, form := fasthttp.AcquireRequest(), fasthttp.AcquireArgs()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseArgs(form)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + "/v3/kv/")
+	request.Header.SetContentType("application/x-www-form-urlencoded")
+	form.Set("Action", "CommitChanges")
+	form.Set("orders", text)
+	request.SetBody(form.QueryString())
+	request.SetConnectionClose()
+	size := byteCounter(0)
+	out := bufio.NewWriter(&size)
+	if request.Write(out) != nil || out.Flush() != nil {
+		panic("a request can't be written to memory")
+	}
+	return int(size)
+}
+
+// byteCounter counts what is written to it.
+type byteCounter int
+
+func (c *byteCounter) Write(text []byte) (int, error) {
+	*c += byteCounter(len(text))
+	return len(text), nil
+}
+
+func (h *Hollow) takeProbes() {
+	for {
+		select {
+		case probe := <-h.node.router.probes:
+			h.result.Probes = append(h.result.Probes, probe.server)
+		case <-h.node.router.listen: // the list comes unasked
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/proxies.go
@@ -0,0 +1,70 @@
+package scale
+
+import (
+	"maps"
+	"slices"
+
+	"tamarindshore/choice"
+)
+
+// proxyTables models the relay and its proxies as far as a manager notices: which proxies a call reaches, each of whom
+// then answers the call's mark.
+type proxyTables struct {
+	tableOf map[choice.ProxyID]choice.TableID
+	members map[choice.TableID]map[choice.ProxyID]bool
+	lines   map[choice.ServerID]map[choice.TableID]bool
+}
+
+func newProxyTables() *proxyTables {
+	return &proxyTables{tableOf: map[choice.ProxyID]choice.TableID{}, members: map[choice.TableID]map[choice.ProxyID]bool{},
+		lines: map[choice.ServerID]map[choice.TableID]bool{}}
+}
+
+// apply carries out a call's orders and gives the proxies that they reach, by number.
+func (p *proxyTables) apply(o choice.Orders) []choice.ProxyID {
+	reached := map[choice.ProxyID]bool{}
+	touched := map[choice.TableID]bool{}
+	for _, server := range o.Withdraw {
+		maps.Copy(touched, p.lines[server])
+	}
+	for _, line := range o.Lines {
+		p.setLine(line)
+		touched[line.Table] = true
+	}
+	for _, level := range o.Levels {
+		touched[level.Table] = true
+	}
+	for _, server := range o.Readmit {
+		maps.Copy(touched, p.lines[server])
+	}
+	for table := range touched {
+		maps.Copy(reached, p.members[table])
+	}
+	for _, place := range o.Bind {
+		p.bind(place)
+		reached[place.Proxy] = true
+	}
+	return slices.Sorted(maps.Keys(reached))
+}
+
+func (p *proxyTables) setLine(line choice.Line) {
+	if line.Weight == 0 {
+		delete(p.lines[line.Server], line.Table)
+		return
+	}
+	if p.lines[line.Server] == nil {
+		p.lines[line.Server] = map[choice.TableID]bool{}
+	}
+	p.lines[line.Server][line.Table] = true
+}
+
+func (p *proxyTables) bind(place choice.Place) {
+	if before, bound := p.tableOf[place.Proxy]; bound {
+		delete(p.members[before], place.Proxy)
+	}
+	if p.members[place.Table] == nil {
+		p.members[place.Table] = map[choice.ProxyID]bool{}
+	}
+	p.tableOf[place.Proxy] = place.Table
+	p.members[place.Table][place.Proxy] = true
+}
--- /dev/null
+++ b/internal/scale/scenario.go
@@ -0,0 +1,120 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/stand"
+)
+
+// Scenario is the size of a fleet and of what happens in it, as one manager sees it.
+type Scenario struct {
+	Servers        int
+	Proxies        int // that this manager steers
+	Zones          int
+	TrafficGroups  int
+	ListChanges    float64 // a second, of one server each
+	Reports        float64 // a second: half on servers, half on proxies
+	RestartsAtOnce int     // servers in one change of the list
+	Seed           uint64
+}
+
+// Reference is the scenario whose figures stand while one axis grows.
+func Reference() Scenario {
+	return Scenario{Servers: 600, Proxies: 1000, Zones: 8, TrafficGroups: 3, ListChanges: 1, Reports: 200, RestartsAtOnce: 1, Seed: 1}
+}
+
+const (
+	flowsPerReport = 3    // that each collector's line tells of: so few that no server is missed between two lines on it
+	memoryMB       = 4096 // told to each manager: far above what it needs, so that it changes nothing
+	maxSockets     = 4096
+	firstVersion   = 41
+)
+
+// With is the scenario with another size along one axis.
+func (s Scenario) With(axis Axis, size float64) Scenario {
+	switch axis {
+	case Servers, OpeningListSize:
+		s.Servers = int(size)
+	case Proxies:
+		s.Proxies = int(size)
+	case Zones:
+		s.Zones = int(size)
+	case TrafficGroups:
+		s.TrafficGroups = int(size)
+	case ListChanges:
+		s.ListChanges = size
+	case Reports:
+		s.Reports = size
+	case RestartsAtOnce:
+		s.RestartsAtOnce = int(size)
+	}
+	return s
+}
+
+// flows is how many a second come to all proxies: as many as the reports tell of.
+func (s Scenario) flows() float64 { return flowsPerReport * s.Reports / 2 }
+
+// site is the deployment that a scenario stands for, in the words of the platform's configuration.
+func (s Scenario) site() stand.Site {
+	site := stand.Usual(s.Servers, s.Proxies)
+	site.Rate = s.flows() / float64(s.Proxies)
+	site.Zones = nil
+	for zone := range s.Zones {
+		site.Zones = append(site.Zones, fmt.Sprintf("z-%02d", zone))
+	}
+	site.Groups = nil
+	for group := range s.TrafficGroups {
+		site.Groups = append(site.Groups, stand.Group{Name: fmt.Sprintf("g-%02d", group), Budget: 2 * time.Second,
+			Expiry: 6 * time.Second, Utility: float64(1 + group), Repeat: "idempotent", Part: 1 / float64(s.TrafficGroups)})
+	}
+	return site
+}
+
+// entry is a server's line of the list.
+func (s Scenario) entry(site stand.Site, server int, lifecycle string) stand.Entry {
+	return stand.Entry{ID: stand.ServerID(server), HostPort: fmt.Sprintf("10.%d.%d.%d:8080", server>>16, server>>8&255, server&255),
+		Zone: site.Zone(server), Lifecycle: lifecycle, Weight: 1}
+}
+
+// wholeList is the list that tells all servers.
+func (s Scenario) wholeList(site stand.Site, version int) string {
+	list := stand.List{Version: version, Whole: true}
+	for server := range s.Servers {
+		list.Instances = append(list.Instances, s.entry(site, server, "up"))
+	}
+	return encodeList(list)
+}
+
+func encodeList(list stand.List) string {
+	text, err := json.Marshal(list)
+	if err != nil {
+		panic(err) // no value of a list can fail
+	}
+	return string(text)
+}
+
+// start is what the manager of a scenario is told at its start: no server is known before the list is read.
+func (s Scenario) start(site stand.Site) (config.Start, error) {
+	dir, err := os.MkdirTemp("", "tamarindshore-scale-")
+	if err != nil {
+		return config.Start{}, err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "start.json")
+	text := site.Start("n1", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", stand.List{Whole: true, Instances: []stand.Entry{}}, s.Seed, 1,
+		memoryMB, maxSockets)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return config.Start{}, err
+	}
+	return config.Read(func(name string) string {
+		if name == "PROXY_CONFIG" {
+			return path
+		}
+		return ""
+	})
+}
--- /dev/null
+++ b/internal/scale/script.go
@@ -0,0 +1,381 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"tamarindshore/internal/node"
+	"tamarindshore/internal/stand"
+)
+
+// Phase names a part of a script that is measured by itself.
+type Phase string
+
+// Phases of a script, in their order.
+const (
+	PhaseList    Phase = "list"    // the whole list is read
+	PhaseJoin    Phase = "join"    // proxies join and are bound
+	PhaseWarm    Phase = "warm"    // reports come; not measured
+	PhaseBusy    Phase = "busy"    // reports come
+	PhaseInputs  Phase = "inputs"  // reports alone, within one second's decision
+	PhaseChanges Phase = "changes" // changes of the list alone
+	PhaseQuiet   Phase = "quiet"   // nothing comes
+)
+
+// step is all that comes to a manager at one time.
+type step struct {
+	at       time.Duration
+	messages []node.Message
+}
+
+// phase is a part of a script, and what a manager's traffic was during it.
+type phase struct {
+	name    Phase
+	span    time.Duration
+	steps   []step
+	inputs  int // messages but for heartbeats
+	traffic [node.HeartbeatMessage + 1]node.Traffic
+	orders  int
+}
+
+// script is what one manager is told, step by step. Played again on a fresh manager it does the same work, so that it
+// can be measured without what the fleet round the manager costs.
+type script struct {
+	scenario Scenario
+	site     stand.Site
+	phases   []phase
+}
+
+// find is the phase of a name; nil where the script has none.
+func (s *script) find(name Phase) *phase {
+	for i := range s.phases {
+		if s.phases[i].name == name {
+			return &s.phases[i]
+		}
+	}
+	return nil
+}
+
+const (
+	answerDelay    = 20 * time.Millisecond // until a proxy answers a call's mark
+	probeDelay     = 2 * time.Millisecond  // until a server answers a probe
+	joinSpan       = 4 * time.Second
+	warmSpan       = 8 * time.Second
+	busySpan       = 4 * time.Second
+	quietSpan      = 4 * time.Second
+	newsBatch      = 512 // events that the router takes together
+	reportTick     = time.Millisecond
+	inputsMeasured = 2048
+	changesMost    = 16
+	longestReport  = time.Minute // span that the manager takes a report for
+	heartbeatEvery = time.Second
+)
+
+// scriptEpoch is the time that lists count from: a fixed one, so that each run does the same work.
+var scriptEpoch = time.Unix(1_700_000_000, 0)
+
+// recorder drives one hollow manager through a scenario and writes down what it is told.
+type recorder struct {
+	ctx      context.Context
+	scenario Scenario
+	site     stand.Site
+	manager  *node.Hollow
+	proxies  *proxyTables
+	now      time.Duration
+	pending  []step // answers under way, in the order of their time
+	reports  int    // told so far
+	version  int    // of the list
+	next     int    // server that changes next
+	restarts int    // told so far
+	order    []int  // servers by chance from the seed
+	current  *phase
+	script   *script
+}
+
+// record writes a scenario's script. A quiet one has no flows, and so no reports.
+func record(ctx context.Context, scenario Scenario, quiet bool) (*script, error) {
+	site := scenario.site()
+	start, err := scenario.start(site)
+	if err != nil {
+		return nil, err
+	}
+	manager, err := node.NewHollow(start, scriptEpoch)
+	if err != nil {
+		return nil, err
+	}
+	defer manager.Close()
+	r := &recorder{ctx: ctx, scenario: scenario, site: site, manager: manager, proxies: newProxyTables(), version: firstVersion,
+		script: &script{scenario: scenario, site: site}}
+	r.order = rand.New(rand.NewPCG(scenario.Seed, uint64(scenario.Servers))).Perm(scenario.Servers)
+	return r.script, r.play(quiet)
+}
+
+func (r *recorder) play(quiet bool) error {
+	parts := []struct {
+		name Phase
+		do   func() error
+	}{
+		{PhaseList, r.list}, {PhaseJoin, r.join}, {PhaseWarm, func() error { return r.busy(warmSpan) }},
+		{PhaseBusy, func() error { return r.busy(busySpan) }}, {PhaseInputs, r.inputs}, {PhaseChanges, r.changes},
+	}
+	if quiet {
+		parts = append(parts[:2], []struct {
+			name Phase
+			do   func() error
+		}{{PhaseWarm, r.quieten}, {PhaseQuiet, func() error { return r.advance(r.now + quietSpan) }}}...)
+	}
+	for _, part := range parts {
+		if err := r.phase(part.name, part.do); err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+	}
+	return nil
+}
+
+func (r *recorder) phase(name Phase, do func() error) error {
+	before := r.traffic()
+	began := r.now
+	r.script.phases = append(r.script.phases, phase{name: name})
+	r.current = &r.script.phases[len(r.script.phases)-1]
+	if err := do(); err != nil {
+		return err
+	}
+	r.current.span = r.now - began
+	for kind, after := range r.traffic() {
+		r.current.traffic[kind] = node.Traffic{Messages: after.Messages - before[kind].Messages, In: after.In - before[kind].In,
+			Out: after.Out - before[kind].Out}
+	}
+	return nil
+}
+
+func (r *recorder) traffic() (all [node.HeartbeatMessage + 1]node.Traffic) {
+	for kind := range all {
+		all[kind] = r.manager.Traffic(node.MessageKind(kind))
+	}
+	return all
+}
+
+// step tells the manager messages and lets answers to what it does be under way.
+func (r *recorder) step(at time.Duration, messages ...node.Message) error {
+	if err := r.ctx.Err(); err != nil {
+		return err
+	}
+	r.now = max(r.now, at)
+	result, err := r.manager.Step(r.now, messages...)
+	if err != nil {
+		return err
+	}
+	r.current.steps = append(r.current.steps, step{r.now, messages})
+	r.current.inputs += len(messages)
+	var answers, probes []node.Message
+	for _, call := range result.Calls {
+		r.current.orders += call.Count()
+		for _, proxy := range r.proxies.apply(call) {
+			if call.Mark > 0 {
+				answers = append(answers, node.Message{Kind: node.NewsMessage, Event: "applied",
+					Text: fmt.Sprintf("id=%d&seq=%d&ms=%.1f", proxy, call.Mark, answerDelay.Seconds()*1000)})
+			}
+		}
+	}
+	for _, server := range result.Probes {
+		probes = append(probes, node.Message{Kind: node.ProbeMessage, Probe: server})
+	}
+	r.later(r.now+probeDelay, probes)
+	r.later(r.now+answerDelay, answers)
+	return nil
+}
+
+// later keeps answers until their time, as many together as the router takes.
+func (r *recorder) later(at time.Duration, messages []node.Message) {
+	for len(messages) > 0 {
+		n := min(newsBatch, len(messages))
+		place := len(r.pending)
+		for place > 0 && r.pending[place-1].at > at {
+			place--
+		}
+		r.pending = append(r.pending, step{})
+		copy(r.pending[place+1:], r.pending[place:])
+		r.pending[place] = step{at, messages[:n]}
+		messages = messages[n:]
+	}
+}
+
+// advance lets time pass: answers come, and the manager wakes when it asked to.
+func (r *recorder) advance(to time.Duration) error {
+	for {
+		at, wakes := to+1, r.manager.Next()
+		if wakes > 0 {
+			at = min(at, max(wakes, r.now))
+		}
+		answers := len(r.pending) > 0 && r.pending[0].at <= at
+		switch {
+		case answers && r.pending[0].at <= to:
+			next := r.pending[0]
+			r.pending = r.pending[1:]
+			if err := r.step(next.at, next.messages...); err != nil {
+				return err
+			}
+		case at <= to:
+			if err := r.step(at); err != nil {
+				return err
+			}
+		default:
+			r.now = max(r.now, to)
+			return nil
+		}
+	}
+}
+
+func (r *recorder) list() error {
+	return r.step(time.Millisecond, node.Message{Kind: node.ListMessage, Text: r.scenario.wholeList(r.site, r.version)})
+}
+
+func (r *recorder) join() error {
+	began := r.now
+	messages := []node.Message{{Kind: node.NewsOpened}}
+	for proxy := range r.scenario.Proxies {
+		messages = append(messages, r.joined(proxy))
+		if len(messages) == newsBatch {
+			if err := r.step(r.now+time.Millisecond, messages...); err != nil {
+				return err
+			}
+			messages = nil
+		}
+	}
+	messages = append(messages, node.Message{Kind: node.NewsComplete})
+	if err := r.step(r.now+time.Millisecond, messages...); err != nil {
+		return err
+	}
+	return r.advance(began + joinSpan)
+}
+
+func (r *recorder) joined(proxy int) node.Message {
+	return node.Message{Kind: node.NewsMessage, Event: "joined",
+		Text: fmt.Sprintf("id=%d&site=%s&rps=%g&new=1", proxy, r.site.Zone(proxy), r.site.Rate)}
+}
+
+// busy lets reports and changes of the list come, each at its time.
+func (r *recorder) busy(span time.Duration) error {
+	began, told, changed := r.now, 0, 0
+	for at := began; at < began+span; at += reportTick {
+		passed := (at - began + reportTick).Seconds()
+		var messages []node.Message
+		for ; float64(told) < math.Floor(passed*r.scenario.Reports); told++ {
+			messages = append(messages, r.report())
+		}
+		for ; float64(changed) < math.Floor(passed*r.scenario.ListChanges); changed++ {
+			messages = append(messages, r.change(1))
+		}
+		if (at-began)%heartbeatEvery == 0 {
+			messages = append(messages, heartbeats((at-began)/heartbeatEvery)...)
+		}
+		if len(messages) == 0 {
+			continue
+		}
+		if err := r.advance(at); err != nil {
+			return err
+		}
+		if err := r.step(at, messages...); err != nil {
+			return err
+		}
+	}
+	return r.advance(began + span)
+}
+
+// heartbeats are the signs of life on the streams in a second: on the relay's each second, on discovery's every other.
+func heartbeats(second time.Duration) []node.Message {
+	all := []node.Message{{Kind: node.HeartbeatMessage, Text: ":\n\n"}}
+	if second%2 == 0 {
+		all = append(all, node.Message{Kind: node.HeartbeatMessage, Text: "\n"})
+	}
+	return all
+}
+
+// quieten tells that no flows come any more, and waits until what was told before is out of date.
+func (r *recorder) quieten() error {
+	if err := r.step(r.now+time.Millisecond, usage(0, r.site.Groups[0].Name, 0, time.Second)); err != nil {
+		return err
+	}
+	return r.advance(r.now + warmSpan)
+}
+
+// report is the next collector's line: in turn one on a server and one on a proxy.
+func (r *recorder) report() node.Message {
+	n := r.reports / 2
+	r.reports++
+	if r.reports%2 == 1 {
+		server := n % r.scenario.Servers
+		zone := r.site.Zones[(n/r.scenario.Servers+server)%len(r.site.Zones)]
+		return node.Message{Kind: node.ReportMessage, Text: fmt.Sprintf("heard site=%s target=%s count=%d fail=0 mean=%.1f over=%.1f util=inflight:%d",
+			zone, stand.ServerID(server), flowsPerReport, 100+float64(n%7), r.between(r.scenario.Servers).Seconds()*1000, 1+n%3)}
+	}
+	group := r.site.Groups[n/r.scenario.Proxies%len(r.site.Groups)]
+	return usage(n%r.scenario.Proxies, group.Name, flowsPerReport, r.between(r.scenario.Proxies*len(r.site.Groups)))
+}
+
+func usage(proxy int, group string, flows int, span time.Duration) node.Message {
+	return node.Message{Kind: node.UsageMessage,
+		Text: fmt.Sprintf("usage id=%d lane=%s count=%d fail=0 over=%.1f", proxy, group, flows, span.Seconds()*1000)}
+}
+
+// between is the time from one report on a thing to the next, where so many things are reported on in turn.
+func (r *recorder) between(things int) time.Duration {
+	seconds := float64(things) / (r.scenario.Reports / 2)
+	return min(longestReport, time.Duration(seconds*float64(time.Second)))
+}
+
+// change drains servers, or lets them come back as fresh processes, in turn.
+func (r *recorder) change(servers int) node.Message {
+	r.version++
+	list := stand.List{Version: r.version}
+	drains := r.restarts%2 == 0
+	for range servers {
+		server := r.order[r.next%len(r.order)]
+		entry := r.scenario.entry(r.site, server, "draining")
+		if !drains {
+			entry = r.scenario.entry(r.site, server, "up")
+			entry.Started = scriptEpoch.Add(r.now).UnixMilli()
+		}
+		list.Instances = append(list.Instances, entry)
+		r.next++
+	}
+	if r.restarts++; drains {
+		r.next -= servers // the same ones come back
+	}
+	return node.Message{Kind: node.ListMessage, Text: encodeList(list)}
+}
+
+// inputs tells many reports right after a second's decision.
+func (r *recorder) inputs() error {
+	if err := r.advance(max(r.manager.Next(), r.now) + answerDelay + time.Millisecond); err != nil {
+		return err
+	}
+	for told := 0; told < inputsMeasured; {
+		var messages []node.Message
+		for range newsBatch {
+			messages = append(messages, r.report())
+			told++
+		}
+		if err := r.step(r.now+time.Microsecond, messages...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// changes tells changes of the list, each alone, with time for the proxies' answers between them.
+func (r *recorder) changes() error {
+	for range changesMost {
+		if err := r.advance(r.now + 50*time.Millisecond); err != nil {
+			return err
+		}
+		message := r.change(min(r.scenario.RestartsAtOnce, r.scenario.Servers))
+		if err := r.step(r.now+time.Microsecond, message); err != nil {
+			return err
+		}
+	}
+	return r.advance(r.now + 50*time.Millisecond)
+}
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -20,7 +20,7 @@
 	ListChanges     Axis = "list-changes-per-second"
 	Reports         Axis = "reports-per-second"
 	RestartsAtOnce  Axis = "restarts-at-once"
-	OpeningListSize Axis = "opening-list-size" // entries
+	OpeningListSize Axis = "opening-list-size" // entries; the fleet of as many Servers: one of both axes counts, not their sum
 )
 
 // Cost names what is measured.
@@ -33,6 +33,7 @@
 	CPUPerBusySecond       Cost = "cpu-per-busy-second"       // seconds, with the reference inputs
 	CPUPerListChange       Cost = "cpu-per-list-change"       // seconds
 	CPUPerOpening          Cost = "cpu-per-opening"           // seconds
+	CPUPerListRead         Cost = "cpu-per-list-read"         // seconds of a whole list's decoding and first decision
 	LongestDecision        Cost = "longest-decision"          // seconds
 	HeapBytes              Cost = "heap-bytes"                // bytes held after a collection
 	BytesOfOpening         Cost = "bytes-of-opening"          // bytes of a whole list
@@ -43,6 +44,9 @@
 	BytesOfCalls           Cost = "bytes-of-calls"            // bytes of a second's calls to the relay
 	BytesOfProbe           Cost = "bytes-of-probe"            // bytes of one probe and its answer
 	BytesOfHeartbeat       Cost = "bytes-of-heartbeat"        // bytes of a second's signs of life
+	ProbesPerSecond        Cost = "probes-per-second"         // probes that a busy second orders
+	NewsPerSecond          Cost = "news-per-second"           // events of the relay in a busy second: answers to marks
+	OrdersPerSecond        Cost = "orders-per-second"         // orders to the relay in a busy second
 	ChangeInForceMedian    Cost = "change-in-force-p50"       // seconds until half of the managers' orders carry it
 	ChangeInForceTail      Cost = "change-in-force-p99"       // seconds, 99 in 100
 	ChangeInForceLast      Cost = "change-in-force-last"      // seconds, the last manager
@@ -92,6 +96,7 @@
 	PerUnit    float64 `json:"perUnit"`
 	WorstError float64 `json:"worstError"` // largest relative distance of a point's median from the curve
 	Spread     float64 `json:"spread"`     // largest relative spread of runs at one size
+	Fits       bool    `json:"fits"`       // WorstError is within FitBound; else no tried shape fits, and this is the nearest
 	Hollow     bool    `json:"hollow"`     // measured on hollow managers, not on real processes
 	Points     []Point `json:"points"`
 }
