--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -32,7 +32,7 @@
 	HeartbeatMessage                    // a sign of life on a stream
 	NewsOpened                          // the relay's stream has opened; it has no bytes of its own
 	NewsComplete                        // the relay's stream has told all that stands; it has no bytes of its own
-	messageKinds     int                = iota
+	messageKinds     int         = iota
 )
 
 // Message is one message to a hollow manager.
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -85,7 +85,10 @@
 	}
 	base = (ys*squares - xs*products) / determinant
 	perUnit = (ones*products - xs*ys) / determinant
-	if base < 0 {
+	switch {
+	case perUnit < 0: // no cost is foretold to fall below zero: one that falls counts as its mean
+		return ys / ones, 0
+	case base < 0:
 		return 0, products / squares
 	}
 	return base, perUnit
--- /dev/null
+++ b/internal/scale/limits.go
@@ -0,0 +1,97 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+const (
+	mib        = 1 << 20
+	memoryMost = 12 << 10 * mib // bytes that a run may hold, or half of the machine's memory where that is less
+	// ReadersMost is the largest number of connections, and of processes, that a run opens at once.
+	ReadersMost = 400
+	garbage     = 2 // times what is held: the heap between two collections
+)
+
+// Memory is the limit on what a run may hold.
+type Memory struct{ Bytes float64 }
+
+// MemoryLimit is the limit on this machine.
+func MemoryLimit() (Memory, error) {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return Memory{}, err
+	}
+	total, err := totalMemory(text)
+	return Memory{min(memoryMost, total/2)}, err
+}
+
+func totalMemory(meminfo []byte) (float64, error) {
+	lines := bufio.NewScanner(bytes.NewReader(meminfo))
+	for lines.Scan() {
+		if rest, found := strings.CutPrefix(lines.Text(), "MemTotal:"); found {
+			kib, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
+			return kib * 1024, err
+		}
+	}
+	return 0, fmt.Errorf("/proc/meminfo: MemTotal: is missing")
+}
+
+// LimitError says that a size doesn't fit the tool's limits.
+type LimitError struct {
+	What  string // the size
+	Needs string
+	Limit string
+	Fits  string
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("%s: needs %s, the limit is %s; %s", e.What, e.Needs, e.Limit, e.Fits)
+}
+
+// allows tells whether so many things of so many bytes fit, and how many would.
+func (m Memory) allows(what string, bytesEach float64, things int) error {
+	needs := garbage * bytesEach * float64(things)
+	if needs <= m.Bytes {
+		return nil
+	}
+	return &LimitError{What: what, Needs: megabytes(needs), Limit: megabytes(m.Bytes),
+		Fits: fmt.Sprintf("%d fit", int(m.Bytes/(garbage*bytesEach)))}
+}
+
+func megabytes(n float64) string { return fmt.Sprintf("%.0f MB of memory", n/mib) }
+
+// Estimates of what one scenario holds at most, its script included; a test compares them with what is held.
+const (
+	bytesOfScenario = 16 * mib
+	bytesOfServer   = 4 << 10
+	bytesOfProxy    = 8 << 10
+	bytesOfReport   = 512
+	bytesOfChange   = 2 << 10
+	bytesOfHollow   = 512 << 10 // a manager in the smallest state; what it really holds is looked at once some are open
+)
+
+// estimate is an upper bound of the bytes that measuring a scenario holds.
+func (s Scenario) estimate() float64 {
+	spans := (warmSpan + busySpan).Seconds()
+	// each change is answered by proxies whose tables it moves
+	changes := spans * s.ListChanges * (bytesOfChange + float64(s.Proxies)*perAnswer)
+	return bytesOfScenario + float64(s.Servers)*bytesOfServer + float64(s.Proxies)*bytesOfProxy + spans*s.Reports*bytesOfReport + changes
+}
+
+const perAnswer = 128 // bytes of an answer to a mark
+
+// allowsScenario tells whether a scenario fits, and what size along an axis would.
+func (m Memory) allowsScenario(axis Axis, size float64, scenario Scenario) error {
+	needs := garbage * scenario.estimate()
+	if needs <= m.Bytes {
+		return nil
+	}
+	base := garbage * scenario.With(axis, 0).estimate()
+	fits := int(size * max(0, m.Bytes-base) / (needs - base))
+	return &LimitError{What: fmt.Sprintf("%s %g", axis, size), Needs: megabytes(needs), Limit: megabytes(m.Bytes), Fits: fmt.Sprintf("%d fit", fits)}
+}
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -69,6 +69,7 @@
 	into[BytesOfProbe] = float64(probe.In + probe.Out)
 	into[ProbesPerSecond] = float64(busy.traffic[node.ProbeMessage].Messages) / busySpan.Seconds()
 	into[NewsPerSecond] = float64(busy.traffic[node.NewsMessage].Messages) / busySpan.Seconds()
+	into[ProxiesBound] = float64(s.bound)
 	into[OrdersPerSecond] = float64(busy.orders) / busySpan.Seconds()
 }
 
--- /dev/null
+++ b/internal/scale/plot.go
@@ -0,0 +1,70 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// WritePlots draws each slope as an SVG file in a directory: the runs as points, the fitted curve as a line.
+func WritePlots(dir string, report Report) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for _, slope := range report.Slopes {
+		path := filepath.Join(dir, fmt.Sprintf("%s-by-%s.svg", slope.Cost, slope.Axis))
+		if err := writePlot(path, slope); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	return nil
+}
+
+const (
+	plotWidth   = 16 * vg.Centimeter
+	plotHeight  = 10 * vg.Centimeter
+	curvePoints = 64
+)
+
+func writePlot(path string, slope Slope) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: %s, worst %.0f%% off", slope.Cost, slope.Shape, 100*slope.WorstError)
+	p.X.Label.Text, p.Y.Label.Text = string(slope.Axis), slope.Unit
+	points, err := plotter.NewScatter(runsOf(slope))
+	if err != nil {
+		return err
+	}
+	points.Shape = draw.CircleGlyph{}
+	curve, err := plotter.NewLine(curveOf(slope))
+	if err != nil {
+		return err
+	}
+	p.Add(plotter.NewGrid(), curve, points)
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+func runsOf(slope Slope) (points plotter.XYs) {
+	for _, point := range slope.Points {
+		for _, run := range point.Runs {
+			points = append(points, plotter.XY{X: point.Size, Y: run})
+		}
+	}
+	return points
+}
+
+func curveOf(slope Slope) (points plotter.XYs) {
+	least, most := slope.Points[0].Size, slope.Points[0].Size
+	for _, point := range slope.Points {
+		least, most = min(least, point.Size), max(most, point.Size)
+	}
+	for i := range curvePoints {
+		size := least + (most-least)*float64(i)/(curvePoints-1)
+		points = append(points, plotter.XY{X: size, Y: slope.At(size)})
+	}
+	return points
+}
--- /dev/null
+++ b/internal/scale/real.go
@@ -0,0 +1,269 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"tamarindshore/internal/stand"
+)
+
+// RealCase is a real process in one state, and a hollow manager in the same where it has one.
+type RealCase struct {
+	Name       string    `json:"name"`
+	Servers    int       `json:"servers"`
+	Proxies    int       `json:"proxies"`
+	Reports    float64   `json:"reportsPerSecond"`
+	CPU        []float64 `json:"cpuPerSecond"`     // of a core, by run
+	Wakeups    []float64 `json:"wakeupsPerSecond"` // context switches of the process, by run
+	HollowCPU  []float64 `json:"hollowCPUPerSecond,omitempty"`
+	MemoryMB   float64   `json:"memoryMB"`               // the process's largest resident set
+	HollowHeap float64   `json:"hollowHeapMB,omitempty"` // held after a collection
+}
+
+// realScenario is a size that a real process and a hollow manager both reach.
+func realScenario(seed uint64, servers, proxies int) Scenario {
+	scenario := Reference()
+	scenario.Seed, scenario.Servers, scenario.Proxies, scenario.Zones, scenario.TrafficGroups = seed, servers, proxies, 3, 2
+	scenario.ListChanges = 0
+	return scenario
+}
+
+// realState is what a real process is measured in.
+type realState struct {
+	name    string
+	joined  bool
+	reports float64
+	changes float64
+	every   time.Duration // between the writes of reports
+}
+
+var realStates = []realState{
+	{"no proxies", false, 0, 0, writeEvery},
+	{"proxies joined, nothing reported", true, 0, 0, writeEvery},
+	{"200 reports a second", true, 200, 0, writeEvery},
+	{"200 reports a second in one write", true, 200, 0, time.Second},
+	{"200 reports and one list change a second", true, 200, 1, writeEvery},
+	{"2000 reports a second", true, 2000, 0, writeEvery},
+}
+
+// realSizes are servers and proxies of the real processes.
+var realSizes = [][2]int{{60, 600}, {240, 600}}
+
+const (
+	realCores   = 1
+	realSettle  = 2 * time.Second
+	realSpan    = 3 * time.Second
+	realRuns    = 3
+	writeEvery  = 5 * time.Millisecond
+	writeAtMost = 5 * time.Second
+)
+
+// measureReal starts real processes on loopback, one at a time, and measures each beside hollow managers.
+func measureReal(ctx context.Context, options Options) (cases []RealCase, err error) {
+	dir, err := os.MkdirTemp("", "tamarindshore-scale-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	for _, size := range realSizes {
+		scenario := realScenario(options.Seed, size[0], size[1])
+		some, err := measureProcess(ctx, options, scenario, filepath.Join(dir, "manager.log"))
+		if err != nil {
+			return nil, err
+		}
+		cases = append(cases, some...)
+	}
+	return cases, nil
+}
+
+// measureProcess measures one process in one state after the other.
+func measureProcess(ctx context.Context, options Options, scenario Scenario, log string) (cases []RealCase, err error) {
+	site := scenario.site()
+	begin := stand.Process(options.Program, log)
+	rig, err := stand.Raise(site, stand.How{Cores: realCores, MemoryMB: 512, Sockets: maxSockets, Seed: scenario.Seed}, begin)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.Close()
+	for _, state := range realStates {
+		fmt.Fprintf(options.Progress, "real process, %d servers, %d proxies: %s\n", scenario.Servers, scenario.Proxies, state.name)
+		now := scenario
+		now.Reports, now.ListChanges = state.reports, state.changes
+		one := RealCase{Name: state.name, Servers: now.Servers, Proxies: now.Proxies, Reports: now.Reports}
+		if err := measureState(ctx, rig, now, state, &one); err != nil {
+			return nil, err
+		}
+		if state.joined {
+			if err := hollowBeside(ctx, now, &one); err != nil {
+				return nil, err
+			}
+		}
+		cases = append(cases, one)
+	}
+	return cases, nil
+}
+
+func measureState(ctx context.Context, rig *stand.Rig, scenario Scenario, state realState, into *RealCase) error {
+	if state.joined && rig.Relay.Counts().Joined == 0 {
+		for proxy := range scenario.Proxies {
+			rig.Relay.Join(proxy)
+		}
+	}
+	load, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- feed(load, rig, scenario, state.every) }()
+	err := wait(ctx, realSettle)
+	for range realRuns {
+		if err != nil {
+			break
+		}
+		before, switched := processUse()
+		began := time.Now()
+		err = wait(ctx, realSpan)
+		after, switchedAfter := processUse()
+		took := time.Since(began).Seconds()
+		into.CPU = append(into.CPU, (after-before)/took)
+		into.Wakeups = append(into.Wakeups, (switchedAfter-switched)/took)
+	}
+	stop()
+	_, into.MemoryMB = stand.Use(rig.Daemon)
+	return errors.Join(err, <-ended)
+}
+
+// wait lets time pass; it ends early with the context.
+func wait(ctx context.Context, span time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(span):
+		return nil
+	}
+}
+
+// processUse is the processor time, in seconds, of the processes that this one started, and how often their threads were
+// switched.
+func processUse() (cpu, switches float64) {
+	for _, pid := range children() {
+		for _, task := range globbed("/proc/" + pid + "/task/*") {
+			cpu += runTime(task)
+			switches += contextSwitches(task)
+		}
+	}
+	return cpu, switches
+}
+
+func globbed(pattern string) []string {
+	files, err := filepath.Glob(pattern)
+	if err != nil {
+		panic(err) // the patterns stand in this file
+	}
+	return files
+}
+
+// children are the processes that this one started, by number.
+func children() (pids []string) {
+	for _, file := range globbed("/proc/self/task/*/children") {
+		if text, err := os.ReadFile(file); err == nil {
+			pids = append(pids, strings.Fields(string(text))...)
+		}
+	}
+	return pids
+}
+
+// runTime is the seconds that a thread has run so far; 0 once it has ended.
+func runTime(task string) float64 {
+	text, err := os.ReadFile(task + "/schedstat")
+	if err != nil {
+		return 0
+	}
+	nanoseconds, _, _ := strings.Cut(string(text), " ")
+	seconds, _ := strconv.ParseFloat(nanoseconds, 64)
+	return seconds / 1e9
+}
+
+// contextSwitches is how often a thread was switched so far; 0 once it has ended.
+func contextSwitches(task string) (switches float64) {
+	text, err := os.ReadFile(task + "/status")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if name, value, found := strings.Cut(line, ":"); found && strings.HasSuffix(name, "ctxt_switches") {
+			count, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			switches += count
+		}
+	}
+	return switches
+}
+
+// feed tells a real manager what a recorder would tell a hollow one, on a collector's connection and discovery's watch.
+func feed(ctx context.Context, rig *stand.Rig, scenario Scenario, every time.Duration) error {
+	if scenario.Reports == 0 {
+		return nil
+	}
+	connection, err := net.Dial("tcp", rig.Manager)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	source := &recorder{scenario: scenario, site: rig.Site, version: firstVersion}
+	lines := []string{"collector site=" + rig.Site.Zones[0]}
+	began := time.Now()
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for told, changed := 0, 0; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		passed := time.Since(began).Seconds()
+		for ; float64(told) < passed*scenario.Reports; told++ {
+			lines = append(lines, source.report().Text)
+		}
+		for ; float64(changed) < passed*scenario.ListChanges; changed++ {
+			server := rig.Servers[changed/2%len(rig.Servers)]
+			rig.Discovery.Change(server.Entry([]string{"draining", "up"}[changed%2]))
+		}
+		if len(lines) == 0 {
+			continue
+		}
+		connection.SetWriteDeadline(time.Now().Add(writeAtMost))
+		if _, err := connection.Write([]byte(strings.Join(lines, "\r\n") + "\r\n")); err != nil {
+			return err
+		}
+		lines = lines[:0]
+	}
+}
+
+// hollowBeside measures a hollow manager in the state of a real process.
+func hollowBeside(ctx context.Context, scenario Scenario, into *RealCase) error {
+	quiet := scenario.Reports == 0
+	if quiet {
+		scenario.Reports = Reference().Reports
+	}
+	script, err := record(ctx, scenario, quiet)
+	if err != nil {
+		return err
+	}
+	for range realRuns {
+		costs, err := replay(ctx, script)
+		if err != nil {
+			return err
+		}
+		name, span := PhaseBusy, busySpan
+		if quiet {
+			name, span = PhaseQuiet, quietSpan
+		}
+		into.HollowCPU = append(into.HollowCPU, costs[name].cpu.Seconds()/span.Seconds())
+		into.HollowHeap = costs[name].heapBytes / (1 << 20)
+	}
+	return nil
+}
--- a/internal/scale/replay.go
+++ b/internal/scale/replay.go
@@ -107,3 +107,10 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc)
 }
+
+// stackBytes is the memory of the goroutines' stacks.
+func stackBytes() float64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.StackInuse)
+}
--- /dev/null
+++ b/internal/scale/report_test.go
@@ -0,0 +1,104 @@
+package scale
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func sound() Report {
+	return Report{Version: ReportVersion, Seed: 7, Cores: 8, GoVersion: "go", Reference: map[Axis]float64{Servers: 600},
+		Slopes: []Slope{fitted(Slope{Cost: HeapBytes, Axis: Servers, Unit: bytesUnit, Hollow: true,
+			Points: []Point{{1, []float64{10, 11}}, {100, []float64{1000, 1100}}}})}}
+}
+
+func TestAReportIsReadAsItWasWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "slopes.json")
+	if err := WriteReport(path, sound()); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadReport(path)
+	if err != nil || !reflect.DeepEqual(got, sound()) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+func TestBadReportsAreOneLineThatNamesThePlace(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "slopes.json")
+	if err := WriteReport(path, sound()); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := string(text)
+	changed := func(old, new string) string {
+		if !strings.Contains(whole, old) {
+			t.Fatalf("no %s in the file", old)
+		}
+		return strings.Replace(whole, old, new, 1)
+	}
+	for name, one := range map[string]struct{ text, want string }{
+		"empty":           {"", "line 1"},
+		"cut short":       {whole[:len(whole)/2], "line "},
+		"no JSON":         {"slopes\n", "line 1"},
+		"other version":   {changed(`"version": 1`, `"version": 2`), "version: 2 is not 1"},
+		"no version":      {changed(`"version": 1,`, ``), "version: is missing"},
+		"wrong type":      {changed(`"seed": 7`, `"seed": "x"`), "line 3: seed"},
+		"unknown field":   {changed(`"seed": 7`, `"sead": 7`), `"sead"`},
+		"no reference":    {changed(`"servers": 600`, ``), "reference: is missing"},
+		"no slopes":       {`{"version": 1, "reference": {"servers": 1}}`, "slopes: is missing"},
+		"shape":           {changed(`"shape": "linear"`, `"shape": "cubic"`), "slopes[0].shape"},
+		"cost":            {changed(`"cost": "heap-bytes"`, `"cost": ""`), "slopes[0].cost"},
+		"axis":            {changed(`"axis": "servers"`, `"axis": ""`), "slopes[0].axis"},
+		"base":            {changed(`"base": `, `"base": -1, "was": `), "was"},
+		"no points":       {changed(`"points": [`, `"points": [], "rest": [`), "rest"},
+		"negative size":   {changed(`"size": 100`, `"size": -100`), "slopes[0].points[1].size"},
+		"something after": {whole + "{}", "line "},
+	} {
+		if err := os.WriteFile(path, []byte(one.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := ReadReport(path)
+		if err == nil || !strings.Contains(err.Error(), one.want) || !strings.HasPrefix(err.Error(), path+": ") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, %q is due", name, err, one.want)
+		}
+	}
+	if _, err := ReadReport(filepath.Join(dir, "none.json")); err == nil || !strings.Contains(err.Error(), "none.json") {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+func TestEachFieldOfASlopeIsChecked(t *testing.T) {
+	for field, spoil := range map[string]func(*Slope){
+		"base":           func(s *Slope) { s.Base = -1 },
+		"points":         func(s *Slope) { s.Points = nil },
+		"points[0].runs": func(s *Slope) { s.Points[0].Runs = nil },
+		"shape":          func(s *Slope) { s.Shape = "" },
+	} {
+		report := sound()
+		spoil(&report.Slopes[0])
+		if err := report.check(); err == nil || !strings.HasPrefix(err.Error(), "slopes[0]."+field+":") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// The file that the capacity page reckons from must be read by this program.
+func TestTheCommittedReportIsRead(t *testing.T) {
+	report, err := ReadReport("../../docs/scale/slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, axis := range []Axis{Servers, Proxies, Zones} {
+		for _, cost := range []Cost{CPUPerQuietSecond, CPUPerBusySecond, CPUPerInput, LongestDecision, CPUPerOpening, HeapBytes} {
+			if s, found := report.Find(cost, axis); !found || len(s.Points) < 4 || len(s.Points[0].Runs) < 3 {
+				t.Errorf("%s along %s: four sizes of three runs are due", cost, axis)
+			}
+		}
+	}
+}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -5,64 +5,129 @@
 	"fmt"
 	"io"
 	"runtime"
+	"runtime/debug"
 	"slices"
+	"time"
 )
 
 // Options say what a run measures.
 type Options struct {
-	Axes     []Axis // none: all
+	Axes     []Axis    // none: all
+	Sizes    []float64 // in place of the usual ones, on one axis of hollow managers
 	Seed     uint64
 	Runs     int
 	Small    bool
+	Memory   Memory
 	Progress io.Writer
+	Program  string // started as a real manager and as the control side; none: neither is measured
 }
 
-// Run measures what the options ask for.
+// Validate tells what of the options can't be.
+func (o Options) Validate() error {
+	for _, axis := range o.Axes {
+		if !slices.Contains(Axes(), axis) {
+			return fmt.Errorf("--axis: %q is none of %v", axis, Axes())
+		}
+	}
+	switch {
+	case o.Runs < 1 || o.Runs > 100:
+		return fmt.Errorf("--runs: %d is not from 1 to 100", o.Runs)
+	case len(o.Sizes) > 0 && len(o.Axes) != 1:
+		return fmt.Errorf("--sizes: one --axis is due with it")
+	}
+	for _, size := range o.Sizes {
+		if !(size >= 1 && size <= sizeMost) {
+			return fmt.Errorf("--sizes: %g is not from 1 to %g", size, float64(sizeMost))
+		}
+	}
+	return nil
+}
+
+const sizeMost = 1e9
+
+// Run measures what the options ask for. A size that doesn't fit the limits is an error before anything is begun.
 func Run(ctx context.Context, options Options) (Report, error) {
+	if err := options.Validate(); err != nil {
+		return Report{}, err
+	}
 	reference := Reference()
 	reference.Seed = options.Seed
 	report := Report{Version: ReportVersion, Seed: options.Seed, Cores: runtime.NumCPU(), GoVersion: runtime.Version(), Reference: reference.sizes()}
-	measured := map[Scenario][]sample{} // the reference stands on each axis
-	for _, survey := range surveys {
-		if len(options.Axes) > 0 && !slices.Contains(options.Axes, survey.axis) {
-			continue
+	run := &session{options: options, reference: reference, measured: map[Scenario][]sample{}}
+	wanted := run.wanted()
+	for _, s := range wanted {
+		for _, size := range s.sizes {
+			if err := s.check(run, size, s); err != nil {
+				return report, err
+			}
 		}
-		slopes, err := survey.run(ctx, options, reference, measured)
+	}
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(int64(options.Memory.Bytes)))
+	for _, s := range wanted {
+		slopes, err := run.survey(ctx, s)
 		if err != nil {
 			return report, err
 		}
 		report.Slopes = append(report.Slopes, slopes...)
 	}
-	return report, nil
+	return report, run.beside(ctx, &report)
 }
 
-func (s survey) run(ctx context.Context, options Options, reference Scenario, measured map[Scenario][]sample) ([]Slope, error) {
-	sizes := s.sizes
-	if options.Small {
-		sizes = s.small
+// wanted are the surveys that the options ask for, each with its sizes.
+func (r *session) wanted() (all []survey) {
+	for _, s := range surveys {
+		if len(r.options.Axes) > 0 && !slices.Contains(r.options.Axes, s.axis) || s.real && r.options.Program == "" {
+			continue
+		}
+		if r.options.Small {
+			s.sizes = s.small
+		}
+		if len(r.options.Sizes) > 0 && !s.real {
+			s.sizes = r.options.Sizes
+		}
+		all = append(all, s)
 	}
+	return all
+}
+
+// survey measures one cost after the other along an axis, size by size.
+func (r *session) survey(ctx context.Context, s survey) ([]Slope, error) {
 	points := map[Cost][]Point{}
-	for _, size := range sizes {
-		scenario := reference.With(s.axis, size)
-		if measured[scenario] == nil {
-			fmt.Fprintf(options.Progress, "%s %g: %d runs\n", s.axis, size, options.Runs)
-			samples, err := measure(ctx, scenario, options.Runs)
-			if err != nil {
-				return nil, err
-			}
-			measured[scenario] = samples
+	for _, size := range s.sizes {
+		began := time.Now()
+		samples, err := s.measure(r, ctx, size, s)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
+		if err != nil {
+			return nil, fmt.Errorf("%s %g: %w", s.axis, size, err)
+		}
+		fmt.Fprintf(r.options.Progress, "%s %g: %d runs in %.1f s\n", s.axis, size, len(samples), time.Since(began).Seconds())
 		for _, cost := range s.costs {
-			points[cost] = append(points[cost], pointOf(size, cost, measured[scenario]))
+			points[cost] = append(points[cost], pointOf(size, cost, samples))
 		}
 	}
 	var slopes []Slope
 	for _, cost := range s.costs {
-		slopes = append(slopes, fitted(Slope{Cost: cost, Axis: s.axis, Unit: unitOf(cost), Hollow: true, Points: points[cost]}))
+		slopes = append(slopes, fitted(Slope{Cost: cost, Axis: s.axis, Unit: unitOf(cost), Hollow: !s.real, Points: points[cost]}))
 	}
 	return slopes, nil
 }
 
+// beside measures what is no slope, in a whole run: the plan's size, and real processes.
+func (r *session) beside(ctx context.Context, report *Report) (err error) {
+	if len(r.options.Axes) > 0 || r.options.Small {
+		return nil
+	}
+	if report.PlanSize, err = measurePlanSize(ctx, r.options); err != nil {
+		return err
+	}
+	if r.options.Program != "" {
+		report.Real, err = measureReal(ctx, r.options)
+	}
+	return err
+}
+
 func pointOf(size float64, cost Cost, samples []sample) Point {
 	point := Point{Size: size}
 	for _, one := range samples {
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,234 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The test binary is the control process that is measured, where it is started as one.
+func TestMain(m *testing.M) {
+	if at := slices.Index(os.Args, ControlFlag); at > 0 && at+1 < len(os.Args) {
+		servers, err := strconv.Atoi(os.Args[at+1])
+		if err == nil {
+			err = ServeControl(servers, os.Stdin, os.Stdout)
+		}
+		if err != nil {
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func options(axes ...Axis) Options {
+	return Options{Axes: axes, Seed: 1, Runs: 1, Small: true, Memory: Memory{2 << 30}, Progress: io.Discard}
+}
+
+func TestTheSameSeedDoesTheSameWork(t *testing.T) {
+	counts := func() map[Cost][]Point {
+		o := options(Servers)
+		o.Sizes = []float64{60, 240}
+		report, err := Run(context.Background(), o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all := map[Cost][]Point{}
+		for _, s := range report.Slopes {
+			if s.Unit == perSecondUnit || s.Unit == bytesUnit && s.Cost != HeapBytes {
+				all[s.Cost] = s.Points
+			}
+		}
+		return all
+	}
+	first, second := counts(), counts()
+	if !reflect.DeepEqual(first, second) || len(first) < 8 {
+		t.Errorf("%v\n%v", first, second)
+	}
+}
+
+func TestProxiesAreBoundInEachScenario(t *testing.T) {
+	samples, err := measure(context.Background(), smaller(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bound := samples[0][ProxiesBound]; int(bound) != smaller().Proxies {
+		t.Errorf("%g bound", bound)
+	}
+}
+
+func TestOptionsThatCannotBe(t *testing.T) {
+	for want, spoil := range map[string]func(*Options){
+		"--axis":  func(o *Options) { o.Axes = []Axis{"height"} },
+		"--runs":  func(o *Options) { o.Runs = 0 },
+		"--sizes": func(o *Options) { o.Axes, o.Sizes = nil, []float64{60} },
+		"is not":  func(o *Options) { o.Axes, o.Sizes = []Axis{Servers}, []float64{0} },
+	} {
+		o := options()
+		spoil(&o)
+		if _, err := Run(context.Background(), o); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+func TestASizeBeyondTheLimitIsSaidBeforeAnythingBegins(t *testing.T) {
+	for _, axis := range []Axis{Servers, Proxies, Reports, ListChanges, Managers} {
+		o := options(axis)
+		progress := bytes.Buffer{}
+		o.Progress, o.Sizes = &progress, []float64{60, 1e8}
+		_, err := Run(context.Background(), o)
+		var limit *LimitError
+		if !errors.As(err, &limit) || !strings.Contains(err.Error(), " fit") || progress.Len() > 0 {
+			t.Errorf("%s: %v after %q", axis, err, progress.String())
+			continue
+		}
+		fits, err := strconv.ParseFloat(strings.Fields(limit.Fits)[0], 64)
+		if err != nil || fits < 100 || fits >= 1e8 {
+			t.Errorf("%s: %s", axis, limit.Fits)
+			continue
+		}
+		session := &session{options: o, reference: Reference()}
+		for _, s := range surveys {
+			if s.axis == axis && !s.real && s.check(session, fits, s) != nil {
+				t.Errorf("%s: %g are said to fit and don't", axis, fits)
+			}
+		}
+	}
+}
+
+func TestManagersThatTakeMoreThanEstimatedAreRefused(t *testing.T) {
+	o := options(Managers)
+	o.Memory = Memory{64 << 20}
+	f, err := newFleet(context.Background(), inForceScenario(1), 1000, o.Memory)
+	defer f.close()
+	var limit *LimitError
+	if !errors.As(err, &limit) || len(f.managers) > fleetProbe {
+		t.Errorf("%v after %d", err, len(f.managers))
+	}
+}
+
+func TestMoreConnectionsThanTheLimitAreRefused(t *testing.T) {
+	session := &session{options: options()}
+	if err := session.readersFit(ReadersMost+1, survey{axis: Managers}); err == nil || !strings.Contains(err.Error(), "400 fit") {
+		t.Error(err)
+	}
+}
+
+func TestTheEstimateOfMemoryIsAnUpperBound(t *testing.T) {
+	for _, scenario := range []Scenario{smaller(), smaller().With(Servers, 2400), smaller().With(Proxies, 2000), smaller().With(Reports, 2000),
+		smaller().With(ListChanges, 10)} {
+		before := heldBytes()
+		busy, err := record(context.Background(), scenario, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		costs, err := replay(context.Background(), busy)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held := heldBytes() - before + costs[PhaseChanges].heapBytes
+		if most := scenario.estimate(); held > most {
+			t.Errorf("%+v holds %.0f bytes, %.0f are estimated", scenario, held, most)
+		}
+		if len(busy.phases) == 0 {
+			t.Fatal("no script")
+		}
+	}
+}
+
+func TestTheMachinesMemory(t *testing.T) {
+	if got, err := totalMemory([]byte("MemFree: 1 kB\nMemTotal:       2048 kB\n")); err != nil || got != 2<<20 {
+		t.Errorf("%g, %v", got, err)
+	}
+	if _, err := totalMemory([]byte("MemFree: 1 kB\n")); err == nil {
+		t.Error("no total is taken for one")
+	}
+	if limit, err := MemoryLimit(); err != nil || limit.Bytes <= 0 || limit.Bytes > memoryMost {
+		t.Errorf("%v, %v", limit, err)
+	}
+}
+
+func TestARunEndsWithinASecondOfItsContext(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, axis := range []Axis{Servers, Managers, OpeningListSize} {
+		o := options(axis)
+		o.Small, o.Runs, o.Program, o.Memory = false, 100, program, Memory{memoryMost}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(500*time.Millisecond, cancel)
+		began := time.Now()
+		if _, err := Run(ctx, o); !errors.Is(err, context.Canceled) {
+			t.Errorf("%s: %v", axis, err)
+		}
+		if took := time.Since(began) - 500*time.Millisecond; took > time.Second {
+			t.Errorf("%s: ended after %v", axis, took)
+		}
+	}
+	if left := children(); len(left) > 0 {
+		t.Errorf("processes %v go on", left)
+	}
+}
+
+func TestTheControlSideIsMeasured(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, err := measureControl(context.Background(), program, 60, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := len(Reference().With(Servers, 60).wholeList(Reference().With(Servers, 60).site(), firstVersion))
+	if bytes := one[ControlBytesPerManager]; bytes < float64(list) || bytes > float64(list)+500 {
+		t.Errorf("%g bytes of an opening, the list has %d", bytes, list)
+	}
+	if one[ControlCPUPerManager] <= 0 || one[ControlCPUPerChange] <= 0 || one[ControlConnections] != 5 || one[OpeningLast] <= 0 {
+		t.Errorf("%v", one)
+	}
+}
+
+func TestAChangeIsInForceAtEachManager(t *testing.T) {
+	f, err := newFleet(context.Background(), inForceScenario(1), 12, Memory{2 << 30})
+	defer f.close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.writePerReader = time.Millisecond
+	for run := range 3 {
+		times, err := f.change(context.Background(), joinSpan+time.Duration(run+1)*inForceEvery, firstVersion+1+run, run)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(times) != 12 || times[0] < (time.Millisecond+transitLeast).Seconds() || times[11] > inForceMost.Seconds() {
+			t.Errorf("%v", times)
+		}
+	}
+}
+
+func TestPlotsAreWritten(t *testing.T) {
+	dir := t.TempDir()
+	if err := WritePlots(dir, sound()); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "heap-bytes-by-servers.svg"))
+	if err != nil || !bytes.Contains(text, []byte("<svg")) {
+		t.Errorf("%v", err)
+	}
+	out := bytes.Buffer{}
+	Table(&out, sound())
+	if !strings.Contains(out.String(), string(HeapBytes)) {
+		t.Error(out.String())
+	}
+}
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -21,6 +21,8 @@
 	Reports        float64 // a second: half on servers, half on proxies
 	RestartsAtOnce int     // servers in one change of the list
 	Seed           uint64
+	HomeServers    int  // in the first zone, the others spread over the rest; 0: all are spread evenly
+	HomeProxies    bool // all proxies are in the first zone, else they are spread evenly
 }
 
 // Reference is the scenario whose figures stand while one axis grows.
@@ -78,7 +80,24 @@
 // entry is a server's line of the list.
 func (s Scenario) entry(site stand.Site, server int, lifecycle string) stand.Entry {
 	return stand.Entry{ID: stand.ServerID(server), HostPort: fmt.Sprintf("10.%d.%d.%d:8080", server>>16, server>>8&255, server&255),
-		Zone: site.Zone(server), Lifecycle: lifecycle, Weight: 1}
+		Zone: s.zoneOfServer(site, server), Lifecycle: lifecycle, Weight: 1}
+}
+
+func (s Scenario) zoneOfServer(site stand.Site, server int) string {
+	switch {
+	case s.HomeServers == 0 || len(site.Zones) == 1:
+		return site.Zone(server)
+	case server < s.HomeServers:
+		return site.Zones[0]
+	}
+	return site.Zones[1+(server-s.HomeServers)%(len(site.Zones)-1)]
+}
+
+func (s Scenario) zoneOfProxy(site stand.Site, proxy int) string {
+	if s.HomeProxies {
+		return site.Zones[0]
+	}
+	return site.Zone(proxy)
 }
 
 // wholeList is the list that tells all servers.
--- a/internal/scale/script.go
+++ b/internal/scale/script.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"tamarindshore/choice"
 	"tamarindshore/internal/node"
 	"tamarindshore/internal/stand"
 )
@@ -47,6 +48,7 @@
 	scenario Scenario
 	site     stand.Site
 	phases   []phase
+	bound    int // proxies that have a table at the end
 }
 
 // find is the phase of a name; nil where the script has none.
@@ -110,7 +112,9 @@
 	r := &recorder{ctx: ctx, scenario: scenario, site: site, manager: manager, proxies: newProxyTables(), version: firstVersion,
 		script: &script{scenario: scenario, site: site}}
 	r.order = rand.New(rand.NewPCG(scenario.Seed, uint64(scenario.Servers))).Perm(scenario.Servers)
-	return r.script, r.play(quiet)
+	err = r.play(quiet)
+	r.script.bound = len(r.proxies.tableOf)
+	return r.script, err
 }
 
 func (r *recorder) play(quiet bool) error {
@@ -175,8 +179,7 @@
 		r.current.orders += call.Count()
 		for _, proxy := range r.proxies.apply(call) {
 			if call.Mark > 0 {
-				answers = append(answers, node.Message{Kind: node.NewsMessage, Event: "applied",
-					Text: fmt.Sprintf("id=%d&seq=%d&ms=%.1f", proxy, call.Mark, answerDelay.Seconds()*1000)})
+				answers = append(answers, appliedMessage(proxy, call.Mark))
 			}
 		}
 	}
@@ -188,6 +191,12 @@
 	return nil
 }
 
+// appliedMessage is a proxy's answer to a call's mark.
+func appliedMessage(proxy choice.ProxyID, mark choice.MarkID) node.Message {
+	return node.Message{Kind: node.NewsMessage, Event: "applied",
+		Text: fmt.Sprintf("id=%d&seq=%d&ms=%.1f", proxy, mark, answerDelay.Seconds()*1000)}
+}
+
 // later keeps answers until their time, as many together as the router takes.
 func (r *recorder) later(at time.Duration, messages []node.Message) {
 	for len(messages) > 0 {
@@ -254,7 +263,7 @@
 
 func (r *recorder) joined(proxy int) node.Message {
 	return node.Message{Kind: node.NewsMessage, Event: "joined",
-		Text: fmt.Sprintf("id=%d&site=%s&rps=%g&new=1", proxy, r.site.Zone(proxy), r.site.Rate)}
+		Text: fmt.Sprintf("id=%d&site=%s&rps=%g&new=1", proxy, r.scenario.zoneOfProxy(r.site, proxy), r.site.Rate)}
 }
 
 // busy lets reports and changes of the list come, each at its time.
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -26,7 +26,7 @@
 // Cost names what is measured.
 type Cost string
 
-// Costs of one manager, but for the last four, which are the control side's for all managers that it serves.
+// Costs of one manager, but for those of the control side, which are the control side's for all managers that it serves.
 const (
 	CPUPerInput            Cost = "cpu-per-input"             // seconds
 	CPUPerQuietSecond      Cost = "cpu-per-quiet-second"      // seconds, no input in it
@@ -54,6 +54,9 @@
 	ControlHeapPerManager  Cost = "control-heap-per-manager"  // bytes
 	ControlBytesPerManager Cost = "control-bytes-per-manager" // bytes of an opening
 	ControlConnections     Cost = "control-connections"       // connections open
+	ControlCPUPerChange    Cost = "control-cpu-per-change"    // seconds of one change told to one manager
+	OpeningLast            Cost = "opening-last"              // seconds until the last manager that opens has the whole list
+	ProxiesBound           Cost = "proxies-bound"             // proxies that have a table
 )
 
 // Shape is the form of curve that fits best.
@@ -112,6 +115,17 @@
 	GoVersion string           `json:"goVersion"`
 	Reference map[Axis]float64 `json:"reference"` // sizes of the axes that are held while one grows
 	Slopes    []Slope          `json:"slopes"`
+	PlanSize  []Case           `json:"planSize,omitempty"` // one manager at the plan's size, with the whole list and with a subset
+	Real      []RealCase       `json:"real,omitempty"`     // real processes beside hollow managers
+}
+
+// Case is one manager in one scenario, and the median of the runs for each cost.
+type Case struct {
+	Name        string           `json:"name"`
+	Sizes       map[Axis]float64 `json:"sizes"`
+	HomeServers int              `json:"homeServers"` // in the zone of the manager's proxies
+	Costs       map[Cost]float64 `json:"costs"`
+	Spread      map[Cost]float64 `json:"spread"` // largest relative spread of the runs
 }
 
 // Find gives the slope of a cost along an axis; false where it was not measured.
--- /dev/null
+++ b/internal/scale/table.go
@@ -0,0 +1,29 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Table writes a report's slopes for people.
+func Table(out io.Writer, report Report) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "axis\tcost\tshape\tbase\tper unit\tunit\tworst point off\tspread of runs\t")
+	for _, s := range report.Slopes {
+		shape := string(s.Shape)
+		if !s.Fits {
+			shape += " (none fits)"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3g\t%.3g\t%s\t%.0f%%\t%.0f%%\t\n", s.Axis, s.Cost, shape, s.Base, s.PerUnit, s.Unit, 100*s.WorstError, 100*s.Spread)
+	}
+	w.Flush()
+	for _, c := range report.PlanSize {
+		fmt.Fprintf(out, "\n%s: a quiet second %.3g s, a busy one %.3g s, longest decision %.3g s, opening %.3g s, heap %.3g MB, %g proxies bound\n", c.Name,
+			c.Costs[CPUPerQuietSecond], c.Costs[CPUPerBusySecond], c.Costs[LongestDecision], c.Costs[CPUPerOpening], c.Costs[HeapBytes]/mib, c.Costs[ProxiesBound])
+	}
+	for _, c := range report.Real {
+		fmt.Fprintf(out, "\nreal process, %d servers, %d proxies, %s: %.4f of a core, %.0f wakeups a second; hollow %.4f of a core\n", c.Servers,
+			c.Proxies, c.Name, medianOf(c.CPU), medianOf(c.Wakeups), medianOf(c.HollowCPU))
+	}
+}
