Scale: tests of the command's errors, files and interrupt; a cost of its own for many managers

Need: exit codes, one-line errors and an end within a second of Ctrl-C are promised and were not tested. Change: cmd/tamarindshore/scale_test.go; the memory of one of many managers is hollow-bytes, not heap-bytes.

--- /dev/null
+++ b/cmd/tamarindshore/scale_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"tamarindshore/internal/scale"
+)
+
+// scaleProgram is the command as a process of its own.
+func scaleProgram(arguments ...string) (*exec.Cmd, *bytes.Buffer) {
+	cmd := exec.Command(os.Args[0], append([]string{"scale"}, arguments...)...)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	said := &bytes.Buffer{}
+	cmd.Stderr = said
+	return cmd, said
+}
+
+func exitCode(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return 0
+}
+
+func TestScaleSaysInOneLineWhatItCannotDo(t *testing.T) {
+	for _, one := range []struct {
+		arguments []string
+		want      string
+	}{
+		{[]string{"--axis", "height"}, "--axis"},
+		{[]string{"--runs", "0"}, "--runs"},
+		{[]string{"--sizes", "60"}, "--sizes"},
+		{[]string{"--axis", "servers", "--sizes", "1e8"}, " fit"},
+		{[]string{"--axis", "managers", "--sizes", "1e6"}, " fit"},
+	} {
+		cmd, said := scaleProgram(one.arguments...)
+		err := cmd.Run()
+		lines := strings.Split(strings.TrimSpace(said.String()), "\n")
+		if exitCode(err) != failed || len(lines) != 1 || !strings.Contains(lines[0], one.want) {
+			t.Errorf("%v: exit %d, %q", one.arguments, exitCode(err), said)
+		}
+	}
+}
+
+func TestScaleWritesItsSlopesAndPlots(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "slopes.json")
+	cmd, said := scaleProgram("--axis", "servers", "--sizes", "30,60", "--runs", "1", "--json", path, "--plots", dir)
+	if err := cmd.Run(); err != nil {
+		t.Fatalf("%v: %s", err, said)
+	}
+	report, err := scale.ReadReport(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, found := report.Find(scale.HeapBytes, scale.Servers); !found {
+		t.Error("no slope of memory")
+	}
+	if _, err := os.Stat(filepath.Join(dir, "heap-bytes-by-servers.svg")); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against processes that go on after the one that started them was interrupted.
+func TestScaleEndsWithAllThatItStartedAtAnInterrupt(t *testing.T) {
+	for _, arguments := range [][]string{{"--axis", "servers", "--runs", "100"}, {"--axis", "opening-list-size", "--runs", "100"},
+		{"--axis", "managers", "--runs", "100"}} {
+		cmd, said := scaleProgram(arguments...)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(700 * time.Millisecond)
+		began := time.Now()
+		cmd.Process.Signal(os.Interrupt)
+		err := cmd.Wait()
+		if took := time.Since(began); took > time.Second || exitCode(err) != failed || !strings.Contains(said.String(), "interrupted") {
+			t.Errorf("%v: after %v: exit %d, %s", arguments, took, exitCode(err), said)
+		}
+		if syscall.Kill(-cmd.Process.Pid, 0) == nil {
+			t.Errorf("%v: a process that was started goes on", arguments)
+		}
+	}
+}
--- a/internal/scale/inforce.go
+++ b/internal/scale/inforce.go
@@ -226,7 +226,7 @@
 			return nil, err
 		}
 		samples = append(samples, sample{ChangeInForceMedian: quantile(times, 0.5), ChangeInForceTail: quantile(times, 0.99),
-			ChangeInForceLast: times[len(times)-1], HeapBytes: f.bytes})
+			ChangeInForceLast: times[len(times)-1], HollowBytes: f.bytes})
 	}
 	return samples, nil
 }
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -45,7 +45,7 @@
 	{axis: OpeningListSize, sizes: []float64{60, 600, 6000, 24000}, small: []float64{60, 240, 600, 2400}, costs: controlCosts[:4], real: true,
 		measure: (*session).controlByList, check: (*session).anyFits},
 	{axis: Managers, sizes: []float64{56, 560, 2800, 5600}, small: []float64{14, 28, 56, 140},
-		costs:   []Cost{ChangeInForceMedian, ChangeInForceTail, ChangeInForceLast, HeapBytes},
+		costs:   []Cost{ChangeInForceMedian, ChangeInForceTail, ChangeInForceLast, HollowBytes},
 		measure: (*session).inForce, check: (*session).managersFit},
 }
 
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -56,6 +56,7 @@
 	ControlConnections     Cost = "control-connections"       // connections open
 	ControlCPUPerChange    Cost = "control-cpu-per-change"    // seconds of one change told to one manager
 	OpeningLast            Cost = "opening-last"              // seconds until the last manager that opens has the whole list
+	HollowBytes            Cost = "hollow-bytes"              // bytes of each of many hollow managers in the smallest state
 	ProxiesBound           Cost = "proxies-bound"             // proxies that have a table
 )
 
