--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -20,19 +20,20 @@
 	ListChanges     Axis = "list-changes-per-second"
 	Reports         Axis = "reports-per-second"
 	RestartsAtOnce  Axis = "restarts-at-once"
-	OpeningListSize Axis = "opening-list-size" // entries
+	OpeningListSize Axis = "opening-list-size" // entries; the fleet of as many Servers: one of both axes counts, not their sum
 )
 
 // Cost names what is measured.
 type Cost string
 
-// Costs of one manager, but for the last four, which are the control side's for all managers that it serves.
+// Costs of one manager, but for those of the control side, which are the control side's for all managers that it serves.
 const (
 	CPUPerInput            Cost = "cpu-per-input"             // seconds
 	CPUPerQuietSecond      Cost = "cpu-per-quiet-second"      // seconds, no input in it
 	CPUPerBusySecond       Cost = "cpu-per-busy-second"       // seconds, with the reference inputs
 	CPUPerListChange       Cost = "cpu-per-list-change"       // seconds
 	CPUPerOpening          Cost = "cpu-per-opening"           // seconds
+	CPUPerListRead         Cost = "cpu-per-list-read"         // seconds of a whole list's decoding and first decision
 	LongestDecision        Cost = "longest-decision"          // seconds
 	HeapBytes              Cost = "heap-bytes"                // bytes held after a collection
 	BytesOfOpening         Cost = "bytes-of-opening"          // bytes of a whole list
@@ -43,6 +44,9 @@
 	BytesOfCalls           Cost = "bytes-of-calls"            // bytes of a second's calls to the relay
 	BytesOfProbe           Cost = "bytes-of-probe"            // bytes of one probe and its answer
 	BytesOfHeartbeat       Cost = "bytes-of-heartbeat"        // bytes of a second's signs of life
+	ProbesPerSecond        Cost = "probes-per-second"         // probes that a busy second orders
+	NewsPerSecond          Cost = "news-per-second"           // events of the relay in a busy second: answers to marks
+	OrdersPerSecond        Cost = "orders-per-second"         // orders to the relay in a busy second
 	ChangeInForceMedian    Cost = "change-in-force-p50"       // seconds until half of the managers' orders carry it
 	ChangeInForceTail      Cost = "change-in-force-p99"       // seconds, 99 in 100
 	ChangeInForceLast      Cost = "change-in-force-last"      // seconds, the last manager
@@ -50,6 +54,10 @@
 	ControlHeapPerManager  Cost = "control-heap-per-manager"  // bytes
 	ControlBytesPerManager Cost = "control-bytes-per-manager" // bytes of an opening
 	ControlConnections     Cost = "control-connections"       // connections open
+	ControlCPUPerChange    Cost = "control-cpu-per-change"    // seconds of one change told to one manager
+	OpeningLast            Cost = "opening-last"              // seconds until the last manager that opens has the whole list
+	HollowBytes            Cost = "hollow-bytes"              // bytes of each of many hollow managers in the smallest state
+	ProxiesBound           Cost = "proxies-bound"             // proxies that have a table
 )
 
 // Shape is the form of curve that fits best.
@@ -92,6 +100,7 @@
 	PerUnit    float64 `json:"perUnit"`
 	WorstError float64 `json:"worstError"` // largest relative distance of a point's median from the curve
 	Spread     float64 `json:"spread"`     // largest relative spread of runs at one size
+	Fits       bool    `json:"fits"`       // WorstError is within FitBound; else no tried shape fits, and this is the nearest
 	Hollow     bool    `json:"hollow"`     // measured on hollow managers, not on real processes
 	Points     []Point `json:"points"`
 }
@@ -107,6 +116,17 @@
 	GoVersion string           `json:"goVersion"`
 	Reference map[Axis]float64 `json:"reference"` // sizes of the axes that are held while one grows
 	Slopes    []Slope          `json:"slopes"`
+	PlanSize  []Case           `json:"planSize,omitempty"` // one manager at the plan's size, with the whole list and with a subset
+	Real      []RealCase       `json:"real,omitempty"`     // real processes beside hollow managers
+}
+
+// Case is one manager in one scenario, and the median of the runs for each cost.
+type Case struct {
+	Name        string           `json:"name"`
+	Sizes       map[Axis]float64 `json:"sizes"`
+	HomeServers int              `json:"homeServers"` // in the zone of the manager's proxies
+	Costs       map[Cost]float64 `json:"costs"`
+	Spread      map[Cost]float64 `json:"spread"` // largest relative spread of the runs
 }
 
 // Find gives the slope of a cost along an axis; false where it was not measured.
