--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -68,7 +68,7 @@
 	options        Options
 	reference      Scenario
 	measured       map[Scenario][]sample // the reference stands on each axis
-	writePerReader time.Duration         // of the control side, as measured last
+	writePerReader time.Duration         // of the control side before the most readers, the median of the runs
 }
 
 func (r *session) oneManager(ctx context.Context, size float64, s survey) ([]sample, error) {
@@ -86,7 +86,11 @@
 }
 
 func (r *session) controlByManagers(ctx context.Context, size float64, _ survey) ([]sample, error) {
-	return r.control(ctx, controlServers, int(size))
+	samples, err := r.control(ctx, controlServers, int(size))
+	if err == nil {
+		r.writePerReader = time.Duration(medianOf(pointOf(size, ControlCPUPerChange, samples).Runs) * float64(time.Second))
+	}
+	return samples, err
 }
 
 func (r *session) controlByList(ctx context.Context, size float64, _ survey) ([]sample, error) {
@@ -103,7 +107,6 @@
 			return nil, err
 		}
 		samples = append(samples, one)
-		r.writePerReader = time.Duration(one[ControlCPUPerChange] * float64(time.Second))
 	}
 	return samples, nil
 }
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -22,6 +22,7 @@
 	Reports    float64   `json:"reportsPerSecond"`
 	CPU        []float64 `json:"cpuPerSecond"`     // of a core, by run
 	Wakeups    []float64 `json:"wakeupsPerSecond"` // context switches of the process, by run
+	Probes     []float64 `json:"probesPerSecond"`  // that the process sent, by run
 	HollowCPU  []float64 `json:"hollowCPUPerSecond,omitempty"`
 	MemoryMB   float64   `json:"memoryMB"`               // the process's largest resident set
 	HollowHeap float64   `json:"hollowHeapMB,omitempty"` // held after a collection
@@ -124,19 +125,38 @@
 		if err != nil {
 			break
 		}
-		before, switched := processUse()
-		began := time.Now()
-		err = wait(ctx, realSpan)
-		after, switchedAfter := processUse()
-		took := time.Since(began).Seconds()
-		into.CPU = append(into.CPU, (after-before)/took)
-		into.Wakeups = append(into.Wakeups, (switchedAfter-switched)/took)
+		err = measureSpan(ctx, rig, into)
 	}
 	stop()
 	_, into.MemoryMB = stand.Use(rig.Daemon)
 	return errors.Join(err, <-ended)
 }
 
+// measureSpan adds one run.
+func measureSpan(ctx context.Context, rig *stand.Rig, into *RealCase) error {
+	probesBefore, err := probesSent(rig)
+	if err != nil {
+		return err
+	}
+	cpuBefore, switchesBefore := processUse()
+	began := time.Now()
+	if err := wait(ctx, realSpan); err != nil {
+		return err
+	}
+	cpuAfter, switchesAfter := processUse()
+	took := time.Since(began).Seconds()
+	probesAfter, err := probesSent(rig)
+	into.CPU = append(into.CPU, (cpuAfter-cpuBefore)/took)
+	into.Wakeups = append(into.Wakeups, (switchesAfter-switchesBefore)/took)
+	into.Probes = append(into.Probes, (probesAfter-probesBefore)/took)
+	return err
+}
+
+func probesSent(rig *stand.Rig) (float64, error) {
+	counters, err := rig.Counters()
+	return float64(counters["probes_sent"]), err
+}
+
 // wait lets time pass; it ends early with the context.
 func wait(ctx context.Context, span time.Duration) error {
 	select {
