A planned fleet against its budgets, by measured slopes: tamarindshore capacity

Need: the users plan for a size far beyond today's and ask which budget breaks first and which mechanism mends it. Change: package internal/capacity reads deploy/capacity.sexp and the report of a measurement, works out the load of seven roles in ten situations for three divisions of the list, and ranks the rows over budget whose mechanism is missing. What no slope tells says so, or takes the plan's own figure and says that.

--- a/cmd/tamarindshore/main.go
+++ b/cmd/tamarindshore/main.go
@@ -23,14 +23,15 @@
 var errNotGood = errors.New("the verdict is not good")
 
 type commands struct {
-	Serve   serve     `cmd:"" default:"withargs" help:"Run the manager until SIGTERM. What no command means."`
-	Check   check     `cmd:"" help:"Check files: the platform's JSON, or operator's settings as S-expressions."`
-	Load    loads     `cmd:"" help:"Load a manager with stand-ins on loopback and judge it by the five rules."`
-	Tables  tablesCmd `cmd:"" help:"Versions of the tables: what was sent, and the way back."`
-	Store   storeCmd  `cmd:"" help:"The file in which versions survive a crash."`
-	Search  searchCmd `cmd:"" help:"Play seeded faults on a virtual clock until a rule breaks."`
-	Replay  replayCmd `cmd:"" help:"Play one script or seed again, with its trace; --shrink makes it smaller."`
-	Version version   `cmd:"" help:"Say which version this is."`
+	Serve    serve       `cmd:"" default:"withargs" help:"Run the manager until SIGTERM. What no command means."`
+	Check    check       `cmd:"" help:"Check files: the platform's JSON, or operator's settings as S-expressions."`
+	Load     loads       `cmd:"" help:"Load a manager with stand-ins on loopback and judge it by the five rules."`
+	Tables   tablesCmd   `cmd:"" help:"Versions of the tables: what was sent, and the way back."`
+	Store    storeCmd    `cmd:"" help:"The file in which versions survive a crash."`
+	Search   searchCmd   `cmd:"" help:"Play seeded faults on a virtual clock until a rule breaks."`
+	Replay   replayCmd   `cmd:"" help:"Play one script or seed again, with its trace; --shrink makes it smaller."`
+	Capacity capacityCmd `cmd:"" help:"Hold a planned fleet against its budgets, by measured slopes."`
+	Version  version     `cmd:"" help:"Say which version this is."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/capacity/budget_test.go
@@ -0,0 +1,116 @@
+package capacity
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+func TestASubsetIsNeverDearer(t *testing.T) {
+	m := NewModel(planned(t), madeUp(t))
+	for _, c := range m.Checks() {
+		whole, subset, cached := c.Ratio[WholeList].Value, c.Ratio[Subset].Value, c.Ratio[CachedSubset].Value
+		if subset > whole+1e-9 || cached > subset+1e-9 {
+			t.Errorf("%s, %s, %s: %v with the whole list, %v with a subset, %v with a cached one", c.Situation, c.Role, c.Resource, whole, subset, cached)
+		}
+	}
+}
+
+func checkOf(ratio float64, m Mechanism) Check {
+	return Check{Ratio: map[Scope]Figure{WholeList: known(ratio), Subset: known(ratio / 10), CachedSubset: known(ratio / 100)}, Mechanism: m}
+}
+
+func TestRanking(t *testing.T) {
+	all := []Check{checkOf(2, watchCache), checkOf(30, aggregate), checkOf(0.5, subsetting), checkOf(20, subsetting), checkOf(5, watchCache),
+		checkOf(40, delta), {Ratio: map[Scope]Figure{}, Mechanism: watchCache}}
+	var got []float64
+	for _, c := range Ranking(all) {
+		got = append(got, c.Ratio[WholeList].Value)
+	}
+	if !slices.Equal(got, []float64{20, 5, 2, 0.5}) {
+		t.Errorf("the ranking of missing mechanisms: %v", got)
+	}
+	standings := Standings(all)
+	if len(standings) != 2 || standings[0].Mechanism.Name != "subsetting" || standings[1].Mechanism.Name != "watch cache" {
+		t.Fatalf("mechanisms: %+v", standings)
+	}
+	if s := standings[0]; s.Passed != 1 || s.Mended != 0 {
+		t.Errorf("subsetting: %d over budget, %d mended, not 1 and 0 (20 times becomes 2)", s.Passed, s.Mended)
+	}
+	if s := standings[1]; s.Passed != 2 || s.Mended != 2 {
+		t.Errorf("watch cache: %d over budget, %d mended, not 2 and 2", s.Passed, s.Mended)
+	}
+	partly := PassedPartly(all)
+	if len(partly) != 2 || partly[0].Mechanism.Name != delta.Name || partly[1].Mechanism.Name != aggregate.Name {
+		t.Errorf("passed though their mechanism stands, or partly: %+v", partly)
+	}
+}
+
+func TestTheMechanismThatIsBuiltStaysInItsRanking(t *testing.T) {
+	built := subsetting
+	built.Status = Stands
+	if got := Ranking([]Check{checkOf(3, built)}); len(got) != 1 {
+		t.Errorf("%d rows", len(got))
+	}
+}
+
+func TestPassedBudgetsByScope(t *testing.T) {
+	all := []Check{checkOf(20, subsetting), checkOf(5, watchCache), checkOf(1, delta)}
+	for scope, want := range map[Scope]int{WholeList: 2, Subset: 1, CachedSubset: 0} {
+		if got := len(PassedBudgets(all, scope)); got != want {
+			t.Errorf("%s: %d budgets passed, not %d", scope, got, want)
+		}
+	}
+}
+
+func TestTheVerdictFollowsTheJudgedScope(t *testing.T) {
+	p := planned(t)
+	for _, scope := range Scopes {
+		p.Judged = scope
+		m := NewModel(p, madeUp(t))
+		var out strings.Builder
+		passed := m.Tables(&out)
+		if len(passed) == 0 || !strings.Contains(out.String(), "scope that the plan judges, `"+string(scope)+"`") {
+			t.Errorf("%s: %d passed", scope, len(passed))
+		}
+		for _, c := range passed {
+			if !strings.Contains(out.String(), "- "+c.Situation+", "+string(c.Role)+": "+string(c.Resource)) {
+				t.Errorf("%s: %s, %s is not named", scope, c.Situation, c.Resource)
+			}
+		}
+	}
+}
+
+func TestAPlanWithinItsBudgets(t *testing.T) {
+	m := NewModel(small(t), madeUp(t))
+	var out strings.Builder
+	if passed := m.Tables(&out); len(passed) > 0 {
+		t.Errorf("passed: %+v", passed)
+	}
+	if !strings.Contains(out.String(), "No budget is passed") {
+		t.Error("it is not said")
+	}
+}
+
+func TestLimits(t *testing.T) {
+	m := NewModel(planned(t), madeUp(t))
+	passed := map[string][]Scope{}
+	for _, l := range m.Limits() {
+		for _, scope := range Scopes {
+			if l.Passed(scope) {
+				passed[l.What] = append(passed[l.What], scope)
+			}
+		}
+	}
+	for what, want := range map[string][]Scope{
+		"bytes of a whole list, which is one line":       {WholeList, Subset},
+		"servers of one zone in a table, were they even": Scopes,
+		"proxies of all managers, and their numbers":     Scopes,
+		"servers asked at once":                          {WholeList},
+		"traffic groups":                                 nil,
+	} {
+		if !slices.Equal(passed[what], want) {
+			t.Errorf("%s: passed with %v, not %v", what, passed[what], want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/control.go
@@ -0,0 +1,59 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// readers is how many managers one control machine serves.
+func (m *Model) readers(s Situation) float64 {
+	return (float64(m.Plan.Fleet.Managers) - s.Lost) / s.Machines
+}
+
+// controlMachine is a machine that tells the list to its part of all managers.
+func (m *Model) controlMachine(s Situation, scope Scope) Load {
+	p, readers := m.Plan, m.readers(s)
+	changes := s.Changes * p.sentShare(scope, false) / s.Window
+	opens, resumes := s.Openers/s.Machines/s.Window, s.Resumers/s.Machines/s.Window
+	load := Load{
+		State:       stateOf(float64(p.Fleet.Servers), "servers") + ", " + stateOf(readers, "readers"),
+		MessagesIn:  known(s.Changes/s.Window + opens + resumes),
+		MessagesOut: known(readers*(1+changes) + opens + resumes),
+		BytesIn:     m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Changes / s.Window),
+		Memory:      m.cost(scale.ControlHeapPerManager, m.controlSizes(scale.ControlHeapPerManager, s, scope)).times(readers),
+		Connections: known(readers),
+		Core:        m.controlCore(s, scope, opens),
+	}
+	perReader := m.heartbeats().plus(m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(changes))
+	resumed := m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Resumes * p.sentShare(scope, false) * resumes)
+	load.BytesOut = perReader.times(readers).plus(m.opening(scope).times(opens)).plus(resumed)
+	load.CoreWithoutCollectors = load.Core
+	return load
+}
+
+// controlCore is the least that a control machine spends: what its readers' openings cost. Its signs of life and the
+// telling of changes were not measured apart.
+func (m *Model) controlCore(s Situation, scope Scope, opens float64) Figure {
+	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, s, scope))
+	return Figure{Value: opening.Value * opens}
+}
+
+// controlSizes is the fleet as one control machine sees it.
+func (m *Model) controlSizes(cost scale.Cost, s Situation, scope Scope) Sizes {
+	sizes := m.listSizes(cost, m.Plan.sent(scope))
+	sizes[scale.Managers] = m.readers(s)
+	return sizes
+}
+
+// agent passes on what discovery tells to the manager beside it. There is none in this repository, so its own costs are
+// not measured.
+func (m *Model) agent(s Situation, scope Scope) Load {
+	p := m.Plan
+	in := m.managerInputs(s, scope)
+	list := m.listBytes(s, scope).plus(m.heartbeats())
+	return Load{
+		State:       stateOf(p.sent(scope), "servers"),
+		MessagesIn:  known(1 + in.listLines),
+		MessagesOut: known(1 + in.listLines),
+		BytesIn:     list,
+		BytesOut:    list,
+		Connections: known(2),
+	}
+}
--- /dev/null
+++ b/internal/capacity/limits.go
@@ -0,0 +1,60 @@
+package capacity
+
+// Limits of today's code that a plan may pass, whatever it costs. Each stands where Where says.
+const (
+	mostListLine    = 1 << 20 // bytes of a list in one line
+	mostProxyNumber = 65536   // proxies of all managers, and proxies' numbers
+	mostProbesWait  = 4096    // servers that are asked at once
+	mostGroups      = 63
+	leastTablePart  = 0.005 // of a table, below which a server has no line
+)
+
+// Limit is a fixed bound of today's code, and what the plan asks of it.
+type Limit struct {
+	What   string
+	Bound  float64
+	Wanted map[Scope]Figure
+	Effect string
+	Where  string
+}
+
+// Passed tells whether the plan passes the limit in a scope.
+func (l Limit) Passed(scope Scope) bool {
+	return l.Wanted[scope].Known && l.Wanted[scope].Value > l.Bound
+}
+
+// Limits are the fixed bounds of today's code that a fleet's size may pass.
+func (m *Model) Limits() []Limit {
+	p := m.Plan
+	perTable := p.home() / float64(p.Subset.HomeZones) / m.blocks()
+	return []Limit{
+		{"bytes of a whole list, which is one line", mostListLine, m.perScope(func(s Scope) Figure { return m.opening(s) }),
+			"the line is refused as too long: the watch never opens", "`config.Limits.LineList`"},
+		{"servers of one zone in a table, were they even", 1 / leastTablePart, m.perScope(func(Scope) Figure { return known(perTable) }),
+			"no server reaches the least part of a table: the table stays empty and no proxy is bound", "`leastLine` in `choice/choice.go`, blocks by `part`"},
+		{"proxies of all managers, and their numbers", mostProxyNumber, m.perScope(func(Scope) Figure {
+			return known(float64(p.Managers.Proxies) * float64(p.Fleet.Managers))
+		}), "the settings are refused, unless each relay numbers its own proxies", "`domain.proxies` in `internal/terms`, `mostProxies` in `internal/node/admit.go`"},
+		{"servers asked at once", mostProbesWait, m.perScope(func(s Scope) Figure { return known(p.held(s)) }),
+			"a lost fleet is not probed whole", "`config.Limits.ProbesWait`"},
+		{"traffic groups", mostGroups, m.perScope(func(Scope) Figure { return known(float64(p.Managers.TrafficGroups)) }),
+			"the settings are refused", "`classes` in `internal/terms`"},
+	}
+}
+
+// blocks is into how many tables a zone is divided at least one for five proxies of a manager in a zone, as `part` in
+// the decisions counts them over all zones of the site.
+func (m *Model) blocks() float64 {
+	const proxiesPerBlock, serversPerBlock = 5, 4
+	perZone := float64(m.Plan.Fleet.Servers) / float64(m.Plan.Fleet.Zones)
+	proxies := float64(m.Plan.Managers.Proxies) / float64(m.Plan.Fleet.Zones)
+	return max(1, float64(int(min(proxies/proxiesPerBlock, perZone/serversPerBlock))))
+}
+
+func (m *Model) perScope(of func(Scope) Figure) map[Scope]Figure {
+	all := map[Scope]Figure{}
+	for _, scope := range Scopes {
+		all[scope] = of(scope)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/capacity/load_test.go
@@ -0,0 +1,169 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"testing"
+
+	"tamarindshore/internal/scale"
+)
+
+const (
+	planFile   = "../../deploy/capacity.sexp"
+	slopesFile = "../../docs/scale/slopes.json"
+	pageFile   = "../../docs/CAPACITY.md"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// madeUp are slopes whose figures were made up for these tests.
+func madeUp(t *testing.T) scale.Report {
+	t.Helper()
+	r, err := ReadSlopes("testdata/slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func planned(t *testing.T) Plan {
+	t.Helper()
+	p, err := ReadPlan(planFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// small is a plan whose figures are easy to reckon by hand: 10 managers before 100 servers in 10 zones, 100 requests
+// a second.
+func small(t *testing.T) Plan {
+	p := planned(t)
+	p.Fleet = Fleet{Managers: 10, Servers: 100, Services: 2, RequestsPerSecond: 100, Regions: 5, Zones: 10}
+	p.Managers.Proxies, p.Managers.TrafficGroups, p.Managers.TriesPerRequest = 50, 1, 1
+	p.Control.Count = 5
+	p.Day.Failures, p.Day.Restarts, p.Day.Changes, p.Day.Batch = 1, 10, 69, 5
+	p.Subset = SubsetSize{HomeZones: 1, Others: 9}
+	return p
+}
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-9*max(1, math.Abs(want)) {
+		t.Errorf("%s: %v, not %v", what, got, want)
+	}
+}
+
+func TestSizesOfASubset(t *testing.T) {
+	p := small(t)
+	near(t, "held, whole list", p.held(WholeList), 100)
+	near(t, "held, subset", p.held(Subset), 19)                   // 10 of the home zone and 9 others
+	near(t, "sent, subset", p.sent(Subset), 100)                  // dropped where it is decoded
+	near(t, "sent, subset at a cache", p.sent(CachedSubset), 19)  // dropped before it is sent
+	near(t, "holders of a server", p.holders(Subset), 1.9)        // of 10 managers
+	near(t, "share of others", p.share(Subset, true), 0.1)        // 9 of 90
+	near(t, "share of all", p.share(Subset, false), 0.19)         // 19 of 100
+	near(t, "share of a whole list", p.share(WholeList, true), 1) // all
+	near(t, "sent share at a cache", p.sentShare(CachedSubset, true), 0.1)
+	near(t, "sent share", p.sentShare(Subset, true), 1)
+}
+
+func TestHomeZonesThatAreTheWholeFleet(t *testing.T) {
+	p := small(t)
+	p.Subset = SubsetSize{HomeZones: 10, Others: 50}
+	near(t, "held", p.held(Subset), 100)
+	near(t, "share of others", p.share(Subset, true), 0)
+}
+
+func TestCollectorsLines(t *testing.T) {
+	p := small(t)
+	near(t, "reports, whole list", p.reports(WholeList), 100*(1-math.Exp(-0.1))) // 10 tries on 100 servers
+	near(t, "reports, subset", p.reports(Subset), 19*(1-math.Exp(-10.0/19)))
+	near(t, "usages", p.usages(), 50*(1-math.Exp(-0.2))) // 10 requests on 50 proxies
+}
+
+func TestProbesAreBounded(t *testing.T) {
+	p := small(t)
+	near(t, "a few silent servers", p.probes(10), 5) // each once in 2 s
+	near(t, "a silent fleet", p.probes(1e6), 64/0.6) // 64 at once, 0.6 s each
+}
+
+func TestBusiestSecond(t *testing.T) {
+	p := planned(t)
+	near(t, "entries a day", p.entriesPerDay(), 34*2+2500*3+7300)
+	// 3,717 entries in the busiest hour are 186 batches, 0.052 a second: more than two together come in 2 of 100,000
+	// seconds, more than one in 130
+	near(t, "busiest second", p.busiestSecond(), 40)
+	p.Day = Day{Batch: 20, BusyHour: 0.25}
+	near(t, "a day without changes", p.busiestSecond(), 0)
+}
+
+func TestPoissonQuantile(t *testing.T) {
+	for _, one := range []struct {
+		mean, probability float64
+		want              int
+	}{{0, 0.9, 0}, {1, 0.36, 0}, {1, 0.37, 1}, {1, 0.92, 3}, {2, 0.95, 5}} {
+		if got := poissonQuantile(one.mean, one.probability); got != one.want {
+			t.Errorf("mean %v, probability %v: %d, not %d", one.mean, one.probability, got, one.want)
+		}
+	}
+	if got := poissonQuantile(10000, 0.5); got != 10000 {
+		t.Errorf("a large mean's median: %d", got)
+	}
+}
+
+func TestAManagersLoadReckonedByHand(t *testing.T) {
+	p := small(t)
+	m := NewModel(p, madeUp(t))
+	reports, usages := 100*(1-math.Exp(-0.1)), 50*(1-math.Exp(-0.2))
+
+	quiet := m.Load(Manager, p.situations()[0], WholeList)
+	near(t, "messages in", quiet.MessagesIn.Value, 2+reports+usages+1)
+	near(t, "bytes in", quiet.BytesIn.Value, 100*reports+60*usages+80+20)
+	near(t, "bytes out", quiet.BytesOut.Value, 1000)
+	near(t, "bytes without collectors' lines", quiet.bytesWithoutCollectors().Value, 80+20+1000)
+	base := 0.003 - 0.000002*900 - 0.00001*50 // 100 servers and 50 proxies
+	near(t, "core", quiet.Core.Value, base+0.00001*(reports+usages+1))
+	near(t, "core without collectors' lines", quiet.CoreWithoutCollectors.Value, base+0.00001)
+	near(t, "memory", quiet.Memory.Value, 1000000+1000*100)
+	near(t, "connections", quiet.Connections.Value, 4)
+
+	restart := m.Load(Manager, situation(t, p, "all managers restart"), WholeList)
+	near(t, "an opening's bytes in", restart.BytesIn.Value-quiet.BytesIn.Value, (100+150*100)/19.0+80*50/19.0)
+	near(t, "an opening's orders", restart.BytesOut.Value-quiet.BytesOut.Value, (100+50)*40/19.0)
+	near(t, "an opening's core", restart.Core.Value-quiet.Core.Value, 0.00002*100/19+0.00001*50/19)
+
+	cut := m.Load(Manager, situation(t, p, "a region is cut off"), Subset)
+	near(t, "probes of 9 others, of which 8 are outside the region", cut.MessagesOut.Value, 1+80.0/90*9/2)
+}
+
+func situation(t *testing.T, p Plan, name string) Situation {
+	t.Helper()
+	for _, s := range p.situations() {
+		if s.Name == name {
+			return s
+		}
+	}
+	t.Fatalf("no situation %q", name)
+	return Situation{}
+}
+
+func TestAControlMachinesLoadReckonedByHand(t *testing.T) {
+	p := small(t)
+	m := NewModel(p, madeUp(t))
+	quiet := m.Load(ControlMachine, p.situations()[0], WholeList)
+	near(t, "readers", quiet.Connections.Value, 2) // 10 managers before 5 machines
+	near(t, "signs of life", quiet.BytesOut.Value, 2*20)
+	all := m.Load(ControlMachine, situation(t, p, "all managers restart"), WholeList)
+	near(t, "openings", all.BytesOut.Value-quiet.BytesOut.Value, 2*(100+150*100)/19.0)
+	lost := m.Load(ControlMachine, situation(t, p, "two control machines are lost"), WholeList)
+	near(t, "readers of three machines", lost.Connections.Value, 10.0/3)
+	near(t, "openings of those that moved", lost.BytesOut.Value-10.0/3*20, 4.0/3*(100+150*100)/19)
+}
--- /dev/null
+++ b/internal/capacity/markdown.go
@@ -0,0 +1,410 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"tamarindshore/internal/scale"
+)
+
+// unmeasured stands for a figure that no slope tells.
+const unmeasured = "not measured"
+
+// Tables writes all tables of the page as Markdown, and tells which budgets are passed in the scope that is judged.
+func (m *Model) Tables(w io.Writer) (passed []Check) {
+	checks := m.Checks()
+	m.writeAssumptions(w)
+	m.writeTail(w)
+	for _, role := range Roles {
+		m.writeRole(w, role)
+	}
+	m.writeProxies(w)
+	writeChecks(w, checks)
+	m.writeLimits(w)
+	writeRanking(w, checks)
+	writePartly(w, checks)
+	m.writeSources(w)
+	passed = PassedBudgets(checks, m.Plan.Judged)
+	m.writeVerdict(w, passed)
+	return passed
+}
+
+func heading(w io.Writer, title string) { fmt.Fprintf(w, "\n### %s\n\n", title) }
+
+func row(w io.Writer, cells ...string) { fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | ")) }
+
+func header(w io.Writer, cells ...string) {
+	row(w, cells...)
+	row(w, slices.Repeat([]string{"---"}, len(cells))...)
+}
+
+func (m *Model) writeAssumptions(w io.Writer) {
+	p := m.Plan
+	heading(w, "What follows from the plan")
+	header(w, "what", "figure", "from")
+	row(w, "managers in a zone", number3(float64(p.Fleet.Managers)/float64(p.Fleet.Zones)), "plan")
+	row(w, "servers in a zone", number3(float64(p.Fleet.Servers)/float64(p.Fleet.Zones)), "plan")
+	row(w, "servers of a service", number3(float64(p.Fleet.Servers)/float64(p.Fleet.Services)), "plan")
+	row(w, "requests a second at a manager's proxies", number3(p.requestsPerManager()), "plan")
+	row(w, "requests a second at a server", number3(p.Fleet.RequestsPerSecond/float64(p.Fleet.Servers)), "plan")
+	row(w, "proxies in all", number3(float64(p.Fleet.Managers)*float64(p.Managers.Proxies)), "plan, assumed proxies of a manager")
+	row(w, "changed entries of the list a day", number3(p.entriesPerDay()), "plan, assumed entries of a failure, restart and change")
+	row(w, "changed entries in the busiest second", number3(p.busiestSecond()), "plan, batches at random within the busiest hour")
+	row(w, "servers that a manager holds, whole list", number3(p.held(WholeList)), "plan")
+	row(w, "servers that a manager holds, subset", number3(p.held(Subset)), "plan, size of the subset")
+	row(w, "managers that hold a server, subset", number3(p.holders(Subset)), "plan, size of the subset")
+	for _, scope := range []Scope{WholeList, Subset} {
+		row(w, "collectors' lines on servers a second at a manager, "+string(scope), number3(p.reports(scope)), "plan, requests spread evenly over what it holds")
+	}
+	row(w, "collectors' lines on proxies a second at a manager", number3(p.usages()), "plan, requests spread evenly")
+}
+
+// tailPart is the part of requests that a tail of 99 in 100 leaves out.
+const tailPart = 0.01
+
+// writeTail shows what part of all requests a table can send to a server that is gone, until a change is in force.
+func (m *Model) writeTail(w io.Writer) {
+	p := m.Plan
+	heading(w, "Requests that a late table can touch")
+	header(w, "event", "servers", "requests until a change is in force", "part of all requests meanwhile", "against 1 in 100")
+	for _, e := range []struct {
+		name    string
+		servers float64
+	}{
+		{"one server fails", 1},
+		{"the busiest second's entries, were all of them failures", p.busiestSecond()},
+		{"a zone is lost", float64(p.Fleet.Servers) / float64(p.Fleet.Zones)},
+	} {
+		part := e.servers / float64(p.Fleet.Servers)
+		requests := part * p.Fleet.RequestsPerSecond * p.Budgets.ChangeInForce.Seconds()
+		row(w, e.name, number3(e.servers), number3(requests), percent3(part), number3(part/tailPart))
+	}
+}
+
+func (m *Model) writeRole(w io.Writer, role Role) {
+	heading(w, "Load of one "+string(role))
+	header(w, "situation", "scope", "state", "messages in / out", "bytes in / out", "core", "memory", "connections", "worst ratio")
+	for _, r := range mergeRows(m.loadRows(role)) {
+		row(w, append([]string{strings.Join(r.situations, "; "), scopeNames(r.scopes)}, r.cells...)...)
+	}
+}
+
+// loadRow is the cells of one load, and all situations and scopes that share them.
+type loadRow struct {
+	situations []string
+	scopes     []Scope
+	cells      []string
+}
+
+// loadRows joins the scopes of a situation that have the same cells.
+func (m *Model) loadRows(role Role) []loadRow {
+	var rows []loadRow
+	for _, s := range m.Plan.situations() {
+		first := len(rows)
+		for _, scope := range Scopes {
+			cells := m.loadCells(role, s, scope)
+			i := slices.IndexFunc(rows[first:], func(r loadRow) bool { return slices.Equal(r.cells, cells) })
+			if i < 0 {
+				rows = append(rows, loadRow{[]string{s.Name}, []Scope{scope}, cells})
+				continue
+			}
+			rows[first+i].scopes = append(rows[first+i].scopes, scope)
+		}
+	}
+	return rows
+}
+
+// mergeRows joins the situations that have the same scopes and cells.
+func mergeRows(rows []loadRow) []loadRow {
+	var merged []loadRow
+	for _, r := range rows {
+		i := slices.IndexFunc(merged, func(old loadRow) bool {
+			return slices.Equal(old.scopes, r.scopes) && slices.Equal(old.cells, r.cells)
+		})
+		if i < 0 {
+			merged = append(merged, r)
+			continue
+		}
+		merged[i].situations = append(merged[i].situations, r.situations...)
+	}
+	return merged
+}
+
+func scopeNames(scopes []Scope) string {
+	if len(scopes) == len(Scopes) {
+		return "all"
+	}
+	var names []string
+	for _, s := range scopes {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
+
+func (m *Model) loadCells(role Role, s Situation, scope Scope) []string {
+	l := m.Load(role, s, scope)
+	return []string{l.State, show(l.MessagesIn, number3) + " / " + show(l.MessagesOut, number3),
+		show(l.BytesIn, bytes3) + " / " + show(l.BytesOut, bytes3), show(l.Core, percent3), show(l.Memory, bytes3),
+		show(l.Connections, number3), m.worst(role, l)}
+}
+
+// worst is the largest ratio of a load to a budget of its role, and which.
+func (m *Model) worst(role Role, l Load) string {
+	if role != Manager && role != ControlMachine {
+		return "no budget"
+	}
+	most, name := 0.0, ""
+	for _, resource := range []Resource{CoreStrict, Memory, BytesStrict} {
+		if f := m.spent(l, resource); f.Value/m.budget(role, resource) >= most {
+			most, name = f.Value/m.budget(role, resource), string(resource)
+		}
+	}
+	return number3(most) + " (" + name + ")"
+}
+
+// writeProxies shows the assumption that weighs most at a third and at three times.
+func (m *Model) writeProxies(w io.Writer) {
+	heading(w, "A manager in a quiet second, by the proxies that it steers")
+	resources := []Resource{CoreStrict, CoreWithoutCollectors, Memory, BytesStrict, BytesWithout}
+	cells := []string{"proxies", "scope"}
+	for _, r := range resources {
+		cells = append(cells, "ratio: "+string(r))
+	}
+	header(w, cells...)
+	usual := m.Plan.Managers.Proxies
+	for _, proxies := range []int{usual / 3, usual, 3 * usual} {
+		other := *m
+		other.Plan.Managers.Proxies = max(1, proxies)
+		quiet := other.Plan.situations()[0]
+		for _, scope := range []Scope{WholeList, Subset} {
+			cells := []string{number3(float64(proxies)), string(scope)}
+			for _, r := range resources {
+				cells = append(cells, show(other.check(Manager, r, quiet).Ratio[scope], number3))
+			}
+			row(w, cells...)
+		}
+		m.sources = other.sources
+	}
+}
+
+func writeChecks(w io.Writer, checks []Check) {
+	heading(w, "Against the budgets, as ratios")
+	header(w, "situation", "role", "budget", "whole list", "subset", "subset at a watch cache", "carried by", "status")
+	for _, c := range checks {
+		row(w, c.Situation, string(c.Role), string(c.Resource), show(c.Ratio[WholeList], number3), show(c.Ratio[Subset], number3),
+			show(c.Ratio[CachedSubset], number3), c.Mechanism.Name, string(c.Mechanism.Status))
+	}
+	heading(w, "The mechanisms, and where they stand")
+	header(w, "mechanism", "status", "where")
+	var told []string
+	for _, c := range checks {
+		if key := c.Mechanism.Name + string(c.Mechanism.Status); !slices.Contains(told, key) {
+			told = append(told, key)
+			row(w, c.Mechanism.Name, string(c.Mechanism.Status), c.Mechanism.Where)
+		}
+	}
+}
+
+func (m *Model) writeLimits(w io.Writer) {
+	heading(w, "Fixed limits of today's code")
+	header(w, "limit", "bound", "whole list", "subset", "subset at a watch cache", "what happens past it", "where")
+	for _, l := range m.Limits() {
+		cells := []string{l.What, number3(l.Bound)}
+		for _, scope := range Scopes {
+			cell := show(l.Wanted[scope], number3)
+			if l.Passed(scope) {
+				cell += ", **passed**"
+			}
+			cells = append(cells, cell)
+		}
+		row(w, append(cells, l.Effect, l.Where)...)
+	}
+}
+
+// rankedRows is how many rows the ranking shows at most.
+const rankedRows = 20
+
+func writeRanking(w io.Writer, checks []Check) {
+	heading(w, "The rows whose mechanism is missing, the worst first")
+	header(w, "rank", "ratio, whole list", "ratio, with its mechanism", "situation", "role", "budget", "missing mechanism")
+	for i, c := range Ranking(checks) {
+		if i == rankedRows {
+			break
+		}
+		row(w, strconv.Itoa(i+1), show(c.Ratio[WholeList], number3), show(c.Ratio[scopeMadeBy(c.Mechanism)], number3),
+			c.Situation, string(c.Role), string(c.Resource), c.Mechanism.Name)
+	}
+	fmt.Fprintln(w)
+	for i, s := range Standings(checks) {
+		fmt.Fprintf(w, "%d. **%s**: its worst row is %s of the budget (%s, %s, %s). It has %d rows over budget and brings %d of them under.\n",
+			i+1, s.Mechanism.Name, show(s.Worst.Ratio[WholeList], number3), s.Worst.Situation, s.Worst.Role, s.Worst.Resource, s.Passed, s.Mended)
+	}
+}
+
+func writePartly(w io.Writer, checks []Check) {
+	heading(w, "Rows over budget whose mechanism stands, or partly stands")
+	header(w, "ratio, whole list", "subset", "subset at a watch cache", "situation", "role", "budget", "mechanism", "status")
+	for _, c := range PassedPartly(checks) {
+		row(w, show(c.Ratio[WholeList], number3), show(c.Ratio[Subset], number3), show(c.Ratio[CachedSubset], number3),
+			c.Situation, string(c.Role), string(c.Resource), c.Mechanism.Name, string(c.Mechanism.Status))
+	}
+}
+
+func (m *Model) writeSources(w io.Writer) {
+	heading(w, "Where the figures come from")
+	r := m.Costs.report
+	fmt.Fprintf(w, "Slopes: version %d, seed %d, %d cores, %s.\n\n", r.Version, r.Seed, r.Cores, r.GoVersion)
+	header(w, "cost", "at", "figure", "slopes", "worst distance", "spread", "managers", "reckoned")
+	slices.SortStableFunc(m.sources, func(a, b Source) int { return strings.Compare(string(a.Cost), string(b.Cost)) })
+	for _, s := range m.sources {
+		row(w, sourceCells(s)...)
+	}
+}
+
+func sourceCells(s Source) []string {
+	var at, along, kinds []string
+	for _, axis := range sortedAxes(s.Sizes) {
+		at = append(at, fmt.Sprintf("%s %s", axis, number3(s.Sizes[axis])))
+	}
+	distance, spread := 0.0, 0.0
+	for _, slope := range s.Along {
+		along = append(along, fmt.Sprintf("%s (%s)", slope.Axis, slope.Shape))
+		distance, spread = max(distance, slope.WorstError), max(spread, slope.Spread)
+		kind := "real"
+		if slope.Hollow {
+			kind = "hollow"
+		}
+		if !slices.Contains(kinds, kind) {
+			kinds = append(kinds, kind)
+		}
+	}
+	return []string{string(s.Cost), orNone(at, "reference"), costFigure(s), orNone(along, "none"), percent3(distance), percent3(spread),
+		orNone(kinds, "none"), reckoned(s)}
+}
+
+func orNone(words []string, none string) string {
+	if len(words) == 0 {
+		return none
+	}
+	return strings.Join(words, ", ")
+}
+
+func costFigure(s Source) string {
+	unit := ""
+	if len(s.Along) > 0 {
+		unit = s.Along[0].Unit
+	}
+	switch {
+	case !s.Value.Known:
+		return unmeasured
+	case unit == "seconds":
+		return seconds3(s.Value.Value)
+	case unit == "bytes", s.Assumed:
+		return bytes3(s.Value.Value)
+	}
+	return number3(s.Value.Value)
+}
+
+// reckoned says how a cost was worked out beyond what was measured.
+func reckoned(s Source) string {
+	var notes []string
+	switch {
+	case s.Assumed:
+		return "not measured: the plan's figure"
+	case !s.Value.Known:
+		return "no slope: all that needs it says so"
+	}
+	if len(s.Missing) > 0 {
+		notes = append(notes, "not measured along "+axisNames(s.Missing)+", counted as at the reference")
+	}
+	if len(s.Beyond) > 0 {
+		notes = append(notes, "beyond the largest size measured along "+axisNames(s.Beyond))
+	}
+	return orNone(notes, "within what was measured")
+}
+
+func axisNames(axes []scale.Axis) string {
+	var names []string
+	for _, axis := range axes {
+		names = append(names, string(axis))
+	}
+	return strings.Join(names, ", ")
+}
+
+func (m *Model) writeVerdict(w io.Writer, passed []Check) {
+	heading(w, "Verdict")
+	if len(passed) == 0 {
+		fmt.Fprintf(w, "No budget is passed in the scope that the plan judges, `%s`.\n", m.Plan.Judged)
+		return
+	}
+	fmt.Fprintf(w, "Budgets passed in the scope that the plan judges, `%s`:\n\n", m.Plan.Judged)
+	for _, c := range passed {
+		fmt.Fprintf(w, "- %s, %s: %s, %s times the budget (%s, %s)\n", c.Situation, c.Role, c.Resource,
+			show(c.Ratio[m.Plan.Judged], number3), c.Mechanism.Name, c.Mechanism.Status)
+	}
+}
+
+func show(f Figure, how func(float64) string) string {
+	switch {
+	case f.Known:
+		return how(f.Value)
+	case f.Value > 0:
+		return "at least " + how(f.Value)
+	}
+	return unmeasured
+}
+
+func stateOf(n float64, what string) string { return number3(n) + " " + what }
+
+// number3 is a number to three places, with thousands apart.
+func number3(x float64) string {
+	switch size := math.Abs(x); {
+	case size == 0:
+		return "0"
+	case size < 0.001:
+		return "under 0.001"
+	case size < 10:
+		return strconv.FormatFloat(x, 'g', 3, 64)
+	case size < 100:
+		return strconv.FormatFloat(math.Round(x*10)/10, 'f', -1, 64)
+	}
+	return thousands(int64(math.Round(x)))
+}
+
+func thousands(n int64) string {
+	digits := strconv.FormatInt(n, 10)
+	var parts []string
+	for len(digits) > 3 {
+		parts = append([]string{digits[len(digits)-3:]}, parts...)
+		digits = digits[:len(digits)-3]
+	}
+	return strings.Join(append([]string{digits}, parts...), ",")
+}
+
+func bytes3(x float64) string {
+	for _, unit := range []struct {
+		size float64
+		name string
+	}{{1e9, "GB"}, {1e6, "MB"}, {1e3, "KB"}} {
+		if x >= unit.size {
+			return number3(x/unit.size) + " " + unit.name
+		}
+	}
+	return number3(x) + " B"
+}
+
+func percent3(x float64) string { return number3(100*x) + "%" }
+
+func seconds3(x float64) string {
+	switch {
+	case x >= 1:
+		return number3(x) + " s"
+	case x >= 1e-3:
+		return number3(1e3*x) + " ms"
+	}
+	return number3(1e6*x) + " µs"
+}
--- /dev/null
+++ b/internal/capacity/mechanism.go
@@ -0,0 +1,70 @@
+package capacity
+
+// Status says how far a mechanism stands in the code.
+type Status string
+
+// Statuses of a mechanism.
+const (
+	Stands  Status = "stands"
+	Partly  Status = "partly"
+	Missing Status = "missing"
+)
+
+// Mechanism is what carries a load, by its standard name.
+type Mechanism struct {
+	Name   string
+	Status Status
+	Where  string // in the code, or what is not there
+	Chosen bool   // it was ranked first and is the one that is built; it stays in the ranking that chose it
+}
+
+// Mechanisms, with what the code has of each.
+var (
+	subsetting = Mechanism{"subsetting", Missing, "nowhere: `words.list` in `internal/node` decodes every entry, and `choice` looks at all of them each second", true}
+	watchCache = Mechanism{"watch cache", Missing, "nowhere: each manager's watch is served by discovery itself, whole", false}
+	aggregate  = Mechanism{"aggregation", Partly, "collectors sum an interval for each zone and server, and for each proxy and traffic group; nothing sums over proxies or thins out lines by the bytes that they take", false}
+	resume     = Mechanism{"delta with resume", Partly, "`lists` in `internal/node` asks from the generation that it holds, and takes what changed or all; how far back discovery goes is its own matter, and a second control machine's generations are not settled", false}
+	snapshot   = Mechanism{"snapshot", Partly, "`known` in the start's file gives the list that a restart begins with, written by the platform; the manager keeps none of its own", false}
+	jitter     = Mechanism{"jittered restart", Partly, "`backoff` in `internal/node` waits 50 to 200 ms by chance between tries, which spreads a few managers and not thousands", false}
+	delta      = Mechanism{"delta with resume", Stands, "`lists` in `internal/node`: after the opening only changes come", false}
+)
+
+// carryingStrict is the mechanism that carries all bytes of a manager: that of collectors' lines where they are most.
+func carryingStrict(l Load, s Situation) Mechanism {
+	if l.CollectorBytes.Value > l.bytes().Value/2 {
+		return aggregate
+	}
+	return carrying(Manager, BytesWithout, s)
+}
+
+// carrying is the mechanism that carries a resource of a role in a situation.
+func carrying(role Role, resource Resource, s Situation) Mechanism {
+	if role == ControlMachine {
+		return carryingControl(resource, s)
+	}
+	switch {
+	case resource == CoreStrict, resource == CoreWithoutCollectors, resource == Memory:
+		return subsetting
+	case s.Resumes > 0:
+		return resume
+	case s.Reopens:
+		return resume
+	case s.Opens:
+		return snapshot
+	case s.NoList:
+		return subsetting // probes of servers that do not answer, of all that the manager holds
+	case s.Changes > 0:
+		return watchCache
+	}
+	return delta
+}
+
+func carryingControl(resource Resource, s Situation) Mechanism {
+	switch {
+	case resource == Memory:
+		return watchCache
+	case resource == CoreStrict && s.Openers > 0:
+		return jitter
+	}
+	return watchCache
+}
--- /dev/null
+++ b/internal/capacity/situation.go
@@ -0,0 +1,86 @@
+package capacity
+
+import "math"
+
+// Situation is a state of the fleet in which all roles are looked at. What happens in it is spread over its window,
+// and rates are means over that.
+type Situation struct {
+	Name       string
+	Window     float64 // seconds
+	Changes    float64 // entries of the list that change
+	Silent     float64 // servers that do not answer, as the worst-off manager sees it
+	Opens      bool    // the worst-off manager takes its list anew
+	Reopens    bool    // it ran on meanwhile and holds a generation
+	Openers    float64 // managers that do
+	Resumes    float64 // entries that the worst-off manager missed and asks for
+	Resumers   float64 // managers that ask for them
+	Machines   float64 // control machines that serve
+	Lost       float64 // managers that are away
+	Homeless   bool    // the silent servers are of other zones than the manager's
+	NoList     bool    // nothing of the list arrives
+	Recovering float64 // servers that answer again
+}
+
+// situations are those that the plan has to bear, in the order of the tables.
+func (p Plan) situations() []Situation {
+	f := p.Fleet
+	window := p.Budgets.ChangeInForce.Seconds()
+	machines := float64(p.Control.Count)
+	perZone := float64(f.Servers) / float64(f.Zones)
+	managersPerZone := float64(f.Managers) / float64(f.Zones)
+	perRegion := float64(f.Servers) / float64(f.Regions)
+	managersPerRegion := float64(f.Managers) / float64(f.Regions)
+	perMachine := float64(f.Managers) / machines
+	return []Situation{
+		{Name: "a quiet second", Window: 1, Machines: machines},
+		{Name: "the busiest second of an ordinary day", Window: 1, Changes: p.busiestSecond(), Silent: 1, Homeless: true, Machines: machines},
+		{Name: "a zone is lost", Window: window, Changes: perZone, Silent: perZone, Homeless: true, Lost: managersPerZone, Machines: machines},
+		{Name: "the zone is back", Window: window, Changes: perZone, Recovering: perZone, Openers: managersPerZone, Homeless: true, Machines: machines},
+		{Name: "a region is cut off", Window: window, NoList: true, Silent: float64(f.Servers) - perRegion, Homeless: true, Lost: managersPerRegion, Machines: machines},
+		{Name: "the region returns", Window: window, Resumes: p.busyHourEntries() * p.Events.RegionCut.Hours(), Resumers: managersPerRegion, Recovering: perRegion, Machines: machines},
+		{Name: "all managers of a zone restart", Window: window, Opens: true, Openers: managersPerZone, Machines: machines},
+		{Name: "all managers restart", Window: window, Opens: true, Openers: float64(f.Managers), Machines: machines},
+		{Name: "one control machine is lost", Window: window, Opens: true, Reopens: true, Openers: perMachine, Machines: machines - 1},
+		{Name: "two control machines are lost", Window: window, Opens: true, Reopens: true, Openers: 2 * perMachine, Machines: machines - 2},
+	}
+}
+
+// entriesPerDay is how many entries of the list change on an ordinary day.
+func (p Plan) entriesPerDay() float64 {
+	d := p.Day
+	return float64(d.Failures)*d.EntriesPerFailure + float64(d.Restarts)*d.EntriesPerRestart + float64(d.Changes)*d.EntriesPerChange
+}
+
+func (p Plan) busyHourEntries() float64 { return p.entriesPerDay() * p.Day.BusyHour }
+
+const secondsPerHour = 3600
+
+// busiestSecond is how many entries change in the busiest second of a day. Changes come in batches, batches at random
+// (Poisson) within the busiest hour; it is the number of batches that one second in the hour passes at most.
+func (p Plan) busiestSecond() float64 {
+	rate := p.busyHourEntries() / float64(p.Day.Batch) / secondsPerHour
+	return float64(poissonQuantile(rate, 1-1.0/secondsPerHour) * p.Day.Batch)
+}
+
+// poissonQuantile is the least number that a Poisson variable of a mean stays at or under with a probability.
+func poissonQuantile(mean, probability float64) int {
+	term := math.Exp(-mean)
+	if term == 0 { // a mean of hundreds: the normal distribution
+		return int(math.Ceil(mean + math.Sqrt2*math.Erfinv(2*probability-1)*math.Sqrt(mean)))
+	}
+	sum, n := term, 0
+	for sum < probability {
+		n++
+		term *= mean / float64(n)
+		sum += term
+	}
+	return n
+}
+
+// occupied is how many of some cells are hit at least once, where so many hits fall on them evenly.
+func occupied(cells, hits float64) float64 {
+	if cells == 0 {
+		return 0
+	}
+	return cells * -math.Expm1(-hits/cells)
+}
--- /dev/null
+++ b/internal/capacity/slopes.go
@@ -0,0 +1,214 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+
+	"tamarindshore/internal/scale"
+)
+
+// ReadSlopes reads and checks the report of a measurement. An error names the file, the line and the key.
+func ReadSlopes(path string) (scale.Report, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return scale.Report{}, err
+	}
+	return ParseSlopes(filepath.Base(path), text)
+}
+
+// ParseSlopes reads the report of a measurement.
+func ParseSlopes(name string, text []byte) (scale.Report, error) {
+	var r scale.Report
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if err := decoder.Decode(&r); err != nil {
+		return r, atJSON(name, text, err)
+	}
+	fail := func(key, format string, values ...any) (scale.Report, error) {
+		return r, fmt.Errorf("%s:%d: %s: %s", name, lineOfKey(text, key), key, fmt.Sprintf(format, values...))
+	}
+	if r.Version != scale.ReportVersion {
+		return fail("version", "%d is not %d", r.Version, scale.ReportVersion)
+	}
+	if len(r.Slopes) == 0 {
+		return fail("slopes", "is missing or empty")
+	}
+	for i, s := range r.Slopes {
+		if _, told := r.Reference[s.Axis]; !told {
+			return fail("reference", "%s is missing, along which slopes[%d] was measured", s.Axis, i)
+		}
+		if s.Cost == "" || !slices.Contains([]scale.Shape{scale.Constant, scale.Linear, scale.Linearithmic, scale.Quadratic}, s.Shape) {
+			return fail("slopes", "slopes[%d], %s along %s, has no cost or no known shape", i, s.Cost, s.Axis)
+		}
+		if math.Abs(s.Base)+math.Abs(s.PerUnit) > 1e18 {
+			return fail("slopes", "slopes[%d], %s along %s, is out of range", i, s.Cost, s.Axis)
+		}
+	}
+	return r, nil
+}
+
+// atJSON adds the line, and the key where it is known, to an error of the decoder.
+func atJSON(name string, text []byte, err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &kind):
+		return fmt.Errorf("%s:%d: %s: %s is no %s", name, lineAt(text, kind.Offset), kind.Field, kind.Value, kind.Type)
+	case errors.As(err, &syntax):
+		return fmt.Errorf("%s:%d: %v", name, lineAt(text, syntax.Offset), err)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return fmt.Errorf("%s:%d: %s: the file is cut short", name, lineAt(text, int64(len(text))), lastKey(text))
+	}
+	return fmt.Errorf("%s: %v", name, err)
+}
+
+var jsonKey = regexp.MustCompile(`"([A-Za-z]+)"\s*:`)
+
+// lastKey is the last key of a text that is cut short.
+func lastKey(text []byte) string {
+	if all := jsonKey.FindAllSubmatch(text, -1); len(all) > 0 {
+		return string(all[len(all)-1][1])
+	}
+	return "version"
+}
+
+func lineAt(text []byte, offset int64) int {
+	return 1 + bytes.Count(text[:min(int(offset), len(text))], []byte("\n"))
+}
+
+// lineOfKey is the line on which a key first stands, the first where it doesn't.
+func lineOfKey(text []byte, key string) int {
+	return lineAt(text, int64(max(0, bytes.Index(text, []byte(`"`+key+`"`)))))
+}
+
+// Figure is a value worked out from slopes and the plan. Where something in it was not measured it is not known, and
+// the value is what the rest comes to: the least that it can be.
+type Figure struct {
+	Value float64
+	Known bool
+}
+
+func known(x float64) Figure { return Figure{x, true} }
+
+// plus is known where both are.
+func (f Figure) plus(g Figure) Figure { return Figure{f.Value + g.Value, f.Known && g.Known} }
+
+func (f Figure) times(x float64) Figure {
+	if x == 0 {
+		return known(0)
+	}
+	return Figure{f.Value * x, f.Known}
+}
+
+// Sizes are sizes along some axes.
+type Sizes map[scale.Axis]float64
+
+// Source says where the value of a cost comes from.
+type Source struct {
+	Cost    scale.Cost
+	Sizes   Sizes // along the axes that were measured
+	Value   Figure
+	Along   []scale.Slope // the slopes that it was worked out from
+	Missing []scale.Axis  // wanted sizes along which no slope was measured: counted at the reference
+	Beyond  []scale.Axis  // along which the wanted size is beyond the largest measured
+	Assumed bool          // the plan's own figure stands in
+}
+
+// Costs gives costs at a size: the reference's cost, and for each axis the slope's rise from the reference to the size.
+type Costs struct {
+	report scale.Report
+}
+
+// At works a cost out. A cost without any slope is unknown.
+func (c Costs) At(cost scale.Cost, sizes Sizes) Source {
+	s := Source{Cost: cost, Sizes: Sizes{}}
+	var references []float64
+	for _, axis := range sortedAxes(sizes) {
+		slope, measured := c.report.Find(cost, axis)
+		if !measured {
+			s.Missing = append(s.Missing, axis)
+			continue
+		}
+		s.Sizes[axis] = sizes[axis]
+		s.Along = append(s.Along, slope)
+		references = append(references, slope.At(c.report.Reference[axis]))
+		if sizes[axis] > largest(slope) {
+			s.Beyond = append(s.Beyond, axis)
+		}
+	}
+	if len(references) == 0 {
+		s.Value, s.Along = c.reference(cost)
+		return s
+	}
+	value := mean(references)
+	for _, slope := range s.Along {
+		value += slope.At(sizes[slope.Axis]) - slope.At(c.report.Reference[slope.Axis])
+	}
+	s.Value = known(max(0, value))
+	return s
+}
+
+// reference is a cost at the reference, from the slopes along axes that were not asked for.
+func (c Costs) reference(cost scale.Cost) (Figure, []scale.Slope) {
+	var references []float64
+	var along []scale.Slope
+	for _, slope := range c.report.Slopes {
+		if slope.Cost == cost {
+			references = append(references, slope.At(c.report.Reference[slope.Axis]))
+			along = append(along, slope)
+		}
+	}
+	if len(references) == 0 {
+		return Figure{}, nil
+	}
+	return known(max(0, mean(references))), along
+}
+
+// OrPlan is a cost, or the plan's own figure where it was not measured.
+func (c Costs) OrPlan(cost scale.Cost, sizes Sizes, assumed float64) Source {
+	s := c.At(cost, sizes)
+	if !s.Value.Known {
+		s.Value, s.Assumed = known(assumed), true
+	}
+	return s
+}
+
+// listAxis is the axis along which an opening was measured.
+func (c Costs) listAxis(cost scale.Cost) scale.Axis {
+	if _, measured := c.report.Find(cost, scale.OpeningListSize); measured {
+		return scale.OpeningListSize
+	}
+	return scale.Servers
+}
+
+func largest(s scale.Slope) float64 {
+	most := 0.0
+	for _, p := range s.Points {
+		most = max(most, p.Size)
+	}
+	return most
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+func sortedAxes(sizes Sizes) []scale.Axis {
+	var axes []scale.Axis
+	for axis := range sizes {
+		axes = append(axes, axis)
+	}
+	slices.Sort(axes)
+	return axes
+}
--- /dev/null
+++ b/internal/capacity/surroundings.go
@@ -0,0 +1,79 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// The roles of this file belong to others than this project: what they are sent and send is reckoned from the
+// managers' side, and their own processor time and memory are not measured.
+
+// relay carries the calls of the managers of its zone to their proxies.
+func (m *Model) relay(s Situation, scope Scope) Load {
+	p := m.Plan
+	managers := p.perRelay()
+	in := m.managerInputs(s, scope)
+	calls := m.bytesAt(scale.BytesOfCalls, m.managerSizes(scope), p.Messages.Calls).plus(m.openingOrders(s, scope))
+	return Load{
+		State:       stateOf(managers*float64(p.Managers.Proxies), "proxies") + ", " + stateOf(managers, "managers"),
+		MessagesIn:  known(managers * callsPerSecond),
+		MessagesOut: known(managers * in.news),
+		BytesIn:     calls.times(managers),
+		BytesOut:    m.newsBytes(in).times(managers),
+		Connections: known(managers * (2 + float64(p.Managers.Proxies))),
+	}
+}
+
+func (p Plan) perRelay() float64 {
+	return float64(p.Fleet.Managers) / float64(p.Fleet.Zones*p.Managers.RelaysPerZone)
+}
+
+// collector tells the managers of its zone what their proxies met.
+func (m *Model) collector(scope Scope) Load {
+	p := m.Plan
+	managers := float64(p.Fleet.Managers*p.Managers.ProxyZones) / float64(p.Fleet.Zones)
+	part := 1 / float64(p.Managers.ProxyZones*p.Managers.CollectorsPerZone)
+	lines := inputs{reports: p.reports(scope) * part, usages: p.usages() * part}
+	requests := p.Fleet.RequestsPerSecond / float64(p.Fleet.Zones*p.Managers.CollectorsPerZone)
+	return Load{
+		State:       stateOf(requests, "requests a second"),
+		MessagesIn:  Figure{},
+		MessagesOut: known(managers * lines.decisions()),
+		BytesIn:     Figure{},
+		BytesOut:    m.collectorLines(lines).times(managers),
+		Connections: known(managers),
+	}
+}
+
+// proxy holds the table of its zone.
+func (m *Model) proxy(s Situation, scope Scope) Load {
+	p := m.Plan
+	requests := p.requestsPerManager() / float64(p.Managers.Proxies)
+	orders := known(0)
+	if s.Opens {
+		orders = known((m.tableLines(scope) + 1) * p.Messages.Order / s.Window)
+	}
+	return Load{
+		State:       stateOf(m.tableLines(scope), "lines at most") + ", " + stateOf(requests, "requests a second"),
+		MessagesIn:  known(callsPerSecond),
+		MessagesOut: known(callsPerSecond),
+		BytesIn:     orders,
+		BytesOut:    m.bytesOf(scale.BytesOfNews, p.Messages.News),
+		Connections: known(1 + m.tableLines(scope)),
+	}
+}
+
+// server answers requests, and the probes of all managers that hold it and take it for silent or back.
+func (m *Model) server(s Situation, scope Scope) Load {
+	p := m.Plan
+	probes := 0.0
+	if s.Silent > 0 || s.Recovering > 0 {
+		probes = p.holders(scope) / p.Managers.ProbeInterval.Seconds()
+	}
+	requests := p.Fleet.RequestsPerSecond / float64(p.Fleet.Servers)
+	return Load{
+		State:       stateOf(requests, "requests a second") + ", held by " + stateOf(p.holders(scope), "managers"),
+		MessagesIn:  known(probes),
+		MessagesOut: known(probes),
+		BytesIn:     m.bytesOf(scale.BytesOfProbe, p.Messages.Probe).times(probes),
+		BytesOut:    Figure{},
+		Connections: Figure{},
+	}
+}
