Capacity: a subset that widens in a cut region, busy seconds as measured, fixed limits of time

Cause: a subset as internal/subset plans it doubles while too few of its servers can be reached, so a manager in a region that is cut off holds more than its stated size; and a busy second is measured as a whole, which says more than its parts. Change: what a manager holds depends on the situation; core in the strict reading comes from the busy second's slopes where there are some; a line of the list that takes longer than 2.6 s stands among the fixed limits.

--- a/deploy/capacity.sexp
+++ b/deploy/capacity.sexp
@@ -54,7 +54,8 @@
 
   (subset                              ; what a manager holds where the list is divided
     (home-zones 1)                     ; whole
-    (others 100))                      ; of other zones, spread evenly
+    (others 100)                       ; of other zones, spread evenly
+    (widen-below 70%))                 ; of the others: with fewer in reach the subset doubles
 
   (message-bytes                       ; stand in where the slopes do not tell
     (report 100)
--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -98,11 +98,11 @@
 	beside := Check{Situation: "a change beside all managers' openings", Role: Manager, Resource: InForce, Ratio: map[Scope]Figure{}, Mechanism: watchCache}
 	most := m.Plan.Budgets.ChangeInForce.Seconds()
 	for _, scope := range Scopes {
-		sizes := Sizes{scale.Managers: float64(m.Plan.Fleet.Managers), scale.Servers: m.Plan.held(scope)}
+		sizes := Sizes{scale.Managers: float64(m.Plan.Fleet.Managers), scale.Servers: m.Plan.usual(scope).held}
 		quiet.Ratio[scope] = m.cost(scale.ChangeInForceLast, sizes).times(1 / most)
 		beside.Ratio[scope] = Figure{}
 		if _, measured := m.Costs.report.Find(scale.ChangeInForceLast, scale.RestartsAtOnce); measured {
-			sizes := Sizes{scale.RestartsAtOnce: float64(m.Plan.Fleet.Managers), scale.Servers: m.Plan.held(scope)}
+			sizes := Sizes{scale.RestartsAtOnce: float64(m.Plan.Fleet.Managers), scale.Servers: m.Plan.usual(scope).held}
 			beside.Ratio[scope] = m.cost(scale.ChangeInForceLast, sizes).times(1 / most)
 		}
 	}
--- a/internal/capacity/budget_test.go
+++ b/internal/capacity/budget_test.go
@@ -103,11 +103,12 @@
 		}
 	}
 	for what, want := range map[string][]Scope{
-		"bytes of a whole list, which is one line":       {WholeList, Subset},
-		"servers of one zone in a table, were they even": Scopes,
-		"proxies of all managers, and their numbers":     Scopes,
-		"servers asked at once":                          {WholeList},
-		"traffic groups":                                 nil,
+		"bytes of a whole list, which is one line":           {WholeList, Subset},
+		"seconds of a whole list, sent at the budget's pace": Scopes,
+		"servers of one zone in a table, were they even":     Scopes,
+		"proxies of all managers, and their numbers":         Scopes,
+		"servers asked at once":                              {WholeList},
+		"traffic groups":                                     nil,
 	} {
 		if !slices.Equal(passed[what], want) {
 			t.Errorf("%s: passed with %v, not %v", what, passed[what], want)
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -9,35 +9,35 @@
 
 // controlMachine is a machine that tells the list to its part of all managers.
 func (m *Model) controlMachine(s Situation, scope Scope) Load {
-	p, readers := m.Plan, m.readers(s)
-	changes := s.Changes * p.sentShare(scope, false) / s.Window
+	p, readers, h := m.Plan, m.readers(s), m.Plan.usual(scope)
+	changes := s.Changes * h.sentShare(false) / s.Window
 	opens, resumes := s.Openers/s.Machines/s.Window, s.Resumers/s.Machines/s.Window
 	load := Load{
 		State:       stateOf(float64(p.Fleet.Servers), "servers") + ", " + stateOf(readers, "readers"),
 		MessagesIn:  known(s.Changes/s.Window + opens + resumes),
 		MessagesOut: known(readers*(1+changes) + opens + resumes),
 		BytesIn:     m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Changes / s.Window),
-		Memory:      m.cost(scale.ControlHeapPerManager, m.controlSizes(scale.ControlHeapPerManager, s, scope)).times(readers),
+		Memory:      m.cost(scale.ControlHeapPerManager, m.controlSizes(scale.ControlHeapPerManager, s, h)).times(readers),
 		Connections: known(readers),
-		Core:        m.controlCore(s, scope, opens),
+		Core:        m.controlCore(s, h, opens),
 	}
 	perReader := m.heartbeats().plus(m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(changes))
-	resumed := m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Resumes * p.sentShare(scope, false) * resumes)
-	load.BytesOut = perReader.times(readers).plus(m.opening(scope).times(opens)).plus(resumed)
+	resumed := m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Resumes * h.sentShare(false) * resumes)
+	load.BytesOut = perReader.times(readers).plus(m.opening(h).times(opens)).plus(resumed)
 	load.CoreWithoutCollectors = load.Core
 	return load
 }
 
 // controlCore is the least that a control machine spends: what its readers' openings cost. Its signs of life and the
 // telling of changes were not measured apart.
-func (m *Model) controlCore(s Situation, scope Scope, opens float64) Figure {
-	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, s, scope))
+func (m *Model) controlCore(s Situation, h holding, opens float64) Figure {
+	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, s, h))
 	return Figure{Value: opening.Value * opens}
 }
 
 // controlSizes is the fleet as one control machine sees it.
-func (m *Model) controlSizes(cost scale.Cost, s Situation, scope Scope) Sizes {
-	sizes := m.listSizes(cost, m.Plan.sent(scope))
+func (m *Model) controlSizes(cost scale.Cost, s Situation, h holding) Sizes {
+	sizes := m.listSizes(cost, h.sent)
 	sizes[scale.Managers] = m.readers(s)
 	return sizes
 }
@@ -45,11 +45,11 @@
 // agent passes on what discovery tells to the manager beside it. There is none in this repository, so its own costs are
 // not measured.
 func (m *Model) agent(s Situation, scope Scope) Load {
-	p := m.Plan
-	in := m.managerInputs(s, scope)
-	list := m.listBytes(s, scope).plus(m.heartbeats())
+	h := m.Plan.holding(s, scope)
+	in := m.managerInputs(s, h)
+	list := m.listBytes(s, h).plus(m.heartbeats())
 	return Load{
-		State:       stateOf(p.sent(scope), "servers"),
+		State:       stateOf(h.sent, "servers"),
 		MessagesIn:  known(1 + in.listLines),
 		MessagesOut: known(1 + in.listLines),
 		BytesIn:     list,
--- a/internal/capacity/limits.go
+++ b/internal/capacity/limits.go
@@ -3,6 +3,7 @@
 // Limits of today's code that a plan may pass, whatever it costs. Each stands where Where says.
 const (
 	mostListLine    = 1 << 20 // bytes of a list in one line
+	mostLineTime    = 2.6     // seconds that a line of the list may take
 	mostProxyNumber = 65536   // proxies of all managers, and proxies' numbers
 	mostProbesWait  = 4096    // servers that are asked at once
 	mostGroups      = 63
@@ -28,22 +29,24 @@
 	p := m.Plan
 	perTable := p.home() / float64(p.Subset.HomeZones) / m.blocks()
 	return []Limit{
-		{"bytes of a whole list, which is one line", mostListLine, m.perScope(func(s Scope) Figure { return m.opening(s) }),
-			"the line is refused as too long: the watch never opens", "`config.Limits.LineList`"},
+		{"bytes of a whole list, which is one line", mostListLine, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)) }),
+			"a whole list is refused as too long: only changes can be taken", "`config.Limits.LineList`"},
+		{"seconds of a whole list, sent at the budget's pace", mostLineTime, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)).times(1 / p.Budgets.BytesPerSecond) }),
+			"the watch counts as silent and is opened again", "`config.Limits.SilentWatch`, `expect` in `internal/node/dial.go`"},
 		{"servers of one zone in a table, were they even", 1 / leastTablePart, m.perScope(func(Scope) Figure { return known(perTable) }),
 			"no server reaches the least part of a table: the table stays empty and no proxy is bound", "`leastLine` in `choice/choice.go`, blocks by `part`"},
 		{"proxies of all managers, and their numbers", mostProxyNumber, m.perScope(func(Scope) Figure {
 			return known(float64(p.Managers.Proxies) * float64(p.Fleet.Managers))
 		}), "the settings are refused, unless each relay numbers its own proxies", "`domain.proxies` in `internal/terms`, `mostProxies` in `internal/node/admit.go`"},
-		{"servers asked at once", mostProbesWait, m.perScope(func(s Scope) Figure { return known(p.held(s)) }),
+		{"servers asked at once", mostProbesWait, m.perScope(func(s Scope) Figure { return known(p.usual(s).held) }),
 			"a lost fleet is not probed whole", "`config.Limits.ProbesWait`"},
 		{"traffic groups", mostGroups, m.perScope(func(Scope) Figure { return known(float64(p.Managers.TrafficGroups)) }),
 			"the settings are refused", "`classes` in `internal/terms`"},
 	}
 }
 
-// blocks is into how many tables a zone is divided at least one for five proxies of a manager in a zone, as `part` in
-// the decisions counts them over all zones of the site.
+// blocks is into how many tables a zone is divided at most: one for five proxies of a manager, counted as `part` in the
+// decisions does, as if they stood evenly in all zones.
 func (m *Model) blocks() float64 {
 	const proxiesPerBlock, serversPerBlock = 5, 4
 	perZone := float64(m.Plan.Fleet.Servers) / float64(m.Plan.Fleet.Zones)
--- a/internal/capacity/load.go
+++ b/internal/capacity/load.go
@@ -64,7 +64,7 @@
 	case Relay:
 		return m.relay(s, scope)
 	case Collector:
-		return m.collector(scope)
+		return m.collector(s, scope)
 	case Proxy:
 		return m.proxy(s, scope)
 	}
--- a/internal/capacity/manager.go
+++ b/internal/capacity/manager.go
@@ -17,12 +17,12 @@
 // decisions is how many of them the decisions hear, beside the list.
 func (in inputs) decisions() float64 { return in.reports + in.usages + in.news + in.probes }
 
-func (m *Model) managerInputs(s Situation, scope Scope) inputs {
+func (m *Model) managerInputs(s Situation, h holding) inputs {
 	p := m.Plan
-	in := inputs{reports: p.reports(scope), usages: p.usages(), news: callsPerSecond}
-	in.probes = p.probes(s.Silent * p.share(scope, s.Homeless))
+	in := inputs{reports: p.reports(h), usages: p.usages(), news: callsPerSecond}
+	in.probes = p.probes(s.Silent * h.share(s.Homeless))
 	if s.Recovering > 0 {
-		in.probes += s.Recovering * p.share(scope, s.Homeless) / s.Window
+		in.probes += s.Recovering * h.share(s.Homeless) / s.Window
 	}
 	if s.Opens {
 		in.news += float64(p.Managers.Proxies) / s.Window
@@ -32,67 +32,91 @@
 		in.listLines = 1 / s.Window
 	}
 	if s.Changes > 0 {
-		in.listLines = s.Changes * p.sentShare(scope, s.Homeless) / s.Window
+		in.listLines = s.Changes * h.sentShare(s.Homeless) / s.Window
 	}
 	return in
 }
 
 func (m *Model) manager(s Situation, scope Scope) Load {
-	p, in := m.Plan, m.managerInputs(s, scope)
+	p, h := m.Plan, m.Plan.holding(s, scope)
+	in := m.managerInputs(s, h)
 	load := Load{
-		State:       stateOf(p.held(scope), "servers") + ", " + stateOf(float64(p.Managers.Proxies), "proxies"),
+		State:       stateOf(h.held, "servers") + ", " + stateOf(float64(p.Managers.Proxies), "proxies"),
 		MessagesIn:  known(heartbeatsPerSecond + in.decisions() + in.listLines),
 		MessagesOut: known(callsPerSecond + in.probes),
-		Memory:      m.cost(scale.HeapBytes, m.managerSizes(scope)),
+		Memory:      m.cost(scale.HeapBytes, m.managerSizes(h)),
 		Connections: known(standingConnections + float64(p.Managers.ProxyZones*p.Managers.CollectorsPerZone) + m.openProbes(in.probes)),
 	}
 	load.CollectorBytes = m.collectorLines(in)
-	load.BytesIn = m.listBytes(s, scope).plus(load.CollectorBytes).plus(m.newsBytes(in)).plus(m.heartbeats())
-	load.BytesOut = m.bytesAt(scale.BytesOfCalls, m.managerSizes(scope), p.Messages.Calls).plus(m.probeBytes(s, in)).plus(m.openingOrders(s, scope))
-	load.Core = m.managerCore(s, scope, in)
-	in.reports, in.usages = 0, 0
-	load.CoreWithoutCollectors = m.managerCore(s, scope, in)
+	load.BytesIn = m.listBytes(s, h).plus(load.CollectorBytes).plus(m.newsBytes(in)).plus(m.heartbeats())
+	load.BytesOut = m.calls(h, in).plus(m.probeBytes(s, in)).plus(m.openingOrders(s, h))
+	eventCore := m.eventCore(s, h, in)
+	load.Core = m.busyCore(h, in).plus(eventCore)
+	load.CoreWithoutCollectors = m.cost(scale.CPUPerQuietSecond, m.managerSizes(h)).plus(eventCore)
 	return load
 }
 
 // managerSizes is the fleet as one manager sees it.
-func (m *Model) managerSizes(scope Scope) Sizes {
+func (m *Model) managerSizes(h holding) Sizes {
 	return Sizes{
-		scale.Servers:       m.Plan.held(scope),
+		scale.Servers:       h.held,
 		scale.Proxies:       float64(m.Plan.Managers.Proxies),
 		scale.Zones:         float64(m.Plan.Fleet.Zones),
 		scale.TrafficGroups: float64(m.Plan.Managers.TrafficGroups),
 	}
 }
 
-func (m *Model) managerCore(s Situation, scope Scope, in inputs) Figure {
-	p, sizes := m.Plan, m.managerSizes(scope)
-	core := m.cost(scale.CPUPerQuietSecond, sizes)
-	core = core.plus(m.cost(scale.CPUPerInput, sizes).times(in.decisions()))
-	heard := s.Changes*p.share(scope, s.Homeless) + s.Resumes*p.share(scope, false)
+// busySizes adds what comes in a second, without changes of the list, which are counted apart.
+func (m *Model) busySizes(h holding, in inputs) Sizes {
+	sizes := m.managerSizes(h)
+	sizes[scale.Reports] = in.reports + in.usages
+	sizes[scale.ListChanges] = 0
+	return sizes
+}
+
+// busyCore is a second in which collectors' lines come: as measured, or the quiet second and each line's cost.
+func (m *Model) busyCore(h holding, in inputs) Figure {
+	if m.Costs.measured(scale.CPUPerBusySecond) {
+		return m.cost(scale.CPUPerBusySecond, m.busySizes(h, in))
+	}
+	quiet := m.cost(scale.CPUPerQuietSecond, m.managerSizes(h))
+	return quiet.plus(m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.reports + in.usages))
+}
+
+// eventCore is what comes beside the second's own work and collectors' lines: answers, changes of the list, an opening.
+func (m *Model) eventCore(s Situation, h holding, in inputs) Figure {
+	sizes := m.managerSizes(h)
+	core := m.cost(scale.CPUPerInput, sizes).times(in.news + in.probes)
+	heard := s.Changes*h.share(s.Homeless) + s.Resumes*h.share(false)
 	core = core.plus(m.cost(scale.CPUPerListChange, sizes).times(heard / s.Window))
 	if s.Opens {
-		opening := m.cost(scale.CPUPerOpening, m.listSizes(scale.CPUPerOpening, p.held(scope)))
-		core = core.plus(opening.times(1 / s.Window))
+		core = core.plus(m.cost(scale.CPUPerOpening, m.openingSizes(h)).times(1 / s.Window))
 	}
 	return core
 }
 
-func (m *Model) opening(scope Scope) Figure {
-	entries := m.Plan.sent(scope)
-	s := m.Costs.OrPlan(scale.BytesOfOpening, m.listSizes(scale.BytesOfOpening, entries), entries*m.Plan.Messages.ListEntry)
-	return m.keep(s)
+// openingSizes is what an opening's processor time was measured along.
+func (m *Model) openingSizes(h holding) Sizes {
+	if m.Costs.listAxis(scale.CPUPerOpening) == scale.OpeningListSize {
+		return Sizes{scale.OpeningListSize: h.held}
+	}
+	return m.managerSizes(h)
+}
+
+func (m *Model) opening(h holding) Figure {
+	sizes := m.listSizes(scale.BytesOfOpening, h.sent)
+	return m.keep(m.Costs.OrPlan(scale.BytesOfOpening, sizes, h.sent*m.Plan.Messages.ListEntry))
 }
 
 // listBytes is what the list costs a manager on the wire.
-func (m *Model) listBytes(s Situation, scope Scope) Figure {
+func (m *Model) listBytes(s Situation, h holding) Figure {
 	if s.NoList {
 		return known(0)
 	}
-	entries := s.Changes*m.Plan.sentShare(scope, s.Homeless) + s.Resumes*m.Plan.sentShare(scope, false)
+	entries := s.Changes*h.sentShare(s.Homeless) + s.Resumes*h.sentShare(false)
 	bytes := m.bytesOf(scale.BytesOfListChange, m.Plan.Messages.ListEntry).times(entries / s.Window)
 	if s.Opens {
-		bytes = bytes.plus(m.opening(scope).times(1 / s.Window))
+		bytes = bytes.plus(m.opening(h).times(1 / s.Window))
 	}
 	return bytes
 }
@@ -110,6 +134,10 @@
 	return m.bytesOf(scale.BytesOfHeartbeat, m.Plan.Messages.Heartbeat)
 }
 
+func (m *Model) calls(h holding, in inputs) Figure {
+	return m.bytesAt(scale.BytesOfCalls, m.busySizes(h, in), m.Plan.Messages.Calls)
+}
+
 // probeBytes counts a silent server's probe as the packet that opens its connection, which nobody answers.
 func (m *Model) probeBytes(s Situation, in inputs) Figure {
 	if s.Recovering > 0 {
@@ -123,16 +151,16 @@
 }
 
 // openingOrders is what a manager that starts tells its proxies: the tables of their zones, and a binding for each.
-func (m *Model) openingOrders(s Situation, scope Scope) Figure {
+func (m *Model) openingOrders(s Situation, h holding) Figure {
 	if !s.Opens {
 		return known(0)
 	}
 	p := m.Plan
-	orders := m.tableLines(scope)*float64(p.Managers.ProxyZones) + float64(p.Managers.Proxies)
+	orders := m.tableLines(h)*float64(p.Managers.ProxyZones) + float64(p.Managers.Proxies)
 	return known(orders * p.Messages.Order / s.Window)
 }
 
 // tableLines is how many servers a table names.
-func (m *Model) tableLines(scope Scope) float64 {
-	return min(m.Plan.held(scope), float64(m.Plan.Managers.TableLines))
+func (m *Model) tableLines(h holding) float64 {
+	return min(h.held, float64(m.Plan.Managers.TableLines))
 }
--- a/internal/capacity/markdown.go
+++ b/internal/capacity/markdown.go
@@ -3,17 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
-
-	"tamarindshore/internal/scale"
 )
 
-// unmeasured stands for a figure that no slope tells.
-const unmeasured = "not measured"
-
 // Tables writes all tables of the page as Markdown, and tells which budgets are passed in the scope that is judged.
 func (m *Model) Tables(w io.Writer) (passed []Check) {
 	checks := m.Checks()
@@ -54,11 +48,12 @@
 	row(w, "proxies in all", number3(float64(p.Fleet.Managers)*float64(p.Managers.Proxies)), "plan, assumed proxies of a manager")
 	row(w, "changed entries of the list a day", number3(p.entriesPerDay()), "plan, assumed entries of a failure, restart and change")
 	row(w, "changed entries in the busiest second", number3(p.busiestSecond()), "plan, batches at random within the busiest hour")
-	row(w, "servers that a manager holds, whole list", number3(p.held(WholeList)), "plan")
-	row(w, "servers that a manager holds, subset", number3(p.held(Subset)), "plan, size of the subset")
-	row(w, "managers that hold a server, subset", number3(p.holders(Subset)), "plan, size of the subset")
+	row(w, "servers that a manager holds, whole list", number3(p.usual(WholeList).held), "plan")
+	row(w, "servers that a manager holds, subset", number3(p.usual(Subset).held), "plan, size of the subset")
+	row(w, "servers that a manager holds, subset, while its region is cut off", number3(p.holding(p.regionCut(), Subset).held), "plan: it doubles while too few can be reached")
+	row(w, "managers that hold a server, subset", number3(p.holders(p.usual(Subset))), "plan, size of the subset")
 	for _, scope := range []Scope{WholeList, Subset} {
-		row(w, "collectors' lines on servers a second at a manager, "+string(scope), number3(p.reports(scope)), "plan, requests spread evenly over what it holds")
+		row(w, "collectors' lines on servers a second at a manager, "+string(scope), number3(p.reports(p.usual(scope))), "plan, requests spread evenly over what it holds")
 	}
 	row(w, "collectors' lines on proxies a second at a manager", number3(p.usages()), "plan, requests spread evenly")
 }
@@ -254,87 +249,6 @@
 	}
 }
 
-func (m *Model) writeSources(w io.Writer) {
-	heading(w, "Where the figures come from")
-	r := m.Costs.report
-	fmt.Fprintf(w, "Slopes: version %d, seed %d, %d cores, %s.\n\n", r.Version, r.Seed, r.Cores, r.GoVersion)
-	header(w, "cost", "at", "figure", "slopes", "worst distance", "spread", "managers", "reckoned")
-	slices.SortStableFunc(m.sources, func(a, b Source) int { return strings.Compare(string(a.Cost), string(b.Cost)) })
-	for _, s := range m.sources {
-		row(w, sourceCells(s)...)
-	}
-}
-
-func sourceCells(s Source) []string {
-	var at, along, kinds []string
-	for _, axis := range sortedAxes(s.Sizes) {
-		at = append(at, fmt.Sprintf("%s %s", axis, number3(s.Sizes[axis])))
-	}
-	distance, spread := 0.0, 0.0
-	for _, slope := range s.Along {
-		along = append(along, fmt.Sprintf("%s (%s)", slope.Axis, slope.Shape))
-		distance, spread = max(distance, slope.WorstError), max(spread, slope.Spread)
-		kind := "real"
-		if slope.Hollow {
-			kind = "hollow"
-		}
-		if !slices.Contains(kinds, kind) {
-			kinds = append(kinds, kind)
-		}
-	}
-	return []string{string(s.Cost), orNone(at, "reference"), costFigure(s), orNone(along, "none"), percent3(distance), percent3(spread),
-		orNone(kinds, "none"), reckoned(s)}
-}
-
-func orNone(words []string, none string) string {
-	if len(words) == 0 {
-		return none
-	}
-	return strings.Join(words, ", ")
-}
-
-func costFigure(s Source) string {
-	unit := ""
-	if len(s.Along) > 0 {
-		unit = s.Along[0].Unit
-	}
-	switch {
-	case !s.Value.Known:
-		return unmeasured
-	case unit == "seconds":
-		return seconds3(s.Value.Value)
-	case unit == "bytes", s.Assumed:
-		return bytes3(s.Value.Value)
-	}
-	return number3(s.Value.Value)
-}
-
-// reckoned says how a cost was worked out beyond what was measured.
-func reckoned(s Source) string {
-	var notes []string
-	switch {
-	case s.Assumed:
-		return "not measured: the plan's figure"
-	case !s.Value.Known:
-		return "no slope: all that needs it says so"
-	}
-	if len(s.Missing) > 0 {
-		notes = append(notes, "not measured along "+axisNames(s.Missing)+", counted as at the reference")
-	}
-	if len(s.Beyond) > 0 {
-		notes = append(notes, "beyond the largest size measured along "+axisNames(s.Beyond))
-	}
-	return orNone(notes, "within what was measured")
-}
-
-func axisNames(axes []scale.Axis) string {
-	var names []string
-	for _, axis := range axes {
-		names = append(names, string(axis))
-	}
-	return strings.Join(names, ", ")
-}
-
 func (m *Model) writeVerdict(w io.Writer, passed []Check) {
 	heading(w, "Verdict")
 	if len(passed) == 0 {
@@ -347,64 +261,3 @@
 			show(c.Ratio[m.Plan.Judged], number3), c.Mechanism.Name, c.Mechanism.Status)
 	}
 }
-
-func show(f Figure, how func(float64) string) string {
-	switch {
-	case f.Known:
-		return how(f.Value)
-	case f.Value > 0:
-		return "at least " + how(f.Value)
-	}
-	return unmeasured
-}
-
-func stateOf(n float64, what string) string { return number3(n) + " " + what }
-
-// number3 is a number to three places, with thousands apart.
-func number3(x float64) string {
-	switch size := math.Abs(x); {
-	case size == 0:
-		return "0"
-	case size < 0.001:
-		return "under 0.001"
-	case size < 10:
-		return strconv.FormatFloat(x, 'g', 3, 64)
-	case size < 100:
-		return strconv.FormatFloat(math.Round(x*10)/10, 'f', -1, 64)
-	}
-	return thousands(int64(math.Round(x)))
-}
-
-func thousands(n int64) string {
-	digits := strconv.FormatInt(n, 10)
-	var parts []string
-	for len(digits) > 3 {
-		parts = append([]string{digits[len(digits)-3:]}, parts...)
-		digits = digits[:len(digits)-3]
-	}
-	return strings.Join(append([]string{digits}, parts...), ",")
-}
-
-func bytes3(x float64) string {
-	for _, unit := range []struct {
-		size float64
-		name string
-	}{{1e9, "GB"}, {1e6, "MB"}, {1e3, "KB"}} {
-		if x >= unit.size {
-			return number3(x/unit.size) + " " + unit.name
-		}
-	}
-	return number3(x) + " B"
-}
-
-func percent3(x float64) string { return number3(100*x) + "%" }
-
-func seconds3(x float64) string {
-	switch {
-	case x >= 1:
-		return number3(x) + " s"
-	case x >= 1e-3:
-		return number3(1e3*x) + " ms"
-	}
-	return number3(1e6*x) + " µs"
-}
--- /dev/null
+++ b/internal/capacity/numbers.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// unmeasured stands for a figure that no slope tells.
+const unmeasured = "not measured"
+
+func show(f Figure, how func(float64) string) string {
+	switch {
+	case f.Known:
+		return how(f.Value)
+	case f.Value > 0:
+		return "at least " + how(f.Value)
+	}
+	return unmeasured
+}
+
+func stateOf(n float64, what string) string { return number3(n) + " " + what }
+
+// number3 is a number to three places, with thousands apart.
+func number3(x float64) string {
+	switch size := math.Abs(x); {
+	case size == 0:
+		return "0"
+	case size < 0.001:
+		return "under 0.001"
+	case size < 10:
+		return strconv.FormatFloat(x, 'g', 3, 64)
+	case size < 100:
+		return strconv.FormatFloat(math.Round(x*10)/10, 'f', -1, 64)
+	}
+	return thousands(int64(math.Round(x)))
+}
+
+func thousands(n int64) string {
+	digits := strconv.FormatInt(n, 10)
+	var parts []string
+	for len(digits) > 3 {
+		parts = append([]string{digits[len(digits)-3:]}, parts...)
+		digits = digits[:len(digits)-3]
+	}
+	return strings.Join(append([]string{digits}, parts...), ",")
+}
+
+func bytes3(x float64) string {
+	for _, unit := range []struct {
+		size float64
+		name string
+	}{{1e9, "GB"}, {1e6, "MB"}, {1e3, "KB"}} {
+		if x >= unit.size {
+			return number3(x/unit.size) + " " + unit.name
+		}
+	}
+	return number3(x) + " B"
+}
+
+func percent3(x float64) string { return number3(100*x) + "%" }
+
+func seconds3(x float64) string {
+	switch {
+	case x >= 1:
+		return number3(x) + " s"
+	case x >= 1e-3:
+		return number3(1e3*x) + " ms"
+	}
+	return number3(1e6*x) + " µs"
+}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -88,8 +88,9 @@
 
 // SubsetSize is the division of the list that subsetting makes.
 type SubsetSize struct {
-	HomeZones int // zones whose servers a manager holds whole
-	Others    int // servers of other zones, spread evenly
+	HomeZones  int     // zones whose servers a manager holds whole
+	Others     int     // servers of other zones, spread evenly
+	WidenBelow float64 // of them: with fewer in reach the subset doubles
 }
 
 // MessageBytes are sizes that stand in where no slope tells of them.
--- a/internal/capacity/plan_read.go
+++ b/internal/capacity/plan_read.go
@@ -55,7 +55,8 @@
 		section("managers", p.Managers.keys()...),
 		section("subset",
 			whole("home-zones", &p.Subset.HomeZones, 1, mostCount),
-			whole("others", &p.Subset.Others, 0, mostCount)),
+			whole("others", &p.Subset.Others, 0, mostCount),
+			number("widen-below", &p.Subset.WidenBelow, 0, 1)),
 		section("message-bytes", p.Messages.keys()...),
 		{Name: "judged", Must: true, Read: p.readJudged},
 	}
--- a/internal/capacity/situation.go
+++ b/internal/capacity/situation.go
@@ -36,7 +36,7 @@
 		{Name: "the busiest second of an ordinary day", Window: 1, Changes: p.busiestSecond(), Silent: 1, Homeless: true, Machines: machines},
 		{Name: "a zone is lost", Window: window, Changes: perZone, Silent: perZone, Homeless: true, Lost: managersPerZone, Machines: machines},
 		{Name: "the zone is back", Window: window, Changes: perZone, Recovering: perZone, Openers: managersPerZone, Homeless: true, Machines: machines},
-		{Name: "a region is cut off", Window: window, NoList: true, Silent: float64(f.Servers) - perRegion, Homeless: true, Lost: managersPerRegion, Machines: machines},
+		p.regionCut(),
 		{Name: "the region returns", Window: window, Resumes: p.busyHourEntries() * p.Events.RegionCut.Hours(), Resumers: managersPerRegion, Recovering: perRegion, Machines: machines},
 		{Name: "all managers of a zone restart", Window: window, Opens: true, Openers: managersPerZone, Machines: machines},
 		{Name: "all managers restart", Window: window, Opens: true, Openers: float64(f.Managers), Machines: machines},
@@ -45,6 +45,16 @@
 	}
 }
 
+// regionCut is a region without a way to any other, as a manager within it sees it.
+func (p Plan) regionCut() Situation {
+	f := p.Fleet
+	return Situation{
+		Name: "a region is cut off", Window: p.Budgets.ChangeInForce.Seconds(), NoList: true, Homeless: true,
+		Silent: float64(f.Servers) - float64(f.Servers)/float64(f.Regions),
+		Lost:   float64(f.Managers) / float64(f.Regions), Machines: float64(p.Control.Count),
+	}
+}
+
 // entriesPerDay is how many entries of the list change on an ordinary day.
 func (p Plan) entriesPerDay() float64 {
 	d := p.Day
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -180,6 +180,11 @@
 	return s
 }
 
+// measured tells whether a cost has any slope.
+func (c Costs) measured(cost scale.Cost) bool {
+	return slices.ContainsFunc(c.report.Slopes, func(s scale.Slope) bool { return s.Cost == cost })
+}
+
 // listAxis is the axis along which an opening was measured.
 func (c Costs) listAxis(cost scale.Cost) scale.Axis {
 	if _, measured := c.report.Find(cost, scale.OpeningListSize); measured {
--- a/internal/capacity/surroundings.go
+++ b/internal/capacity/surroundings.go
@@ -8,9 +8,9 @@
 // relay carries the calls of the managers of its zone to their proxies.
 func (m *Model) relay(s Situation, scope Scope) Load {
 	p := m.Plan
-	managers := p.perRelay()
-	in := m.managerInputs(s, scope)
-	calls := m.bytesAt(scale.BytesOfCalls, m.managerSizes(scope), p.Messages.Calls).plus(m.openingOrders(s, scope))
+	managers, h := p.perRelay(), p.holding(s, scope)
+	in := m.managerInputs(s, h)
+	calls := m.calls(h, in).plus(m.openingOrders(s, h))
 	return Load{
 		State:       stateOf(managers*float64(p.Managers.Proxies), "proxies") + ", " + stateOf(managers, "managers"),
 		MessagesIn:  known(managers * callsPerSecond),
@@ -26,11 +26,11 @@
 }
 
 // collector tells the managers of its zone what their proxies met.
-func (m *Model) collector(scope Scope) Load {
+func (m *Model) collector(s Situation, scope Scope) Load {
 	p := m.Plan
 	managers := float64(p.Fleet.Managers*p.Managers.ProxyZones) / float64(p.Fleet.Zones)
 	part := 1 / float64(p.Managers.ProxyZones*p.Managers.CollectorsPerZone)
-	lines := inputs{reports: p.reports(scope) * part, usages: p.usages() * part}
+	lines := inputs{reports: p.reports(p.holding(s, scope)) * part, usages: p.usages() * part}
 	requests := p.Fleet.RequestsPerSecond / float64(p.Fleet.Zones*p.Managers.CollectorsPerZone)
 	return Load{
 		State:       stateOf(requests, "requests a second"),
@@ -45,31 +45,33 @@
 // proxy holds the table of its zone.
 func (m *Model) proxy(s Situation, scope Scope) Load {
 	p := m.Plan
+	h := p.holding(s, scope)
 	requests := p.requestsPerManager() / float64(p.Managers.Proxies)
 	orders := known(0)
 	if s.Opens {
-		orders = known((m.tableLines(scope) + 1) * p.Messages.Order / s.Window)
+		orders = known((m.tableLines(h) + 1) * p.Messages.Order / s.Window)
 	}
 	return Load{
-		State:       stateOf(m.tableLines(scope), "lines at most") + ", " + stateOf(requests, "requests a second"),
+		State:       stateOf(m.tableLines(h), "lines at most") + ", " + stateOf(requests, "requests a second"),
 		MessagesIn:  known(callsPerSecond),
 		MessagesOut: known(callsPerSecond),
 		BytesIn:     orders,
 		BytesOut:    m.bytesOf(scale.BytesOfNews, p.Messages.News),
-		Connections: known(1 + m.tableLines(scope)),
+		Connections: known(1 + m.tableLines(h)),
 	}
 }
 
 // server answers requests, and the probes of all managers that hold it and take it for silent or back.
 func (m *Model) server(s Situation, scope Scope) Load {
 	p := m.Plan
+	holders := p.holders(p.usual(scope))
 	probes := 0.0
 	if s.Silent > 0 || s.Recovering > 0 {
-		probes = p.holders(scope) / p.Managers.ProbeInterval.Seconds()
+		probes = holders / p.Managers.ProbeInterval.Seconds()
 	}
 	requests := p.Fleet.RequestsPerSecond / float64(p.Fleet.Servers)
 	return Load{
-		State:       stateOf(requests, "requests a second") + ", held by " + stateOf(p.holders(scope), "managers"),
+		State:       stateOf(requests, "requests a second") + ", held by " + stateOf(holders, "managers"),
 		MessagesIn:  known(probes),
 		MessagesOut: known(probes),
 		BytesIn:     m.bytesOf(scale.BytesOfProbe, p.Messages.Probe).times(probes),
