docs/CAPACITY.md: the plan's size against its budgets, and what breaks first

Need: one page that says what each budget means here, what each role carries, which mechanism is missing first, and what regions that lose each other go on doing. Change: the page with the tables of the command from the committed slopes, held equal by a test; changes that come together are one line of the list; where no shape fits a slope the value lies between the measured sizes. Found by trials of choice alone: at this size no table gets a line and no proxy is bound (leastLine), also with the plan's subset of 273 home servers and 100 others; a whole list is longer than the 1 MiB that a line may have. Both stand on the page, neither is mended here.

--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -10,19 +10,24 @@
 // controlMachine is a machine that tells the list to its part of all managers.
 func (m *Model) controlMachine(s Situation, scope Scope) Load {
 	p, readers, h := m.Plan, m.readers(s), m.Plan.usual(scope)
-	changes := s.Changes * h.sentShare(false) / s.Window
+	told := s // the machine itself hears each change, and tells what changes; what was missed is told apart
+	told.Resumes = 0
+	heard, changes := p.listChanges(told, 1), p.listChanges(told, h.sentShare(false))
 	opens, resumes := s.Openers/s.Machines/s.Window, s.Resumers/s.Machines/s.Window
 	load := Load{
 		State:       stateOf(float64(p.Fleet.Servers), "servers") + ", " + stateOf(readers, "readers"),
-		MessagesIn:  known(s.Changes/s.Window + opens + resumes),
-		MessagesOut: known(readers*(1+changes) + opens + resumes),
-		BytesIn:     m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Changes / s.Window),
+		MessagesIn:  known(heard.lines/s.Window + opens + resumes),
+		MessagesOut: known(readers*(1+changes.lines/s.Window) + opens + resumes),
+		BytesIn:     m.bytesOfChanges(heard).times(1 / s.Window),
 		Memory:      m.cost(scale.ControlHeapPerManager, m.controlSizes(scale.ControlHeapPerManager, s, h)).times(readers),
 		Connections: known(readers),
 		Core:        m.controlCore(s, h, opens),
 	}
-	perReader := m.heartbeats().plus(m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(changes))
-	resumed := m.bytesOf(scale.BytesOfListChange, p.Messages.ListEntry).times(s.Resumes * h.sentShare(false) * resumes)
+	perReader := m.heartbeats().plus(m.bytesOfChanges(changes).times(1 / s.Window))
+	resumed := known(0)
+	if s.Resumes > 0 {
+		resumed = m.bytesOfChanges(p.listChanges(s, h.sentShare(false))).times(resumes)
+	}
 	load.BytesOut = perReader.times(readers).plus(m.opening(h).times(opens)).plus(resumed)
 	load.CoreWithoutCollectors = load.Core
 	return load
--- a/internal/capacity/limits.go
+++ b/internal/capacity/limits.go
@@ -27,14 +27,13 @@
 // Limits are the fixed bounds of today's code that a fleet's size may pass.
 func (m *Model) Limits() []Limit {
 	p := m.Plan
-	perTable := p.home() / float64(p.Subset.HomeZones) / m.blocks()
 	return []Limit{
 		{"bytes of a whole list, which is one line", mostListLine, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)) }),
 			"a whole list is refused as too long: only changes can be taken", "`config.Limits.LineList`"},
 		{"seconds of a whole list, sent at the budget's pace", mostLineTime, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)).times(1 / p.Budgets.BytesPerSecond) }),
 			"the watch counts as silent and is opened again", "`config.Limits.SilentWatch`, `expect` in `internal/node/dial.go`"},
-		{"servers of one zone in a table, were they even", 1 / leastTablePart, m.perScope(func(Scope) Figure { return known(perTable) }),
-			"no server reaches the least part of a table: the table stays empty and no proxy is bound", "`leastLine` in `choice/choice.go`, blocks by `part`"},
+		{"even servers that a table's flows are spread over", 1 / leastTablePart, m.perScope(func(s Scope) Figure { return known(m.perTable(s)) }),
+			"no server reaches the least part of a table: it stays empty and no proxy is bound", "`leastLine` in `choice/choice.go`, blocks by `part`"},
 		{"proxies of all managers, and their numbers", mostProxyNumber, m.perScope(func(Scope) Figure {
 			return known(float64(p.Managers.Proxies) * float64(p.Fleet.Managers))
 		}), "the settings are refused, unless each relay numbers its own proxies", "`domain.proxies` in `internal/terms`, `mostProxies` in `internal/node/admit.go`"},
@@ -45,6 +44,12 @@
 	}
 }
 
+// perTable is over how many servers the flows of one table are spread, as evenly as the band lets them: all that are
+// held, since a server's target is its share of all of them.
+func (m *Model) perTable(scope Scope) float64 {
+	return m.Plan.usual(scope).held / float64(m.Plan.Managers.ProxyZones) / m.blocks()
+}
+
 // blocks is into how many tables a zone is divided at most: one for five proxies of a manager, counted as `part` in the
 // decisions does, as if they stood evenly in all zones.
 func (m *Model) blocks() float64 {
--- /dev/null
+++ b/internal/capacity/listchange.go
@@ -0,0 +1,42 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// listChanges are changes of the list as they reach one reader, within a situation's window: lines of some entries each.
+type listChanges struct {
+	lines   float64
+	entries float64 // of each line
+}
+
+// all is how many entries there are in all lines.
+func (c listChanges) all() float64 { return c.lines * c.entries }
+
+// listChanges is what a part of a situation's changes comes to. Entries that change together stand in one line, as does
+// all that a reader missed.
+func (p Plan) listChanges(s Situation, share float64) listChanges {
+	if s.Resumes > 0 {
+		return listChanges{1, max(1, s.Resumes*share)}
+	}
+	entries := s.Changes * share
+	if entries == 0 {
+		return listChanges{}
+	}
+	lines := min(s.Changes/float64(p.Day.Batch), entries)
+	return listChanges{lines, entries / lines}
+}
+
+// bytesOfChanges is what changes of the list come to on the wire.
+func (m *Model) bytesOfChanges(c listChanges) Figure {
+	if c.lines == 0 {
+		return known(0)
+	}
+	source := m.Costs.OrPlan(scale.BytesOfListChange, Sizes{scale.RestartsAtOnce: c.entries}, c.entries*m.Plan.Messages.ListEntry)
+	return m.keep(source).times(c.lines)
+}
+
+// coreOfChange is what one line of changes costs a manager.
+func (m *Model) coreOfChange(h holding, entries float64) Figure {
+	sizes := m.managerSizes(h)
+	sizes[scale.RestartsAtOnce] = entries
+	return m.cost(scale.CPUPerListChange, sizes)
+}
--- a/internal/capacity/load_test.go
+++ b/internal/capacity/load_test.go
@@ -180,3 +180,39 @@
 	near(t, "readers of three machines", lost.Connections.Value, 10.0/3)
 	near(t, "openings of those that moved", lost.BytesOut.Value-10.0/3*20, 4.0/3*(100+150*100)/19)
 }
+
+func TestEntriesThatChangeTogetherStandInOneLine(t *testing.T) {
+	p := small(t)
+	p.Day.Batch = 20
+	for _, one := range []struct {
+		name           string
+		situation      Situation
+		share          float64
+		lines, entries float64
+	}{
+		{"all of two batches", Situation{Changes: 40}, 1, 2, 20},
+		{"a tenth of two batches", Situation{Changes: 40}, 0.1, 2, 2},
+		{"a hundredth: less than one entry", Situation{Changes: 40}, 0.01, 0.4, 1},
+		{"all that was missed", Situation{Resumes: 500}, 1, 1, 500},
+		{"nothing of what was missed", Situation{Resumes: 50}, 0.001, 1, 1},
+		{"nothing", Situation{}, 1, 0, 0},
+	} {
+		got := p.listChanges(one.situation, one.share)
+		near(t, one.name+": lines", got.lines, one.lines)
+		near(t, one.name+": entries of a line", got.entries, one.entries)
+	}
+}
+
+func TestABusySecondAsMeasured(t *testing.T) {
+	r := madeUp(t)
+	r.Reference[scale.Reports] = 10
+	busy := scale.Slope{Cost: scale.CPUPerBusySecond, Axis: scale.Reports, Unit: "seconds", Shape: scale.Linear, Base: 0.5, PerUnit: 0.001, Fits: true}
+	news := scale.Slope{Cost: scale.NewsPerSecond, Axis: scale.Reports, Unit: "per second", Shape: scale.Constant, Base: 30, Fits: true}
+	r.Slopes = append(r.Slopes, busy, news)
+	p := small(t)
+	lines := 100*(1-math.Exp(-0.1)) + 50*(1-math.Exp(-0.2))
+	load := NewModel(p, r).Load(Manager, p.situations()[0], WholeList)
+	near(t, "core", load.Core.Value, 0.5+0.001*lines+0.00001*30)
+	near(t, "core without collectors' lines", load.CoreWithoutCollectors.Value, 0.003-0.000002*900-0.00001*50+0.00001*30)
+	near(t, "messages in", load.MessagesIn.Value, 2+lines+30)
+}
--- a/internal/capacity/manager.go
+++ b/internal/capacity/manager.go
@@ -19,7 +19,8 @@
 
 func (m *Model) managerInputs(s Situation, h holding) inputs {
 	p := m.Plan
-	in := inputs{reports: p.reports(h), usages: p.usages(), news: callsPerSecond}
+	in := inputs{reports: p.reports(h), usages: p.usages()}
+	in.news = m.newsPerSecond(h, in)
 	in.probes = p.probes(s.Silent * h.share(s.Homeless))
 	if s.Recovering > 0 {
 		in.probes += s.Recovering * h.share(s.Homeless) / s.Window
@@ -28,15 +29,18 @@
 		in.news += float64(p.Managers.Proxies) / s.Window
 		in.listLines = 1 / s.Window
 	}
-	if s.Resumes > 0 {
-		in.listLines = 1 / s.Window
-	}
-	if s.Changes > 0 {
-		in.listLines = s.Changes * h.sentShare(s.Homeless) / s.Window
-	}
+	in.listLines += p.listChanges(s, h.sentShare(s.Homeless)).lines / s.Window
 	return in
 }
 
+// newsPerSecond is how many events of the relay come: mostly answers to marks, more where tables change more.
+func (m *Model) newsPerSecond(h holding, in inputs) float64 {
+	if !m.Costs.measured(scale.NewsPerSecond) {
+		return callsPerSecond
+	}
+	return max(callsPerSecond, m.cost(scale.NewsPerSecond, m.busySizes(h, in, 0)).Value)
+}
+
 func (m *Model) manager(s Situation, scope Scope) Load {
 	p, h := m.Plan, m.Plan.holding(s, scope)
 	in := m.managerInputs(s, h)
@@ -49,10 +53,11 @@
 	}
 	load.CollectorBytes = m.collectorLines(in)
 	load.BytesIn = m.listBytes(s, h).plus(load.CollectorBytes).plus(m.newsBytes(in)).plus(m.heartbeats())
-	load.BytesOut = m.calls(h, in).plus(m.probeBytes(s, in)).plus(m.openingOrders(s, h))
+	heard := p.listChanges(s, h.share(s.Homeless))
+	load.BytesOut = m.calls(h, in, heard.lines/s.Window).plus(m.probeBytes(s, in)).plus(m.openingOrders(s, h))
 	eventCore := m.eventCore(s, h, in)
-	load.Core = m.busyCore(h, in).plus(eventCore)
-	load.CoreWithoutCollectors = m.cost(scale.CPUPerQuietSecond, m.managerSizes(h)).plus(eventCore)
+	load.Core = m.busyCore(s, h, in, heard).plus(eventCore)
+	load.CoreWithoutCollectors = m.quietCore(s, h, heard).plus(eventCore)
 	return load
 }
 
@@ -66,29 +71,42 @@
 	}
 }
 
-// busySizes adds what comes in a second, without changes of the list, which are counted apart.
-func (m *Model) busySizes(h holding, in inputs) Sizes {
+// busySizes adds what comes in a second: collectors' lines, and changes of the list. A busy second was measured with
+// the reference's changes, which are counted at least.
+func (m *Model) busySizes(h holding, in inputs, changes float64) Sizes {
 	sizes := m.managerSizes(h)
 	sizes[scale.Reports] = in.reports + in.usages
-	sizes[scale.ListChanges] = 0
+	sizes[scale.ListChanges] = max(changes, m.Costs.report.Reference[scale.ListChanges])
 	return sizes
 }
 
-// busyCore is a second in which collectors' lines come: as measured, or the quiet second and each line's cost.
-func (m *Model) busyCore(h holding, in inputs) Figure {
+// quietCore is a second without collectors' lines, with changes of the list.
+func (m *Model) quietCore(s Situation, h holding, changes listChanges) Figure {
+	quiet := m.cost(scale.CPUPerQuietSecond, m.managerSizes(h))
+	if changes.lines == 0 {
+		return quiet
+	}
+	return quiet.plus(m.coreOfChange(h, changes.entries).times(changes.lines / s.Window))
+}
+
+// busyCore is a second in which collectors' lines come too: as measured, or the quiet second and each line's cost. It
+// was measured with changes of one entry each; what further entries of a change cost is added.
+func (m *Model) busyCore(s Situation, h holding, in inputs, changes listChanges) Figure {
 	if m.Costs.measured(scale.CPUPerBusySecond) {
-		return m.cost(scale.CPUPerBusySecond, m.busySizes(h, in))
+		busy := m.cost(scale.CPUPerBusySecond, m.busySizes(h, in, changes.lines/s.Window))
+		if changes.entries <= 1 {
+			return busy
+		}
+		further := m.coreOfChange(h, changes.entries).plus(m.coreOfChange(h, 1).times(-1))
+		return busy.plus(further.times(changes.lines / s.Window))
 	}
-	quiet := m.cost(scale.CPUPerQuietSecond, m.managerSizes(h))
-	return quiet.plus(m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.reports + in.usages))
+	return m.quietCore(s, h, changes).plus(m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.reports + in.usages))
 }
 
-// eventCore is what comes beside the second's own work and collectors' lines: answers, changes of the list, an opening.
+// eventCore is what comes beside the second's own work, collectors' lines and changes of the list: the relay's news,
+// probes' answers, an opening.
 func (m *Model) eventCore(s Situation, h holding, in inputs) Figure {
-	sizes := m.managerSizes(h)
-	core := m.cost(scale.CPUPerInput, sizes).times(in.news + in.probes)
-	heard := s.Changes*h.share(s.Homeless) + s.Resumes*h.share(false)
-	core = core.plus(m.cost(scale.CPUPerListChange, sizes).times(heard / s.Window))
+	core := m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.news + in.probes)
 	if s.Opens {
 		core = core.plus(m.cost(scale.CPUPerOpening, m.openingSizes(h)).times(1 / s.Window))
 	}
@@ -113,8 +131,7 @@
 	if s.NoList {
 		return known(0)
 	}
-	entries := s.Changes*h.sentShare(s.Homeless) + s.Resumes*h.sentShare(false)
-	bytes := m.bytesOf(scale.BytesOfListChange, m.Plan.Messages.ListEntry).times(entries / s.Window)
+	bytes := m.bytesOfChanges(m.Plan.listChanges(s, h.sentShare(s.Homeless))).times(1 / s.Window)
 	if s.Opens {
 		bytes = bytes.plus(m.opening(h).times(1 / s.Window))
 	}
@@ -134,8 +151,8 @@
 	return m.bytesOf(scale.BytesOfHeartbeat, m.Plan.Messages.Heartbeat)
 }
 
-func (m *Model) calls(h holding, in inputs) Figure {
-	return m.bytesAt(scale.BytesOfCalls, m.busySizes(h, in), m.Plan.Messages.Calls)
+func (m *Model) calls(h holding, in inputs, changes float64) Figure {
+	return m.bytesAt(scale.BytesOfCalls, m.busySizes(h, in, changes), m.Plan.Messages.Calls)
 }
 
 // probeBytes counts a silent server's probe as the packet that opens its connection, which nobody answers.
--- a/internal/capacity/markdown.go
+++ b/internal/capacity/markdown.go
@@ -182,7 +182,6 @@
 			}
 			row(w, cells...)
 		}
-		m.sources = other.sources
 	}
 }
 
--- /dev/null
+++ b/internal/capacity/repository_test.go
@@ -0,0 +1,35 @@
+package capacity
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The page's tables are what the command prints from the plan and the slopes that stand in the repository:
+// tamarindshore capacity --page docs/CAPACITY.md renews them.
+func TestThePageHoldsWhatTheCommandPrints(t *testing.T) {
+	slopes, err := ReadSlopes(slopesFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := TablesOf(read(t, pageFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want strings.Builder
+	NewModel(planned(t), slopes).Tables(&want)
+	if got != want.String() {
+		t.Errorf("the tables of %s are not those of the command; first difference: %s", filepath.Base(pageFile), difference(got, want.String()))
+	}
+}
+
+func difference(a, b string) string {
+	was, is := strings.Split(a, "\n"), strings.Split(b, "\n")
+	for i := range min(len(was), len(is)) {
+		if was[i] != is[i] {
+			return "\npage:    " + was[i] + "\ncommand: " + is[i]
+		}
+	}
+	return "one is longer"
+}
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -44,6 +45,9 @@
 		if _, told := r.Reference[s.Axis]; !told {
 			return fail("reference", "%s is missing, along which slopes[%d] was measured", s.Axis, i)
 		}
+		if slices.ContainsFunc(s.Points, func(p scale.Point) bool { return len(p.Runs) == 0 }) {
+			return fail("points", "slopes[%d], %s along %s, has a size without runs", i, s.Cost, s.Axis)
+		}
 		if s.Cost == "" || !slices.Contains([]scale.Shape{scale.Constant, scale.Linear, scale.Linearithmic, scale.Quadratic}, s.Shape) {
 			return fail("slopes", "slopes[%d], %s along %s, has no cost or no known shape", i, s.Cost, s.Axis)
 		}
@@ -138,7 +142,7 @@
 		}
 		s.Sizes[axis] = sizes[axis]
 		s.Along = append(s.Along, slope)
-		references = append(references, slope.At(c.report.Reference[axis]))
+		references = append(references, costAt(slope, c.report.Reference[axis]))
 		if sizes[axis] > largest(slope) {
 			s.Beyond = append(s.Beyond, axis)
 		}
@@ -149,7 +153,7 @@
 	}
 	value := mean(references)
 	for _, slope := range s.Along {
-		value += slope.At(sizes[slope.Axis]) - slope.At(c.report.Reference[slope.Axis])
+		value += costAt(slope, sizes[slope.Axis]) - costAt(slope, c.report.Reference[slope.Axis])
 	}
 	s.Value = known(max(0, value))
 	return s
@@ -161,7 +165,7 @@
 	var along []scale.Slope
 	for _, slope := range c.report.Slopes {
 		if slope.Cost == cost {
-			references = append(references, slope.At(c.report.Reference[slope.Axis]))
+			references = append(references, costAt(slope, c.report.Reference[slope.Axis]))
 			along = append(along, slope)
 		}
 	}
@@ -193,6 +197,48 @@
 	return scale.Servers
 }
 
+// costAt is a slope's cost at a size: that of its curve, or, where no shape fits what was measured, between the medians
+// of the sizes around it.
+func costAt(s scale.Slope, size float64) float64 {
+	if interpolated(s, size) {
+		return between(s.Points, size)
+	}
+	return s.At(size)
+}
+
+// interpolated tells whether a cost at a size comes from the measured points and not from the curve.
+func interpolated(s scale.Slope, size float64) bool {
+	return !s.Fits && len(s.Points) > 1 && size >= smallest(s) && size <= largest(s)
+}
+
+func between(points []scale.Point, size float64) float64 {
+	points = slices.SortedFunc(slices.Values(points), func(a, b scale.Point) int { return cmp.Compare(a.Size, b.Size) })
+	i, found := slices.BinarySearchFunc(points, size, func(p scale.Point, size float64) int { return cmp.Compare(p.Size, size) })
+	if found || i == 0 {
+		return median(points[i].Runs)
+	}
+	low, high := points[i-1], points[i]
+	part := (size - low.Size) / (high.Size - low.Size)
+	return median(low.Runs) + part*(median(high.Runs)-median(low.Runs))
+}
+
+func median(runs []float64) float64 {
+	sorted := slices.Sorted(slices.Values(runs))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 0 {
+		return (sorted[middle-1] + sorted[middle]) / 2
+	}
+	return sorted[middle]
+}
+
+func smallest(s scale.Slope) float64 {
+	least := math.Inf(1)
+	for _, p := range s.Points {
+		least = min(least, p.Size)
+	}
+	return least
+}
+
 func largest(s scale.Slope) float64 {
 	most := 0.0
 	for _, p := range s.Points {
--- a/internal/capacity/surroundings.go
+++ b/internal/capacity/surroundings.go
@@ -10,7 +10,7 @@
 	p := m.Plan
 	managers, h := p.perRelay(), p.holding(s, scope)
 	in := m.managerInputs(s, h)
-	calls := m.calls(h, in).plus(m.openingOrders(s, h))
+	calls := m.calls(h, in, p.listChanges(s, h.share(s.Homeless)).lines/s.Window).plus(m.openingOrders(s, h))
 	return Load{
 		State:       stateOf(managers*float64(p.Managers.Proxies), "proxies") + ", " + stateOf(managers, "managers"),
 		MessagesIn:  known(managers * callsPerSecond),
