--- a/internal/capacity/budget_test.go
+++ b/internal/capacity/budget_test.go
@@ -105,7 +105,7 @@
 	for what, want := range map[string][]Scope{
 		"bytes of a whole list, which is one line":           {WholeList, Subset},
 		"seconds of a whole list, sent at the budget's pace": Scopes,
-		"even servers that a table's flows are spread over":     Scopes,
+		"even servers that a table's flows are spread over":  Scopes,
 		"proxies of all managers, and their numbers":         Scopes,
 		"servers asked at once":                              {WholeList},
 		"traffic groups":                                     nil,
