Capacity: control machines' costs, changes in force, cases measured at the plan's size

Cause: the measurement now tells what a control machine spends, when a change is in force, and what managers at the plan's size and real processes take. Change: two tables hold those cases against the sums of slopes; a change in force waits for the longest decision on the budget's part of a core, and beside all openings for these; a line of the list longer than any measured counts as no dearer than an opening.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -98,17 +98,28 @@
 	beside := Check{Situation: "a change beside all managers' openings", Role: Manager, Resource: InForce, Ratio: map[Scope]Figure{}, Mechanism: watchCache}
 	most := m.Plan.Budgets.ChangeInForce.Seconds()
 	for _, scope := range Scopes {
-		sizes := Sizes{scale.Managers: float64(m.Plan.Fleet.Managers), scale.Servers: m.Plan.usual(scope).held}
-		quiet.Ratio[scope] = m.cost(scale.ChangeInForceLast, sizes).times(1 / most)
-		beside.Ratio[scope] = Figure{}
-		if _, measured := m.Costs.report.Find(scale.ChangeInForceLast, scale.RestartsAtOnce); measured {
-			sizes := Sizes{scale.RestartsAtOnce: float64(m.Plan.Fleet.Managers), scale.Servers: m.Plan.usual(scope).held}
-			beside.Ratio[scope] = m.cost(scale.ChangeInForceLast, sizes).times(1 / most)
-		}
+		alone := m.changeInForce(scope)
+		quiet.Ratio[scope] = alone.times(1 / most)
+		beside.Ratio[scope] = alone.plus(m.allOpenings(scope)).times(1 / most)
 	}
 	return []Check{quiet, beside}
 }
 
+// changeInForce is when the last manager's orders carry a change: as measured with managers of the smallest useful state,
+// and the longest decision of a manager of the plan's size, for which a change may wait, on its share of a core.
+func (m *Model) changeInForce(scope Scope) Figure {
+	last := m.cost(scale.ChangeInForceLast, Sizes{scale.Managers: float64(m.Plan.Fleet.Managers)})
+	decision := m.cost(scale.LongestDecision, m.managerSizes(m.Plan.usual(scope)))
+	return last.plus(decision.times(1 / m.Plan.Budgets.Core))
+}
+
+// allOpenings is how long a control machine's cores need to open all its managers, for which a change may wait.
+func (m *Model) allOpenings(scope Scope) Figure {
+	quiet := m.Plan.situations()[0]
+	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, quiet, m.Plan.usual(scope)))
+	return opening.times(m.readers(quiet) / float64(m.Plan.Control.Cores))
+}
+
 // Ranking is the checks whose mechanism is missing, the worst first by what is spent with the whole list. It chooses the
 // mechanism that is built first.
 func Ranking(all []Check) []Check {
--- /dev/null
+++ b/internal/capacity/cases.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"tamarindshore/internal/scale"
+)
+
+// caseCosts are the costs that are shown of each case measured at the plan's size.
+var caseCosts = []scale.Cost{scale.CPUPerBusySecond, scale.CPUPerQuietSecond, scale.CPUPerOpening, scale.CPUPerListChange, scale.LongestDecision,
+	scale.HeapBytes, scale.NewsPerSecond, scale.ProxiesBound}
+
+// axesOfManager are the axes along which those costs are summed.
+var axesOfManager = []scale.Axis{scale.Servers, scale.Proxies, scale.Zones, scale.TrafficGroups, scale.ListChanges, scale.Reports, scale.RestartsAtOnce}
+
+// writePlanSize holds the sums of slopes against managers that were measured at the plan's size.
+func (m *Model) writePlanSize(w io.Writer) {
+	heading(w, "Managers measured at the plan's size, and what the sum of the slopes says of them")
+	cases := m.Costs.report.PlanSize
+	if len(cases) == 0 {
+		fmt.Fprintln(w, "The slopes' file has none: not measured.")
+		return
+	}
+	header(w, "manager", "cost", "measured", "spread of runs", "sum of the slopes", "measured / sum")
+	for _, c := range cases {
+		for _, cost := range caseCosts {
+			if _, found := c.Costs[cost]; found {
+				row(w, m.caseCells(c, cost)...)
+			}
+		}
+	}
+}
+
+func (m *Model) caseCells(c scale.Case, cost scale.Cost) []string {
+	sum := m.Costs.At(cost, m.Costs.sizesAlong(cost, c.Sizes))
+	show := func(value float64) string {
+		return costFigure(Source{Along: sum.Along, Value: known(value)})
+	}
+	cells := []string{c.Name, string(cost), show(c.Costs[cost]), percent3(c.Spread[cost])}
+	switch {
+	case !sum.Value.Known:
+		return append(cells, unmeasured, "none")
+	case sum.Value.Value == 0:
+		return append(cells, show(0), "none")
+	}
+	return append(cells, show(sum.Value.Value), number3(c.Costs[cost]/sum.Value.Value))
+}
+
+// sizesAlong are the sizes of a case along the axes that a cost was measured along.
+func (c Costs) sizesAlong(cost scale.Cost, sizes Sizes) Sizes {
+	along := Sizes{}
+	for axis, size := range sizes {
+		if _, measured := c.report.Find(cost, axis); measured && slices.Contains(axesOfManager, axis) {
+			along[axis] = size
+		}
+	}
+	return along
+}
+
+// writeReal holds hollow managers against real processes.
+func writeReal(w io.Writer, r scale.Report) {
+	heading(w, "Real processes, and hollow managers of the same size")
+	if len(r.Real) == 0 {
+		fmt.Fprintln(w, "The slopes' file has none: not measured.")
+		return
+	}
+	header(w, "state", "servers", "proxies", "collectors' lines a second", "core, real", "core, hollow", "largest resident set", "hollow heap", "context switches a second")
+	for _, c := range r.Real {
+		row(w, c.Name, number3(float64(c.Servers)), number3(float64(c.Proxies)), number3(c.Reports), medianOrNone(c.CPU, percent3),
+			medianOrNone(c.HollowCPU, percent3), number3(c.MemoryMB)+" MB", number3(c.HollowHeap)+" MB", medianOrNone(c.Wakeups, number3))
+	}
+}
+
+func medianOrNone(runs []float64, how func(float64) string) string {
+	if len(runs) == 0 {
+		return unmeasured
+	}
+	return how(median(runs))
+}
--- /dev/null
+++ b/internal/capacity/cases_test.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"strings"
+	"testing"
+
+	"tamarindshore/internal/scale"
+)
+
+func tablesOf(r scale.Report, t *testing.T) string {
+	t.Helper()
+	var out strings.Builder
+	NewModel(planned(t), r).Tables(&out)
+	return out.String()
+}
+
+func TestCasesAtThePlansSizeBesideTheSums(t *testing.T) {
+	r := madeUp(t)
+	if !strings.Contains(tablesOf(r, t), "The slopes' file has none: not measured.") {
+		t.Error("a file without cases is not called so")
+	}
+	r.PlanSize = []scale.Case{{
+		Name:   "whole list",
+		Sizes:  map[scale.Axis]float64{scale.Servers: 24000, scale.Proxies: 480, scale.Zones: 88, scale.OpeningListSize: 24000},
+		Costs:  map[scale.Cost]float64{scale.CPUPerQuietSecond: 0.1056, scale.HeapBytes: 5e6, scale.LongestDecision: 0.2},
+		Spread: map[scale.Cost]float64{scale.CPUPerQuietSecond: 0.25},
+	}}
+	text := tablesOf(r, t)
+	for _, want := range []string{
+		"| whole list | cpu-per-quiet-second | 106 ms | 25% | 52.8 ms | 2 |",
+		"| whole list | heap-bytes | 5 MB | 0% | 25 MB | 0.2 |",
+		"| whole list | longest-decision | 0.2 | 0% | not measured | none |",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no row %s", want)
+		}
+	}
+	if strings.Contains(text, "| whole list | news-per-second") {
+		t.Error("a cost that the case does not have is shown")
+	}
+}
+
+func TestRealProcessesBesideHollowManagers(t *testing.T) {
+	r := madeUp(t)
+	r.Real = []scale.RealCase{
+		{Name: "quiet", Servers: 60, Proxies: 40, CPU: []float64{0.03, 0.01, 0.02}, Wakeups: []float64{1000}, HollowCPU: []float64{0.005}, MemoryMB: 30, HollowHeap: 2},
+		{Name: "alone", Servers: 60, Proxies: 40, CPU: []float64{0.01}},
+	}
+	text := tablesOf(r, t)
+	for _, want := range []string{
+		"| quiet | 60 | 40 | 0 | 2% | 0.5% | 30 MB | 2 MB | 1,000 |",
+		"| alone | 60 | 40 | 0 | 1% | not measured | 0 MB | 0 MB | not measured |",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no row %s", want)
+		}
+	}
+}
+
+// constant is a made-up slope that is the same at each size.
+func constant(cost scale.Cost, axis scale.Axis, value float64) scale.Slope {
+	return scale.Slope{Cost: cost, Axis: axis, Unit: "seconds", Shape: scale.Constant, Base: value, Fits: true}
+}
+
+func TestAChangeInForceReckonedByHand(t *testing.T) {
+	r := madeUp(t)
+	r.Slopes = append(r.Slopes, constant(scale.ChangeInForceLast, scale.Managers, 2), constant(scale.LongestDecision, scale.Servers, 0.011),
+		constant(scale.ControlCPUPerManager, scale.Managers, 0.08))
+	p := small(t)
+	m := NewModel(p, r)
+	near(t, "alone", m.changeInForce(WholeList).Value, 2+0.011/0.011)               // a decision on 1.1% of a core
+	near(t, "all openings of a machine", m.allOpenings(WholeList).Value, 2*0.08/16) // two readers, 16 cores
+	checks := m.inForce()
+	near(t, "against 19 s", checks[0].Ratio[WholeList].Value, 3.0/19)
+	near(t, "beside openings, against 19 s", checks[1].Ratio[WholeList].Value, 3.01/19)
+}
+
+func TestAControlMachinesCoreReckonedByHand(t *testing.T) {
+	r := madeUp(t)
+	r.Slopes = append(r.Slopes, constant(scale.ControlCPUPerManager, scale.Managers, 0.08), constant(scale.ControlCPUPerChange, scale.Managers, 0.001))
+	p := small(t)
+	m := NewModel(p, r)
+	openings := m.Load(ControlMachine, situation(t, p, "all managers restart"), WholeList)
+	near(t, "two openings in 19 s", openings.Core.Value, 2*0.08/19)
+	lost := m.Load(ControlMachine, situation(t, p, "a zone is lost"), WholeList)
+	// 10 entries in two lines of 5, to the 9 managers of other zones before 5 machines
+	near(t, "two lines told in 19 s", lost.Core.Value, 2.0/19*9/5*0.001)
+	if lost.Core.Known {
+		t.Error("signs of life are not measured, yet the sum is called known")
+	}
+}
+
+func TestALineLongerThanMeasuredIsNoDearerThanAnOpening(t *testing.T) {
+	r := madeUp(t)
+	r.Reference[scale.RestartsAtOnce] = 1
+	r.Slopes = append(r.Slopes, scale.Slope{Cost: scale.CPUPerListChange, Axis: scale.RestartsAtOnce, Shape: scale.Quadratic, PerUnit: 0.001, Fits: true,
+		Points: []scale.Point{{Size: 10, Runs: []float64{0.1}}}})
+	p := small(t)
+	m := NewModel(p, r)
+	h := p.usual(WholeList)
+	near(t, "as measured", m.coreOfChange(h, 10).Value, 0.1)
+	near(t, "beyond it", m.coreOfChange(h, 1000).Value, 0.00002*100) // an opening of 100 entries
+}
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -21,7 +21,7 @@
 		BytesIn:     m.bytesOfChanges(heard).times(1 / s.Window),
 		Memory:      m.cost(scale.ControlHeapPerManager, m.controlSizes(scale.ControlHeapPerManager, s, h)).times(readers),
 		Connections: known(readers),
-		Core:        m.controlCore(s, h, opens),
+		Core:        m.controlCore(s, h, opens, changes.lines/s.Window*readers),
 	}
 	perReader := m.heartbeats().plus(m.bytesOfChanges(changes).times(1 / s.Window))
 	resumed := known(0)
@@ -33,11 +33,12 @@
 	return load
 }
 
-// controlCore is the least that a control machine spends: what its readers' openings cost. Its signs of life and the
-// telling of changes were not measured apart.
-func (m *Model) controlCore(s Situation, h holding, opens float64) Figure {
+// controlCore is the least that a control machine spends: what its readers' openings cost, and the changes that it tells
+// them. Its signs of life were not measured apart.
+func (m *Model) controlCore(s Situation, h holding, opens, changes float64) Figure {
 	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, s, h))
-	return Figure{Value: opening.Value * opens}
+	telling := m.cost(scale.ControlCPUPerChange, m.controlSizes(scale.ControlCPUPerChange, s, h))
+	return Figure{Value: opening.Value*opens + telling.Value*changes}
 }
 
 // controlSizes is the fleet as one control machine sees it.
--- a/internal/capacity/listchange.go
+++ b/internal/capacity/listchange.go
@@ -34,9 +34,18 @@
 	return m.keep(source).times(c.lines)
 }
 
-// coreOfChange is what one line of changes costs a manager.
+// coreOfChange is what one line of changes costs a manager. A line of more entries than were measured is counted as no
+// dearer than an opening, which takes all entries that the manager holds.
 func (m *Model) coreOfChange(h holding, entries float64) Figure {
 	sizes := m.managerSizes(h)
 	sizes[scale.RestartsAtOnce] = entries
-	return m.cost(scale.CPUPerListChange, sizes)
+	change := m.cost(scale.CPUPerListChange, sizes)
+	measured, found := m.Costs.report.Find(scale.CPUPerListChange, scale.RestartsAtOnce)
+	if !found || entries <= largest(measured) {
+		return change
+	}
+	if opening := m.cost(scale.CPUPerOpening, m.openingSizes(h)); opening.Known && opening.Value < change.Value {
+		return opening
+	}
+	return change
 }
--- a/internal/capacity/markdown.go
+++ b/internal/capacity/markdown.go
@@ -22,6 +22,8 @@
 	writeRanking(w, checks)
 	writePartly(w, checks)
 	m.writeSources(w)
+	m.writePlanSize(w)
+	writeReal(w, m.Costs.report)
 	passed = PassedBudgets(checks, m.Plan.Judged)
 	m.writeVerdict(w, passed)
 	return passed
--- a/internal/capacity/numbers.go
+++ b/internal/capacity/numbers.go
@@ -9,14 +9,21 @@
 // unmeasured stands for a figure that no slope tells.
 const unmeasured = "not measured"
 
+// tooSmall stands for a number that three places don't show.
+const tooSmall = "under 0.001"
+
 func show(f Figure, how func(float64) string) string {
 	switch {
 	case f.Known:
 		return how(f.Value)
-	case f.Value > 0:
-		return "at least " + how(f.Value)
+	case f.Value <= 0:
+		return unmeasured
+	}
+	least := how(f.Value)
+	if strings.HasPrefix(least, tooSmall) {
+		return "over 0"
 	}
-	return unmeasured
+	return "at least " + least
 }
 
 func stateOf(n float64, what string) string { return number3(n) + " " + what }
@@ -27,7 +34,7 @@
 	case size == 0:
 		return "0"
 	case size < 0.001:
-		return "under 0.001"
+		return tooSmall
 	case size < 10:
 		return strconv.FormatFloat(x, 'g', 3, 64)
 	case size < 100:
