--- /dev/null
+++ b/internal/capacity/control.go
@@ -0,0 +1,65 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// readers is how many managers one control machine serves.
+func (m *Model) readers(s Situation) float64 {
+	return (float64(m.Plan.Fleet.Managers) - s.Lost) / s.Machines
+}
+
+// controlMachine is a machine that tells the list to its part of all managers.
+func (m *Model) controlMachine(s Situation, scope Scope) Load {
+	p, readers, h := m.Plan, m.readers(s), m.Plan.usual(scope)
+	told := s // the machine itself hears each change, and tells what changes; what was missed is told apart
+	told.Resumes = 0
+	heard, changes := p.listChanges(told, 1), p.listChanges(told, h.sentShare(false))
+	opens, resumes := s.Openers/s.Machines/s.Window, s.Resumers/s.Machines/s.Window
+	load := Load{
+		State:       stateOf(float64(p.Fleet.Servers), "servers") + ", " + stateOf(readers, "readers"),
+		MessagesIn:  known(heard.lines/s.Window + opens + resumes),
+		MessagesOut: known(readers*(1+changes.lines/s.Window) + opens + resumes),
+		BytesIn:     m.bytesOfChanges(heard).times(1 / s.Window),
+		Memory:      m.cost(scale.ControlHeapPerManager, m.controlSizes(scale.ControlHeapPerManager, s, h)).times(readers),
+		Connections: known(readers),
+		Core:        m.controlCore(s, h, opens, changes.lines/s.Window*readers),
+	}
+	perReader := m.heartbeats().plus(m.bytesOfChanges(changes).times(1 / s.Window))
+	resumed := known(0)
+	if s.Resumes > 0 {
+		resumed = m.bytesOfChanges(p.listChanges(s, h.sentShare(false))).times(resumes)
+	}
+	load.BytesOut = perReader.times(readers).plus(m.opening(h).times(opens)).plus(resumed)
+	load.CoreWithoutCollectors = load.Core
+	return load
+}
+
+// controlCore is the least that a control machine spends: what its readers' openings cost, and the changes that it tells
+// them. Its signs of life were not measured apart.
+func (m *Model) controlCore(s Situation, h holding, opens, changes float64) Figure {
+	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, s, h))
+	telling := m.cost(scale.ControlCPUPerChange, m.controlSizes(scale.ControlCPUPerChange, s, h))
+	return Figure{Value: opening.Value*opens + telling.Value*changes}
+}
+
+// controlSizes is the fleet as one control machine sees it.
+func (m *Model) controlSizes(cost scale.Cost, s Situation, h holding) Sizes {
+	sizes := m.listSizes(cost, h.sent)
+	sizes[scale.Managers] = m.readers(s)
+	return sizes
+}
+
+// agent passes on what discovery tells to the manager beside it. There is none in this repository, so its own costs are
+// not measured.
+func (m *Model) agent(s Situation, scope Scope) Load {
+	h := m.Plan.holding(s, scope)
+	in := m.managerInputs(s, h)
+	list := m.listBytes(s, h).plus(m.heartbeats())
+	return Load{
+		State:       stateOf(h.sent, "servers"),
+		MessagesIn:  known(1 + in.listLines),
+		MessagesOut: known(1 + in.listLines),
+		BytesIn:     list,
+		BytesOut:    list,
+		Connections: known(2),
+	}
+}
--- /dev/null
+++ b/internal/capacity/load_test.go
@@ -0,0 +1,218 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"testing"
+
+	"tamarindshore/internal/scale"
+)
+
+const (
+	planFile   = "../../deploy/capacity.sexp"
+	slopesFile = "../../docs/scale/slopes.json"
+	pageFile   = "../../docs/CAPACITY.md"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// madeUp are slopes whose figures were made up for these tests.
+func madeUp(t *testing.T) scale.Report {
+	t.Helper()
+	r, err := ReadSlopes("testdata/slopes.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func planned(t *testing.T) Plan {
+	t.Helper()
+	p, err := ReadPlan(planFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// small is a plan whose figures are easy to reckon by hand: 10 managers before 100 servers in 10 zones, 100 requests
+// a second.
+func small(t *testing.T) Plan {
+	p := planned(t)
+	p.Fleet = Fleet{Managers: 10, Servers: 100, Services: 2, RequestsPerSecond: 100, Regions: 5, Zones: 10}
+	p.Managers.Proxies, p.Managers.TrafficGroups, p.Managers.TriesPerRequest = 50, 1, 1
+	p.Control.Count = 5
+	p.Day.Failures, p.Day.Restarts, p.Day.Changes, p.Day.Batch = 1, 10, 69, 5
+	p.Subset = SubsetSize{HomeZones: 1, Others: 9, WidenBelow: 0.7}
+	return p
+}
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-9*max(1, math.Abs(want)) {
+		t.Errorf("%s: %v, not %v", what, got, want)
+	}
+}
+
+func TestSizesOfASubset(t *testing.T) {
+	p := small(t)
+	whole, subset, cached := p.usual(WholeList), p.usual(Subset), p.usual(CachedSubset)
+	near(t, "held, whole list", whole.held, 100)
+	near(t, "held, subset", subset.held, 19)               // 10 of the home zone and 9 others
+	near(t, "sent, subset", subset.sent, 100)              // dropped where it is decoded
+	near(t, "sent, subset at a cache", cached.sent, 19)    // dropped before it is sent
+	near(t, "holders of a server", p.holders(subset), 1.9) // of 10 managers
+	near(t, "share of others", subset.share(true), 0.1)    // 9 of 90
+	near(t, "share of all", subset.share(false), 0.19)     // 19 of 100
+	near(t, "share of a whole list", whole.share(true), 1) // all
+	near(t, "sent share at a cache", cached.sentShare(true), 0.1)
+	near(t, "sent share", subset.sentShare(true), 1)
+}
+
+func TestHomeZonesThatAreTheWholeFleet(t *testing.T) {
+	p := small(t)
+	p.Subset = SubsetSize{HomeZones: 10, Others: 50}
+	near(t, "held", p.usual(Subset).held, 100)
+	near(t, "share of others", p.usual(Subset).share(true), 1)
+}
+
+func TestCollectorsLines(t *testing.T) {
+	p := small(t)
+	near(t, "reports, whole list", p.reports(p.usual(WholeList)), 100*(1-math.Exp(-0.1))) // 10 tries on 100 servers
+	near(t, "reports, subset", p.reports(p.usual(Subset)), 19*(1-math.Exp(-10.0/19)))
+	near(t, "usages", p.usages(), 50*(1-math.Exp(-0.2))) // 10 requests on 50 proxies
+}
+
+func TestProbesAreBounded(t *testing.T) {
+	p := small(t)
+	near(t, "a few silent servers", p.probes(10), 5) // each once in 2 s
+	near(t, "a silent fleet", p.probes(1e6), 64/0.6) // 64 at once, 0.6 s each
+}
+
+func TestBusiestSecond(t *testing.T) {
+	p := planned(t)
+	near(t, "entries a day", p.entriesPerDay(), 34*2+2500*3+7300)
+	// 3,717 entries in the busiest hour are 186 batches, 0.052 a second: more than two together come in 2 of 100,000
+	// seconds, more than one in 130
+	near(t, "busiest second", p.busiestSecond(), 40)
+	p.Day = Day{Batch: 20, BusyHour: 0.25}
+	near(t, "a day without changes", p.busiestSecond(), 0)
+}
+
+func TestPoissonQuantile(t *testing.T) {
+	for _, one := range []struct {
+		mean, probability float64
+		want              int
+	}{{0, 0.9, 0}, {1, 0.36, 0}, {1, 0.37, 1}, {1, 0.92, 3}, {2, 0.95, 5}} {
+		if got := poissonQuantile(one.mean, one.probability); got != one.want {
+			t.Errorf("mean %v, probability %v: %d, not %d", one.mean, one.probability, got, one.want)
+		}
+	}
+	if got := poissonQuantile(10000, 0.5); got != 10000 {
+		t.Errorf("a large mean's median: %d", got)
+	}
+}
+
+func TestAManagersLoadReckonedByHand(t *testing.T) {
+	p := small(t)
+	m := NewModel(p, madeUp(t))
+	reports, usages := 100*(1-math.Exp(-0.1)), 50*(1-math.Exp(-0.2))
+
+	quiet := m.Load(Manager, p.situations()[0], WholeList)
+	near(t, "messages in", quiet.MessagesIn.Value, 2+reports+usages+1)
+	near(t, "bytes in", quiet.BytesIn.Value, 100*reports+60*usages+80+20)
+	near(t, "bytes out", quiet.BytesOut.Value, 1000)
+	near(t, "bytes without collectors' lines", quiet.bytesWithoutCollectors().Value, 80+20+1000)
+	base := 0.003 - 0.000002*900 - 0.00001*50 // 100 servers and 50 proxies
+	near(t, "core", quiet.Core.Value, base+0.00001*(reports+usages+1))
+	near(t, "core without collectors' lines", quiet.CoreWithoutCollectors.Value, base+0.00001)
+	near(t, "memory", quiet.Memory.Value, 1000000+1000*100)
+	near(t, "connections", quiet.Connections.Value, 4)
+
+	restart := m.Load(Manager, situation(t, p, "all managers restart"), WholeList)
+	near(t, "an opening's bytes in", restart.BytesIn.Value-quiet.BytesIn.Value, (100+150*100)/19.0+80*50/19.0)
+	near(t, "an opening's orders", restart.BytesOut.Value-quiet.BytesOut.Value, (100+50)*40/19.0)
+	near(t, "an opening's core", restart.Core.Value-quiet.Core.Value, 0.00002*100/19+0.00001*50/19)
+
+	cut := situation(t, p, "a region is cut off")
+	near(t, "probes of 9 others, of which 8 are outside the region", m.Load(Manager, cut, CachedSubset).MessagesOut.Value, 1+80.0/90*9/2)
+	near(t, "probes of a subset that widened", m.Load(Manager, cut, Subset).MessagesOut.Value, 1+80.0/90*72/2)
+}
+
+func TestASubsetWidensWhereARegionIsCutOff(t *testing.T) {
+	p := small(t)
+	// 10 of the 90 servers of other zones can be reached: of 9, 18, 36 and 72 others 1, 2, 4 and 8, where 6.3 are needed
+	near(t, "held", p.holding(p.regionCut(), Subset).held, 10+72)
+	near(t, "held by what a cache sent before", p.holding(p.regionCut(), CachedSubset).held, 10+9)
+	p.Fleet.Regions = 10 // nothing but the home zone is left
+	near(t, "held where no other can be reached", p.holding(p.regionCut(), Subset).held, 100)
+	zoneLost := situation(t, p, "a zone is lost")
+	near(t, "held where one zone of many is lost", p.holding(zoneLost, Subset).held, 10+9)
+}
+
+func situation(t *testing.T, p Plan, name string) Situation {
+	t.Helper()
+	for _, s := range p.situations() {
+		if s.Name == name {
+			return s
+		}
+	}
+	t.Fatalf("no situation %q", name)
+	return Situation{}
+}
+
+func TestAControlMachinesLoadReckonedByHand(t *testing.T) {
+	p := small(t)
+	m := NewModel(p, madeUp(t))
+	quiet := m.Load(ControlMachine, p.situations()[0], WholeList)
+	near(t, "readers", quiet.Connections.Value, 2) // 10 managers before 5 machines
+	near(t, "signs of life", quiet.BytesOut.Value, 2*20)
+	all := m.Load(ControlMachine, situation(t, p, "all managers restart"), WholeList)
+	near(t, "openings", all.BytesOut.Value-quiet.BytesOut.Value, 2*(100+150*100)/19.0)
+	lost := m.Load(ControlMachine, situation(t, p, "two control machines are lost"), WholeList)
+	near(t, "readers of three machines", lost.Connections.Value, 10.0/3)
+	near(t, "openings of those that moved", lost.BytesOut.Value-10.0/3*20, 4.0/3*(100+150*100)/19)
+}
+
+func TestEntriesThatChangeTogetherStandInOneLine(t *testing.T) {
+	p := small(t)
+	p.Day.Batch = 20
+	for _, one := range []struct {
+		name           string
+		situation      Situation
+		share          float64
+		lines, entries float64
+	}{
+		{"all of two batches", Situation{Changes: 40}, 1, 2, 20},
+		{"a tenth of two batches", Situation{Changes: 40}, 0.1, 2, 2},
+		{"a hundredth: less than one entry", Situation{Changes: 40}, 0.01, 0.4, 1},
+		{"all that was missed", Situation{Resumes: 500}, 1, 1, 500},
+		{"nothing of what was missed", Situation{Resumes: 50}, 0.001, 1, 1},
+		{"nothing", Situation{}, 1, 0, 0},
+	} {
+		got := p.listChanges(one.situation, one.share)
+		near(t, one.name+": lines", got.lines, one.lines)
+		near(t, one.name+": entries of a line", got.entries, one.entries)
+	}
+}
+
+func TestABusySecondAsMeasured(t *testing.T) {
+	r := madeUp(t)
+	r.Reference[scale.Reports] = 10
+	busy := scale.Slope{Cost: scale.CPUPerBusySecond, Axis: scale.Reports, Unit: "seconds", Shape: scale.Linear, Base: 0.5, PerUnit: 0.001, Fits: true}
+	news := scale.Slope{Cost: scale.NewsPerSecond, Axis: scale.Reports, Unit: "per second", Shape: scale.Constant, Base: 30, Fits: true}
+	r.Slopes = append(r.Slopes, busy, news)
+	p := small(t)
+	lines := 100*(1-math.Exp(-0.1)) + 50*(1-math.Exp(-0.2))
+	load := NewModel(p, r).Load(Manager, p.situations()[0], WholeList)
+	near(t, "core", load.Core.Value, 0.5+0.001*lines+0.00001*30)
+	near(t, "core without collectors' lines", load.CoreWithoutCollectors.Value, 0.003-0.000002*900-0.00001*50+0.00001*30)
+	near(t, "messages in", load.MessagesIn.Value, 2+lines+30)
+}
