--- a/deploy/capacity.sexp
+++ b/deploy/capacity.sexp
@@ -47,7 +47,7 @@
     (report-interval 1s)               ; `periodUs`
     (collectors-per-zone 1)
     (relays-per-zone 1)
-    (table-lines 200)                  ; `leastLine` of `choice/choice.go`: a part of 0.005 at least
+    (queue-lines 8600)                 ; `queueCap` of today's largest deployment
     (probe-interval 2s)                ; `silentFor` of `choice/choice.go`
     (probe-timeout 600ms)              ; `ProbeAnswer` of `internal/config`
     (probes-open 64))                  ; `ProbesOpen` of `internal/config`
--- a/internal/capacity/limits.go
+++ b/internal/capacity/limits.go
@@ -1,13 +1,14 @@
 package capacity
 
+import "tamarindshore/internal/config"
+
 // Limits of today's code that a plan may pass, whatever it costs. Each stands where Where says.
 const (
-	mostListLine    = 1 << 20 // bytes of a list in one line
-	mostLineTime    = 2.6     // seconds that a line of the list may take
-	mostProxyNumber = 65536   // proxies of all managers, and proxies' numbers
-	mostProbesWait  = 4096    // servers that are asked at once
+	mostLineTime    = 2.6   // seconds that a line of the list may take
+	mostProxyNumber = 65536 // proxies of all managers, and proxies' numbers
+	mostProbesWait  = 4096  // servers that are asked at once
 	mostGroups      = 63
-	leastTablePart  = 0.005 // of a table, below which a server has no line
+	bindingPart     = 0.75 // of the queue, which the binding of one proxy has to fit
 )
 
 // Limit is a fixed bound of today's code, and what the plan asks of it.
@@ -28,12 +29,13 @@
 func (m *Model) Limits() []Limit {
 	p := m.Plan
 	return []Limit{
-		{"bytes of a whole list, which is one line", mostListLine, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)) }),
+		{"bytes of a whole list, which is one line", float64(config.LongestList(p.Budgets.MemoryMB)), m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)) }),
 			"a whole list is refused as too long: only changes can be taken", "`config.Limits.LineList`"},
 		{"seconds of a whole list, sent at the budget's pace", mostLineTime, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)).times(1 / p.Budgets.BytesPerSecond) }),
 			"the watch counts as silent and is opened again", "`config.Limits.SilentWatch`, `expect` in `internal/node/dial.go`"},
-		{"even servers that a table's flows are spread over", 1 / leastTablePart, m.perScope(func(s Scope) Figure { return known(m.perTable(s)) }),
-			"no server reaches the least part of a table: it stays empty and no proxy is bound", "`leastLine` in `choice/choice.go`, blocks by `part`"},
+		{"lines of a table, all of which the binding of a proxy sends", bindingPart * float64(p.Managers.QueueLines),
+			m.perScope(func(s Scope) Figure { return known(m.tableLines(p.usual(s))) }),
+			"no binding fits the queue, so no proxy is bound", "`queueUrgent` in `choice/choice.go`, `room` in `choice/ledger.go`, blocks by `part`"},
 		{"proxies of all managers, and their numbers", mostProxyNumber, m.perScope(func(Scope) Figure {
 			return known(float64(p.Managers.Proxies) * float64(p.Fleet.Managers))
 		}), "the settings are refused, unless each relay numbers its own proxies", "`domain.proxies` in `internal/terms`, `mostProxies` in `internal/node/admit.go`"},
@@ -44,10 +46,10 @@
 	}
 }
 
-// perTable is over how many servers the flows of one table are spread, as evenly as the band lets them: all that are
-// held, since a server's target is its share of all of them.
-func (m *Model) perTable(scope Scope) float64 {
-	return m.Plan.usual(scope).held / float64(m.Plan.Managers.ProxyZones) / m.blocks()
+// tableLines is how many servers a table names: as many as its flows are spread over. That is all that are held, evenly,
+// since a server's target is its share of all of them.
+func (m *Model) tableLines(h holding) float64 {
+	return h.held / float64(m.Plan.Managers.ProxyZones) / m.blocks()
 }
 
 // blocks is into how many tables a zone is divided at most: one for five proxies of a manager, counted as `part` in the
--- a/internal/capacity/listchange.go
+++ b/internal/capacity/listchange.go
@@ -8,9 +8,6 @@
 	entries float64 // of each line
 }
 
-// all is how many entries there are in all lines.
-func (c listChanges) all() float64 { return c.lines * c.entries }
-
 // listChanges is what a part of a situation's changes comes to. Entries that change together stand in one line, as does
 // all that a reader missed.
 func (p Plan) listChanges(s Situation, share float64) listChanges {
--- a/internal/capacity/manager.go
+++ b/internal/capacity/manager.go
@@ -176,8 +176,3 @@
 	orders := m.tableLines(h)*float64(p.Managers.ProxyZones) + float64(p.Managers.Proxies)
 	return known(orders * p.Messages.Order / s.Window)
 }
-
-// tableLines is how many servers a table names.
-func (m *Model) tableLines(h holding) float64 {
-	return min(h.held, float64(m.Plan.Managers.TableLines))
-}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -80,7 +80,7 @@
 	ReportInterval    time.Duration // over which a collector sums
 	CollectorsPerZone int
 	RelaysPerZone     int
-	TableLines        int // servers that a table names at most
+	QueueLines        int // lines that may wait in a manager's channel
 	ProbeInterval     time.Duration
 	ProbeTimeout      time.Duration
 	ProbesOpen        int
--- a/internal/capacity/plan_read.go
+++ b/internal/capacity/plan_read.go
@@ -116,7 +116,7 @@
 		span("report-interval", &m.ReportInterval),
 		whole("collectors-per-zone", &m.CollectorsPerZone, 1, 1000),
 		whole("relays-per-zone", &m.RelaysPerZone, 1, 1000),
-		whole("table-lines", &m.TableLines, 1, mostCount),
+		whole("queue-lines", &m.QueueLines, 1, mostCount),
 		span("probe-interval", &m.ProbeInterval),
 		span("probe-timeout", &m.ProbeTimeout),
 		whole("probes-open", &m.ProbesOpen, 1, mostCount),
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,13 +86,16 @@
 	listLinePart = 32 // of the memory
 )
 
+// LongestList is the bound on a whole list, in bytes, of a manager with so much memory.
+func LongestList(memoryMB float64) int { return max(minListLine, int(memoryMB*(1<<20))/listLinePart) }
+
 func limits(cores, memoryMB float64, sockets int) Limits {
 	return Limits{
 		Cores: max(1, int(cores+0.5)), Memory: int64(memoryMB * (1 << 20)), Sockets: sockets,
 		Inputs: 4096, Together: 512, CallsWait: 8, CallBytes: 60000, ProbesWait: 4096,
 		ProbesOpen: min(64, sockets/8), Unnamed: min(256, sockets/4), Named: min(32, sockets/16),
 		Words: 64, LineUnnamed: 4 << 10, LineNamed: min(1<<20, int(memoryMB*(1<<20))/512), LineNews: 64 << 10,
-		LineList: max(minListLine, int(memoryMB*(1<<20))/listLinePart), Answer: 64 << 10,
+		LineList: LongestList(memoryMB), Answer: 64 << 10,
 		IdleMost: 64, FlowsMost: 10000, Stranger: 1500 * time.Millisecond, SilentNamed: 20 * time.Second, Spoke: 50 * time.Millisecond, SpanMost: time.Minute,
 		SilentNews: 1500 * time.Millisecond, SilentWatch: 2600 * time.Millisecond, NewsOpening: 300 * time.Millisecond,
 		Opening: 700 * time.Millisecond,
