Proxies without a table are bound before servers are withdrawn, within the grace

Cause, followed through the survivor's log in a scratch copy: 206 proxies of the lost managers waited for the next solve; each withdrawal cost each of them a line and a message, so 9 of 30 filled the queue at 16.15 s; until 21.6 s bindings to tables that still named the drained servers took the room, and those late by id waited for 5.5 s. Change: where the list drains servers while proxies wait, tables are solved and laid at once, and the proxies bound with the drains' room before servers are withdrawn, as long as all bindings leave within the grace (rules.drainGraceUs, read now; 2 s of lines where it is missing). A withdrawal never goes along with a binding of the same time. Servers are withdrawn in the order in which the list told of them, and looked at again once the last proxy is bound. The search's test of shrinking found no break any more with a queue of 60 lines: it has 40 now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	m.climbBase, m.slowPace = min(climbFrom, climbCold*t.ColdShare), t.LinesPerS/slowChannel
 	m.lineDiffers = lineDiffers + linePriced*t.LinePrice
 	m.rooms = [3]float64{queueBatch * t.QueueLines, queueUrgent * t.QueueLines, queueDrain * t.QueueLines}
+	m.graceLines = t.LinesPerS * cmp.Or(t.DrainGrace.Seconds(), soonUrgent)
 	m.soon = [3]float64{soonCalm * t.LinesPerS, soonUrgent * t.LinesPerS, m.rooms[draining]}
 	if most := float64(t.MessagesMost); most > 1 {
 		m.perProxy = [3]int{int(max(1, perBatch*most)), int(max(1, perUrgent*most)), int(most - 1)}
@@ -143,6 +144,10 @@
 		}
 	}
 	m.listedOnce, m.relisted, m.cause, m.sorted = true, true, "list", false
+	if len(m.waits) > 0 && len(m.sets().leave) > 0 {
+		m.urgent = true
+		m.endSolveWait()
+	}
 	return m.decide()
 }
 
@@ -151,6 +156,7 @@
 func (m *Manager) list(s *server, c Condition) {
 	s.state = either(c != Gone || s.state == Ready, c, s.state)
 	s.goneAt = either(c == Gone, cmp.Or(s.goneAt, m.now), 0)
+	s.leavesAt = either(c == Ready, 0, cmp.Or(s.leavesAt, m.now))
 	m.drains = m.drains || c != Ready
 	if s.out || s.state == Gone {
 		m.ask(s)
@@ -237,17 +243,24 @@
 func (m *Manager) unasked() bool { return m.asks && !m.asked && m.now >= m.askFrom }
 func (m *Manager) listen()       { m.asked, m.o.Listen = true, true }
 
-// leaving is a server that drains or is gone: it is withdrawn at once from all that joined proxies hold.
+// leaving is a server that is withdrawn at once, but not along with a binding: it would go out before that.
 func (m *Manager) leaving() *server {
 	for _, s := range m.sets().leave {
-		if m.room(m.holders(s), 1, draining) {
+		if m.o.Bind == nil && m.room(m.holders(s), 1, draining) {
 			return s
 		}
 	}
 	return nil
 }
 
-func (m *Manager) drainWaits() bool { return m.drains && m.leaving() != nil }
+func (m *Manager) drainWaits() bool { return m.drains && !m.bindsFirst() && m.leaving() != nil }
+
+// bindsFirst guards against withdrawals that cost each proxy without a table a line and a message, as after
+// another manager was lost in a release: its table is laid without the servers that leave, and settles all.
+// Withdrawals go first where the bindings are more than leaves within the grace.
+func (m *Manager) bindsFirst() bool {
+	return len(m.sets().leave) > 0 && m.leastToBind() <= m.rooms[draining] && m.allToBind() <= m.graceLines
+}
 
 func (m *Manager) withdraw() {
 	s := m.leaving()
@@ -284,10 +297,8 @@
 	m.probeSilent()
 	m.judgePairs()
 	m.moveLine()
-	for z, v := range m.volumes() {
-		if z >= len(m.solved) || max(v, m.solved[z])*(1-volumeMoved) > min(v, m.solved[z]) {
-			m.cause = "volume"
-		}
+	if m.volumesDiffer(volumeMoved) {
+		m.cause = "volume"
 	}
 }
 
@@ -368,12 +379,7 @@
 // atServers is the latency that the servers themselves show: by the flows that they say they hold, or else by
 // probes, which may be answered beside the queue. Guards against blocking flows that are late elsewhere.
 func (m *Manager) atServers(latency float64) float64 {
-	var waits []float64
-	for _, s := range m.servers {
-		if held := m.held(s); held >= 0 && m.rate(s) > heldLeast {
-			waits = append(waits, held)
-		}
-	}
+	waits := m.heldTimes(heldLeast)
 	for range probesAtOnce {
 		s := m.servers[int(m.random()*float64(len(m.servers)))]
 		if m.probes && !m.loadTold && m.open(s) && !s.out && s.health > weakHealth {
@@ -383,12 +389,7 @@
 	if len(waits) > 0 {
 		return min(latency, median(waits))
 	}
-	for _, f := range m.answers {
-		if m.now-f.at <= samplesOld {
-			waits = append(waits, f.value)
-		}
-	}
-	if m.probes && len(waits) > 0 && median(waits) < probePart*latency {
+	if waits = m.probeTimes(); m.probes && len(waits) > 0 && median(waits) < probePart*latency {
 		return median(waits)
 	}
 	return latency
@@ -501,7 +502,7 @@
 func (m *Manager) awaitSolve() {
 	t := m.joinedTable
 	if m.joinedTable = nil; m.climbs() {
-		m.cause = "join"
+		m.cause, m.least = "join", 0
 		t.awaitsSolve = t.awaitsSolve || m.sets().drained == 0 || m.coldPart(t) > coldMost*m.coldShare
 	}
 }
@@ -523,6 +524,7 @@
 
 func (m *Manager) solve() {
 	m.cause, m.batch, m.relisted, m.heldBy, m.solved = "", true, false, 0, m.volumes()
+	m.endSolveWait()
 	var parts []part
 	var in []*server
 	anyIn := m.anyIn() // health never takes the last server of all
@@ -559,7 +561,6 @@
 	shares := split(m.solved, parts, m.nearest(), m.closed)
 	for z, t := range m.tables {
 		clear(t.wanted)
-		t.awaitsSolve = false
 		least := min(leastLine*m.solved[z], leastOfLargest*shares.largest(z)) // guards hundreds of even ones
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 		m.keepPinned(TableID(z), t, anyIn)
@@ -791,10 +792,10 @@
 
 // A proxy that joins is put on its block's table once the channel has room, the first that joined first.
 func (m *Manager) waitingProxy() *proxy {
-	spare := m.spare(pressing)
-	for _, p := range m.unboundWithin(spare) {
+	need := either(m.bindsFirst(), draining, pressing)
+	for _, p := range m.unboundWithin(m.spare(need)) {
 		t := m.tables[p.block]
-		if !t.awaitsSolve && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
+		if !t.awaitsSolve && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), need) {
 			return p
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -424,6 +424,88 @@
 	}
 }
 
+// waitingManager holds four servers a zone, one of which climbs, and so many proxies that joined zone a while it did.
+func waitingManager(proxies int) *Manager {
+	m := manager(4)
+	m.due, m.servers[1].climbing, m.servers[1].startedAt = time.Hour, true, 0
+	for i := range proxies {
+		m.Joined(time.Second+time.Duration(i)*time.Millisecond, ProxyID(10+i), "a", 5)
+	}
+	return m
+}
+
+func TestProxiesWithoutATableAreBoundBeforeServersAreWithdrawn(t *testing.T) {
+	m := waitingManager(10)
+	if len(m.waits) != 10 {
+		t.Fatalf("%d proxies wait for the solve", len(m.waits))
+	}
+	m.graceLines = 1000
+	o := m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if len(o.Bind) != 10 || len(o.Withdraw) != 0 {
+		t.Errorf("%d bound, %v withdrawn", len(o.Bind), o.Withdraw)
+	}
+	for _, l := range o.Lines {
+		if l.Server == "a0" && l.Weight > 0 {
+			t.Errorf("bound to a table with the server that drains: %v", l)
+		}
+	}
+	if m.tables[0].standing["a0"] > 0 {
+		t.Error("the table that they are bound to names the server that drains")
+	}
+	if o := m.Woke(2*time.Second + time.Millisecond); !slices.Equal(o.Withdraw, []ServerID{"a0"}) {
+		t.Errorf("withdrawn at the next input: %v", o.Withdraw)
+	}
+}
+
+func TestBindingsThatGoFirstHaveTheRoomOfDrains(t *testing.T) {
+	m := waitingManager(1)
+	m.graceLines, m.soon[pressing], m.rooms[pressing] = 1000, 0, 0
+	if o := m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}}); len(o.Bind) != 1 {
+		t.Errorf("bound %v", o.Bind)
+	}
+}
+
+// Drains are looked at once a second where they find no room; the last binding makes room for them.
+func TestDrainsGoOnceTheLastProxyIsBound(t *testing.T) {
+	m := waitingManager(1)
+	m.graceLines, m.rooms[pressing], m.rooms[draining] = 1000, 0, 0
+	m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	m.drains, m.rooms[draining] = false, 1000
+	if o := m.Woke(2*time.Second + time.Millisecond); len(o.Bind) != 1 {
+		t.Fatalf("bound %v", o.Bind)
+	}
+	if o := m.Woke(2*time.Second + 2*time.Millisecond); len(o.Withdraw) != 1 {
+		t.Errorf("withdrawn %v", o.Withdraw)
+	}
+}
+
+func TestServersAreWithdrawnFirstWhereBindingsTakeLongerThanTheGrace(t *testing.T) {
+	m := waitingManager(10)
+	m.graceLines = 50
+	o := m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if !slices.Equal(o.Withdraw, []ServerID{"a0"}) {
+		t.Errorf("withdrawn %v", o.Withdraw)
+	}
+}
+
+func TestServersAreWithdrawnInTheOrderInWhichTheListToldThem(t *testing.T) {
+	m := manager(4)
+	m.soon[draining], m.rooms[draining] = 0, 0
+	m.Listed(time.Second, false, []Entry{{Server: "a3", Zone: "a", Weight: 1, State: Draining}})
+	m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	m.soon[draining], m.rooms[draining], m.drains = 6, 6, true
+	if o := m.Woke(3 * time.Second); !slices.Equal(o.Withdraw, []ServerID{"a3"}) {
+		t.Errorf("withdrawn %v", o.Withdraw)
+	}
+}
+
+func TestTheGraceBoundsWhatIsBoundFirst(t *testing.T) {
+	stated := terms
+	stated.DrainGrace = 3 * time.Second
+	near(t, "lines within the grace", New(1, stated).graceLines, 3*stated.LinesPerS)
+	near(t, "lines where none is told", New(1, terms).graceLines, soonUrgent*terms.LinesPerS)
+}
+
 func TestRoomTakesTheChannelForSlowUntilMarksAreAnswered(t *testing.T) {
 	m := manager(2)
 	m.post(m.proxies, 240)
--- a/choice/figures.go
+++ b/choice/figures.go
@@ -191,6 +191,36 @@
 	return v
 }
 
+// volumesDiffer tells whether some volume is not within a part of what the tables were solved with.
+func (m *Manager) volumesDiffer(part float64) bool {
+	for z, v := range m.volumes() {
+		if z >= len(m.solved) || max(v, m.solved[z])*(1-part) > min(v, m.solved[z]) {
+			return true
+		}
+	}
+	return false
+}
+
+// heldTimes are the times that flows take at servers by the load that these tell, of those with so many tries a second.
+func (m *Manager) heldTimes(tries float64) (times []float64) {
+	for _, s := range m.servers {
+		if held := m.held(s); held >= 0 && m.rate(s) > tries {
+			times = append(times, held)
+		}
+	}
+	return times
+}
+
+// probeTimes are the seconds that probes took lately.
+func (m *Manager) probeTimes() (times []float64) {
+	for _, f := range m.answers {
+		if m.now-f.at <= samplesOld {
+			times = append(times, f.value)
+		}
+	}
+	return times
+}
+
 // heardOf is what the proxies heard of lately told that they get a second.
 func (m *Manager) heardOf() (told float64) {
 	for _, p := range m.proxies {
--- a/choice/index.go
+++ b/choice/index.go
@@ -15,15 +15,15 @@
 	kept     sets
 	placed   bool     // proxies are dealt to their tables, and servers know the tables that name them
 	waits    []*proxy // without a table, by when they joined
-	least    float64  // lines of the cheapest table that they wait for, bare ones left out; 0: to be counted anew
+	least    float64  // lines of the cheapest table that they can be put on; 0: to be counted anew
 	inside   float64  // lines of the queue that entered the channel, as marks show it,
 	outside  float64  // and that have not
 	summed   bool     // they are counted
 }
 
-// sets are the servers that some condition asks for, by id.
+// sets are the servers that some condition asks for, by id where nothing else is said.
 type sets struct {
-	leave    []*server // to be withdrawn
+	leave    []*server // to be withdrawn, those told first before others
 	comeBack []*server // withdrawn, and may get flows
 	climb    int       // may get flows, and climb
 	drained  int       // withdrawn, and may get none
@@ -45,6 +45,7 @@
 				m.kept.climb++
 			}
 		}
+		slices.SortStableFunc(m.kept.leave, func(a, b *server) int { return cmp.Compare(a.leavesAt, b.leavesAt) })
 	}
 	return &m.kept
 }
@@ -100,7 +101,7 @@
 		s.tables = nil
 	}
 	for id, t := range m.tables {
-		t.dealt, t.load, t.cost = nil, 0, 0
+		t.dealt, t.load, t.cost, t.waiting = nil, 0, 0, 0
 		for s, w := range t.standing {
 			if one := m.server(s); one != nil && w != 0 {
 				one.tables = append(one.tables, TableID(id))
@@ -111,7 +112,7 @@
 		t := m.tables[p.block]
 		t.dealt, t.load = append(t.dealt, p), t.load+p.rate
 		if !p.bound {
-			m.waits = append(m.waits, p)
+			m.waits, t.waiting = append(m.waits, p), t.waiting+1
 		}
 	}
 	slices.SortFunc(m.waits, byJoin)
@@ -140,9 +141,9 @@
 	m.place()
 	m.proxies, m.byNumber[p.id] = with(m.proxies, p, byNumber), p
 	t := m.tables[p.block]
-	t.dealt, m.waits = with(t.dealt, p, byNumber), with(m.waits, p, byJoin)
+	t.dealt, m.waits, t.waiting = with(t.dealt, p, byNumber), with(m.waits, p, byJoin), t.waiting+1
 	m.weighLoad(t)
-	if m.least > 0 && !m.bare(t) {
+	if m.least > 0 && !t.awaitsSolve && !m.bare(t) {
 		m.least = min(m.least, m.whole(t))
 	}
 }
@@ -152,10 +153,31 @@
 	m.proxies = without(m.proxies, p, byNumber)
 	delete(m.byNumber, p.id)
 	t := m.tables[p.block]
-	t.dealt, m.waits = without(t.dealt, p, byNumber), without(m.waits, p, byJoin)
+	t.dealt = without(t.dealt, p, byNumber)
+	m.stopWaiting(p, t)
 	m.weighLoad(t)
 }
 
+// stopWaiting takes a proxy that is put on its table, or leaves, off those that wait for one.
+func (m *Manager) stopWaiting(p *proxy, t *table) {
+	if p.bound {
+		return
+	}
+	m.waits, t.waiting = without(m.waits, p, byJoin), t.waiting-1
+	if t.waiting == 0 {
+		m.least = 0
+	}
+	m.drains = m.drains || len(m.waits) == 0
+}
+
+// endSolveWait lets proxies that wait until their tables are solved be put on them.
+func (m *Manager) endSolveWait() {
+	for _, t := range m.tables {
+		t.awaitsSolve = false
+	}
+	m.least = 0
+}
+
 // weighLoad sums what a block's proxies told, in their order. Only blocks are chosen by it.
 func (m *Manager) weighLoad(t *table) {
 	if m.blocks > 1 {
@@ -169,7 +191,8 @@
 // put notes that a proxy was bound to its block's table, and to its part for the groups that keep to their zone.
 func (m *Manager) put(p *proxy) {
 	m.place()
-	p.bound, p.holds, m.waits = true, false, without(m.waits, p, byJoin)
+	m.stopWaiting(p, m.tables[p.block])
+	p.bound, p.holds = true, false
 	if m.home == 0 || m.roaming != 0 {
 		m.o.Bind = append(m.o.Bind, Place{p.id, TableID(p.block), either(m.home == 0, 0, m.roaming)})
 	}
@@ -238,19 +261,34 @@
 // unboundWithin are the proxies without a table, none where no table that they wait for has room. Guards against
 // a walk over thousands that wait after a restart with each input that comes.
 func (m *Manager) unboundWithin(spare float64) []*proxy {
-	if m.place(); len(m.waits) == 0 {
+	if m.leastToBind() > spare {
 		return nil
 	}
+	return m.waits
+}
+
+// leastToBind is what the cheapest binding costs of a proxy that waits; infinite where none can be bound.
+func (m *Manager) leastToBind() float64 {
+	if m.place(); len(m.waits) == 0 {
+		return math.Inf(1)
+	}
 	if m.least == 0 {
 		m.least = math.Inf(1)
-		for _, p := range m.waits {
-			if t := m.tables[p.block]; !m.bare(t) {
+		for _, t := range m.tables {
+			if t.waiting > 0 && !t.awaitsSolve && !m.bare(t) {
 				m.least = min(m.least, m.whole(t))
 			}
 		}
 	}
-	if m.least+either(m.markedAt == m.now, 0, m.head+1) > spare {
-		return nil
+	return m.least + either(m.markedAt == m.now, 0, m.head+1)
+}
+
+// allToBind is what the bindings of all proxies that wait cost.
+func (m *Manager) allToBind() (lines float64) {
+	for _, t := range m.tables {
+		if t.waiting > 0 {
+			lines += float64(t.waiting) * (m.whole(t) + m.head + 1)
+		}
 	}
-	return m.waits
+	return lines
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -21,6 +21,7 @@
 	climbing   bool
 	startedAt  time.Duration // its climb counts from then
 	goneAt     time.Duration // the list called it gone then; 0: it is there
+	leavesAt   time.Duration // the list first said then that it drains or is gone; 0: neither
 	withdrawn  bool
 	unlaid     bool // a table still names it for more than it should get
 	heard      []Report
@@ -71,6 +72,7 @@
 	dealt            []*proxy       // its block's, bound or not, by number
 	load             float64        // flows a second that those told
 	awaitsSolve      bool           // proxies that are to be put on it wait until it is solved anew
+	waiting          int            // proxies that are to be put on it
 }
 
 // owed is what was ordered at one time and no answered mark shows to have left the channel.
@@ -106,6 +108,7 @@
 	rooms                   [3]float64 // lines that may wait, by urgency,
 	soon                    [3]float64 // and that leave soon enough for what comes next
 	slowPace                float64    // lines a second
+	graceLines              float64    // that leave within the grace of a drain
 	perProxy                [3]int     // messages to one proxy within span, by urgency; 0: no limit
 	span                    time.Duration
 	asks, probes, goneStays bool
@@ -402,7 +405,8 @@
 	for _, p := range m.proxies {
 		p.block = m.leastOf(p.zone, has)
 		has[p.block] += p.rate
-		m.tables[p.block].dealt = append(m.tables[p.block].dealt, p)
+		t := m.tables[p.block]
+		t.dealt, t.waiting = append(t.dealt, p), t.waiting+either(p.bound, 0, 1)
 	}
 	for b, t := range m.tables {
 		t.load = has[b]
--- a/choice/types.go
+++ b/choice/types.go
@@ -90,6 +90,7 @@
 	ConnIdle      time.Duration // proxies close idle connections then
 	ColdShare     float64
 	WarmAfter     time.Duration
+	DrainGrace    time.Duration // from when a server is told to drain until no proxy may send to it; 0: not told
 	QueueLines    float64
 	LinesPerS     float64
 	LinePrice     float64 // of sending at that pace all day, as a part of the service
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -79,7 +79,7 @@
 
 func TestShrinkKeepsWhatBreaks(t *testing.T) {
 	s := Usual()
-	s.QueueLines = 60 // far too few for what the module is told: it is told so too, and then has no room to bind
+	s.QueueLines = 40 // far too few for what the module is told: it is told so too, and then has no room to bind
 	s.Faults = [2]int{4, 4}
 	for seed := uint64(1); seed < 40; seed++ {
 		script := Draw(s, seed)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -42,6 +42,7 @@
 		Rules struct {
 			ColdFrom        float64
 			WarmAfterUs     int64
+			DrainGraceUs    int64
 			DroppedStayOpen bool
 		}
 	}
@@ -65,6 +66,7 @@
 		{"limits.connIdleUs", float64(in.Limits.ConnIdleUs), 0, 1e15},
 		{"rules.coldFrom", in.Rules.ColdFrom, 0, 1e6},
 		{"rules.warmAfterUs", float64(in.Rules.WarmAfterUs), 0, 1e15},
+		{"rules.drainGraceUs", float64(in.Rules.DrainGraceUs), 0, 1e15},
 		{"peersTotal", float64(in.PeersTotal), 0, 65536},
 		{"classes", float64(len(in.Classes)), 1, 63},
 	}
@@ -78,7 +80,7 @@
 		Sliced: in.Domain.Ranges > 0, AsksList: in.MembershipMode == "ask", MayProbe: in.Limits.Probing,
 		UsualTries: choice.Tries(in.Domain.UsualHow), Proxies: in.Domain.Proxies, Managers: in.PeersTotal,
 		ConnIdle:  span(in.Limits.ConnIdleUs),
-		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs),
+		ColdShare: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfterUs), DrainGrace: span(in.Rules.DrainGraceUs),
 		GoneStaysOpen: in.Rules.DroppedStayOpen, QueueLines: in.Domain.QueueCap,
 		LinesPerS: in.Domain.EgressPerS, LiveWeights: in.WeightSource == "live", LinePrice: in.Domain.LineFee,
 		HeadLines: in.Domain.Envelope, MessagesMost: in.Domain.MessagesMost, MessagesOver: span(in.Domain.ReloadSpanUs),
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"tamarindshore/choice"
 )
@@ -57,6 +58,7 @@
 func TestReadNamesTheFaultyKey(t *testing.T) {
 	for was, is := range map[string][2]string{
 		`"queueCap":8600`:          {`"queueCap":-1`, "domain.queueCap: "},
+		`"coldFrom":0.15`:          {`"coldFrom":0.15,"drainGraceUs":-1`, "rules.drainGraceUs: "},
 		`"usualHow":1`:             {`"usualHow":4`, "domain.usualHow: "},
 		`"probing":true`:           {`"probing":1`, "limits.probing: "},
 		`"aimUs":2000000`:          {`"aimUs":0`, "classes[0]: "},
@@ -92,3 +94,10 @@
 		t.Errorf("%+v, then %+v", first, again)
 	}
 }
+
+func TestReadTakesTheGraceOfADrain(t *testing.T) {
+	told, _, err := Read([]byte(strings.Replace(usual, `"coldFrom":0.15`, `"coldFrom":0.15,"drainGraceUs":3200000`, 1)))
+	if err != nil || told.DrainGrace != 3200*time.Millisecond {
+		t.Errorf("%v %v", told.DrainGrace, err)
+	}
+}
