Drains outside a subset are handed on; nothing is before the first proxy

Cause: a proxy that comes from another manager may hold a table that names a server outside this manager's subset; its drain was not withdrawn until the proxy was bound. And servers handed on one zone after another at a start were probed and climbed as newcomers, while the spill servers carried all flows.

--- a/internal/node/subset_test.go
+++ b/internal/node/subset_test.go
@@ -596,6 +596,33 @@
 	}
 }
 
+// A server outside the subset drains while proxies come from another manager, with tables that name it: it is withdrawn
+// at once. When it is ready again, the withdrawal is lifted.
+func TestADrainOutsideTheSubsetIsWithdrawn(t *testing.T) {
+	g := newSubsetRig(t, "n8", 6, 20)
+	g.fill(6, 60)
+	g.raise(10)
+	var outsider choice.ServerID
+	for _, id := range g.zone(3) {
+		if _, handed := g.router.servers[id]; !handed {
+			outsider = id
+		}
+	}
+	for p := range 10 {
+		g.router.take(joined{choice.ProxyID(20 + p), rigZone(0), 5})
+	}
+	g.change(g.set(choice.Draining, outsider))
+	g.second()
+	if !g.router.chain.State().Withdrawn(string(outsider)) {
+		t.Error("it is not withdrawn")
+	}
+	g.change(g.restart(outsider))
+	g.seconds(150, func() { g.mustServe("at rest") })
+	if g.router.chain.State().Withdrawn(string(outsider)) {
+		t.Error("it is withdrawn still")
+	}
+}
+
 // A server that left the subset and was forgotten comes back when it is needed again, and gets flows.
 func TestAServerThatLeftGetsFlowsAgain(t *testing.T) {
 	g := newSubsetRig(t, "n8", 6, 20)
--- a/internal/subset/failure_test.go
+++ b/internal/subset/failure_test.go
@@ -365,3 +365,62 @@
 		r.subset.Looked(r.now, r.fleet)
 	}
 }
+
+// Before a proxy joins there is nobody to serve: nothing is handed on. Then it is the whole subset, in one list.
+func TestNothingIsHandedOnBeforeTheFirstProxy(t *testing.T) {
+	servers := fleetOf(10, 20)
+	servers[25].State = choice.Draining
+	r := newRun("n9", 10)
+	r.list(true, servers...)
+	r.list(false, in(choice.Draining, servers[30])...)
+	r.seconds(10)
+	if n := len(r.fleet.entries); n > 0 {
+		t.Errorf("%d servers are handed on before the first proxy", n)
+	}
+	u := r.join(zoneName(0))
+	if !u.Whole || len(r.members()) < 28 {
+		t.Errorf("whole %v, %d members", u.Whole, len(r.members()))
+	}
+	for _, i := range []int{25, 30} {
+		if e := r.fleet.entries[servers[i].Server]; e.State != choice.Draining {
+			t.Errorf("%s drains and is handed on as %+v", servers[i].Server, e)
+		}
+	}
+}
+
+// A drain or a removal outside the subset is handed on too: a proxy that comes from another manager may hold a table
+// that names the server. Once that is over, the server is forgotten, and let back in if it is ready.
+func TestDrainsOutsideTheSubsetAreHandedOn(t *testing.T) {
+	servers := fleetOf(10, 20)
+	r := raised(servers, 10)
+	var outsiders []Server
+	for _, s := range servers {
+		if _, handed := r.fleet.entries[s.Server]; !handed {
+			outsiders = append(outsiders, s)
+		}
+	}
+	drained, removed, back := outsiders[0], outsiders[1], outsiders[2]
+	r.list(false, in(choice.Draining, drained, back)...)
+	r.list(false, in(choice.Gone, removed)...)
+	for _, s := range []Server{drained, removed, back} {
+		if e := r.fleet.entries[s.Server]; e.State != choice.Draining {
+			t.Errorf("%s is handed on as %+v", s.Server, e)
+		}
+	}
+	r.seconds(200)
+	if e := r.fleet.entries[drained.Server]; e.State != choice.Draining {
+		t.Errorf("%s drains still and is handed on as %+v", drained.Server, e)
+	}
+	if known, _, _ := r.fleet.Sees(removed.Server); known || r.subset.Knows(removed.Server) {
+		t.Errorf("%s is not forgotten", removed.Server)
+	}
+	r.list(false, back)
+	lifted := false
+	for range 200 {
+		r.now += time.Second
+		lifted = lifted || slices.Contains(r.take(r.subset.Looked(r.now, r.fleet)).Readmit, back.Server)
+	}
+	if known, _, _ := r.fleet.Sees(back.Server); known || !lifted {
+		t.Errorf("%s is ready again: known %v, its withdrawal is lifted %v", back.Server, known, lifted)
+	}
+}
--- a/internal/subset/records.go
+++ b/internal/subset/records.go
@@ -14,7 +14,7 @@
 const (
 	outside  phase = iota // nothing
 	member                // what the list says
-	leaving               // that it drains, since it is no member any more
+	leaving               // that it drains, since the list says so or it is no member any more
 	released              // that it is gone, until the module forgets it
 )
 
@@ -25,6 +25,7 @@
 	since    time.Duration
 	phase    phase
 	onRing   bool
+	listed   bool // the list did not call it gone before its last change
 	told     bool // in the update under way
 	warm     bool // it was warm when it became a member, as the process that started at warmStart
 	// warmStart guards against a climb of a server that is warm: a server new to the module climbs by its start.
@@ -49,7 +50,7 @@
 	switch {
 	case r.phase == released:
 		out.State = choice.Gone
-	case r.phase == leaving && out.State == choice.Ready:
+	case r.phase == leaving:
 		out.State = choice.Draining
 	}
 	return out
@@ -65,6 +66,7 @@
 		s.count(r, -1)
 		server.Address = cmp.Or(server.Address, r.server.Address)
 	}
+	r.listed = server.State != choice.Gone || r.server.Server != "" && r.server.State != choice.Gone
 	r.server = server
 	s.count(r, 1)
 	return r
@@ -131,15 +133,14 @@
 	slices.SortFunc(surplus, func(a, b *record) int { return b.compare(a) })
 	most := max(leaveAtLeast, int(leavePart*float64(members)))
 	for _, r := range surplus[:min(most, len(surplus))] {
-		r.enter(leaving, now)
-		s.tell(r)
+		s.leave(now, r)
 	}
 }
 
 // finishLeaving hands on as gone what has drained for long enough, and drops what the decision module has forgotten.
 func (s *Subset) finishLeaving(now time.Duration, fleet Fleet) {
 	for id, r := range s.handed {
-		if r.phase == leaving && now-r.since >= drainGrace {
+		if r.phase == leaving && r.server.State != choice.Draining && now-r.since >= drainGrace {
 			r.enter(released, now)
 			s.tell(r)
 			continue
@@ -165,14 +166,15 @@
 }
 
 // forget drops a server that the decision module has dropped. Guards against a server that comes back later and stays
-// withdrawn at the proxies: the module does not know of the withdrawal any more, so it is lifted. One that the list
-// calls gone can't be let back in.
+// withdrawn at the proxies: the module does not know of the withdrawal any more, so it is lifted. That of one that drains
+// or is gone stays.
 func (s *Subset) forget(now time.Duration, r *record) {
 	delete(s.handed, r.server.Server)
-	if r.server.State != choice.Gone {
+	if r.server.State == choice.Ready {
 		s.update.Readmit = append(s.update.Readmit, r.server.Server)
 	}
 	r.enter(outside, now)
+	r.listed = r.server.State != choice.Gone
 	s.settle(now, r)
 	s.dropIfUnused(r)
 }
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -13,7 +13,9 @@
 //     to all listed servers, and shrinks by a small part each second after a calm time.
 //  3. A server that stops being a member is handed on as draining, later as gone, a few each second. What the list says
 //     of a member is handed on at once.
-//  4. A server is handed on as a new member only while the list calls it ready.
+//  4. A server is handed on as a new member only while the list calls it ready. One that drains or is removed is handed
+//     on as draining, member or not: a proxy that has just come from another manager may hold a table that names it.
+//  5. Nothing is handed on before the first proxy joins; then it is the whole subset.
 package subset
 
 import (
@@ -91,10 +93,11 @@
 	zones    map[choice.ZoneID]*zone
 	width    width
 	limit    limit // as last applied
+	started  bool  // a proxy has joined
 	update   Update
 }
 
-// New makes an empty subset. Until a proxy joins there is no home zone, and members are the spill servers alone.
+// New makes an empty subset.
 func New(settings Settings) *Subset {
 	return &Subset{
 		settings: settings,
@@ -111,12 +114,13 @@
 	if whole {
 		s.replaceAll(servers)
 		s.admitAll(now)
-		s.update.Whole = true
+		s.update.Whole = s.started
 		return s.flush()
 	}
 	for _, server := range servers {
 		record := s.store(server)
 		s.ring.insert(record)
+		s.settle(now, record)
 		s.dropIfUnused(record)
 	}
 	s.applyLimit(now)
@@ -135,6 +139,8 @@
 	z.proxies++
 	if !z.home {
 		z.home = true
+		s.update.Whole = !s.started
+		s.started = true
 		s.admitAll(now)
 	}
 	return s.flush()
@@ -234,21 +240,30 @@
 	}
 }
 
-// settle makes a server a member that is selected and ready. One that the decision module is about to forget waits
-// for the next look, which tells whether it has.
+// settle hands a server on where the decision module needs it now. One that the module is about to forget waits for
+// the next look, which tells whether it has.
 func (s *Subset) settle(now time.Duration, r *record) {
-	if r.server.State != choice.Ready || !s.selects(r) {
+	if !s.started {
 		return
 	}
-	switch r.phase {
-	case outside:
-		r.markWarm(now, s.settings.WarmAfter)
+	ready := r.server.State == choice.Ready
+	switch {
+	case ready && r.phase == leaving && s.selects(r):
 		s.admit(now, r)
-	case leaving:
+	case ready && r.phase == outside && s.selects(r):
+		r.markWarm(now, s.settings.WarmAfter)
 		s.admit(now, r)
+	case !ready && r.phase == outside && r.listed:
+		s.leave(now, r)
 	}
 }
 
+func (s *Subset) leave(now time.Duration, r *record) {
+	r.enter(leaving, now)
+	s.handed[r.server.Server] = r
+	s.tell(r)
+}
+
 func (s *Subset) admit(now time.Duration, r *record) {
 	r.enter(member, now)
 	s.handed[r.server.Server] = r
