--- a/internal/node/subset_test.go
+++ b/internal/node/subset_test.go
@@ -666,3 +666,26 @@
 		t.Errorf("%d servers", n)
 	}
 }
+
+// Tables of many servers, each of which gets a small part: a large home zone in one table with a subset, and, without
+// one, a lost home zone among many others.
+func TestProxiesAreServedByTablesOfManyServers(t *testing.T) {
+	const zones, proxies = 30, 10 // so many zones that a zone is not divided into tables
+	subset := newSubsetRig(t, "n8", zones, 100)
+	subset.fill(zones, 400)
+	subset.raise(proxies)
+	if _, sound := subset.usable(0); sound == 0 {
+		t.Error("a subset with a home zone of 400 servers: no line")
+	}
+	whole := newSubsetRig(t, "n8", zones, 100)
+	whole.router.subset = nil
+	whole.fill(zones, 40)
+	whole.raise(proxies)
+	for _, id := range whole.zone(0) {
+		whole.failed[id] = true
+	}
+	whole.seconds(20, func() {})
+	if _, sound := whole.usable(0); sound == 0 {
+		t.Error("the whole list of 1200 servers, home zone lost for 20 s: no line to a server in service")
+	}
+}
