--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 		unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{},
 	}
 	if s.Spill > 0 {
-		n.router.subset = newSubsetter(s)
+		n.router.filter = newSubsetFilter(s)
 	}
 	epoch, kept := uint64(born.UnixMilli()), store.Kept{}
 	if s.Store != "" {
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -35,7 +35,7 @@
 	opened  func()        // news has been opened
 	last    func()        // writes what is left of the log
 	book    *book
-	subset  *subsetter // which servers the module needs; nil: all that are listed
+	filter  *subsetFilter // which servers the module needs; nil: all that are listed
 
 	now       time.Duration
 	wake      time.Duration // 0: none
@@ -175,8 +175,8 @@
 
 // listed hands the module a list, or what a subset needs of it.
 func (r *router) listed(in listed) {
-	if r.subset != nil {
-		r.handOn(r.subset.listed(r.now, in))
+	if r.filter != nil {
+		r.handOn(r.filter.listed(r.now, in))
 		return
 	}
 	maps.Copy(r.servers, in.addresses)
@@ -312,10 +312,10 @@
 }
 
 func (r *router) sight() sight {
-	if r.subset == nil {
+	if r.filter == nil {
 		return sight{m: r.manager}
 	}
-	return sight{m: r.manager, lifted: r.subset.lifted}
+	return sight{m: r.manager, lifted: r.filter.lifted}
 }
 
 func (s sight) Sees(id choice.ServerID) versions.Sight {
--- a/internal/node/subset.go
+++ b/internal/node/subset.go
@@ -15,21 +15,21 @@
 // subsetLookEvery is the time between two looks at which servers are in service.
 const subsetLookEvery = time.Second
 
-// subsetter is the router's subset and what it takes to feed it.
-type subsetter struct {
+// subsetFilter is the router's subset and what it takes to feed it.
+type subsetFilter struct {
 	subset *subset.Subset
 	zones  map[choice.ProxyID]choice.ZoneID // of the joined proxies
 	lookAt time.Duration
 	lifted map[choice.ServerID]bool // of the last update
 }
 
-func newSubsetter(s config.Start) *subsetter {
+func newSubsetFilter(s config.Start) *subsetFilter {
 	settings := subset.Settings{Manager: s.Name, Spill: s.Spill, WarmAfter: s.Terms.WarmAfter}
-	return &subsetter{subset: subset.New(settings), zones: map[choice.ProxyID]choice.ZoneID{}, lifted: map[choice.ServerID]bool{}}
+	return &subsetFilter{subset: subset.New(settings), zones: map[choice.ProxyID]choice.ZoneID{}, lifted: map[choice.ServerID]bool{}}
 }
 
 // listed takes a list as it was decoded.
-func (s *subsetter) listed(now time.Duration, in listed) subset.Update {
+func (s *subsetFilter) listed(now time.Duration, in listed) subset.Update {
 	servers := make([]subset.Server, len(in.entries))
 	for i, e := range in.entries {
 		servers[i] = subset.Server{Entry: e, Address: in.addresses[e.Server]}
@@ -39,37 +39,37 @@
 
 // joinSubset counts a proxy for its zone. One that is told again, as after a gap in the news, counts once.
 func (r *router) joinSubset(in joined) {
-	if r.subset == nil {
+	if r.filter == nil {
 		return
 	}
-	zone, known := r.subset.zones[in.proxy]
+	zone, known := r.filter.zones[in.proxy]
 	if known && zone == in.zone {
 		return
 	}
 	if known {
-		r.subset.subset.Left(r.now, zone)
+		r.filter.subset.Left(r.now, zone)
 	}
-	r.subset.zones[in.proxy] = in.zone
-	r.handOn(r.subset.subset.Joined(r.now, in.zone))
+	r.filter.zones[in.proxy] = in.zone
+	r.handOn(r.filter.subset.Joined(r.now, in.zone))
 }
 
 func (r *router) leaveSubset(in left) {
-	if r.subset == nil {
+	if r.filter == nil {
 		return
 	}
-	if zone, known := r.subset.zones[in.proxy]; known {
-		delete(r.subset.zones, in.proxy)
-		r.subset.subset.Left(r.now, zone)
+	if zone, known := r.filter.zones[in.proxy]; known {
+		delete(r.filter.zones, in.proxy)
+		r.filter.subset.Left(r.now, zone)
 	}
 }
 
 // lookAtSubset widens or narrows the subset by what is in service, once a second.
 func (r *router) lookAtSubset() {
-	if r.subset == nil || r.now < r.subset.lookAt {
+	if r.filter == nil || r.now < r.filter.lookAt {
 		return
 	}
-	r.subset.lookAt = r.now + subsetLookEvery
-	r.handOn(r.subset.subset.Looked(r.now, r.manager))
+	r.filter.lookAt = r.now + subsetLookEvery
+	r.handOn(r.filter.subset.Looked(r.now, r.manager))
 	r.forgetAddresses()
 }
 
@@ -98,12 +98,12 @@
 // lift ends the withdrawals of servers that left the subset and that no table names any more. The module has forgotten
 // them, so it would never let them back in.
 func (r *router) lift(servers []choice.ServerID) {
-	clear(r.subset.lifted)
+	clear(r.filter.lifted)
 	var withdrawn []choice.ServerID
 	for _, id := range servers {
 		if r.chain == nil || r.chain.State().Withdrawn(string(id)) {
 			withdrawn = append(withdrawn, id)
-			r.subset.lifted[id] = true
+			r.filter.lifted[id] = true
 		}
 	}
 	if len(withdrawn) > 0 {
@@ -113,7 +113,7 @@
 
 // notNeeded is the counter of reports about a server that the module does not know.
 func (r *router) notNeeded(id choice.ServerID) counter {
-	if r.subset != nil && r.subset.subset.Knows(id) {
+	if r.filter != nil && r.filter.subset.Knows(id) {
 		return outsideSubset
 	}
 	return unknownNames
--- a/internal/node/subset_test.go
+++ b/internal/node/subset_test.go
@@ -52,7 +52,7 @@
 	chain := versions.Usual(1)
 	chain.Began, chain.LinesMost = time.Now(), 1<<20
 	r.chain = versions.New(chain)
-	r.subset = newSubsetter(config.Start{Name: name, Spill: spill, Terms: site})
+	r.filter = newSubsetFilter(config.Start{Name: name, Spill: spill, Terms: site})
 	return &subsetRig{t: t, router: r, list: map[choice.ServerID]choice.Entry{}, failed: map[choice.ServerID]bool{},
 		bound: map[choice.ProxyID]choice.TableID{}, held: &lists{lowest: -1}}
 }
@@ -407,7 +407,7 @@
 	if home := len(g.some(0)); home != g.count(choice.Ready, 0) {
 		t.Errorf("%d members of the home zone, %d are ready", home, g.count(choice.Ready, 0))
 	}
-	if width := g.router.subset.subset.Counts().Width; width > 1.2 {
+	if width := g.router.filter.subset.Counts().Width; width > 1.2 {
 		t.Errorf("the subset is %.1f times as wide ten minutes after the split", width)
 	}
 }
@@ -659,7 +659,7 @@
 // Without a subset the module is handed the whole list.
 func TestWithoutASubsetNothingIsLeftOut(t *testing.T) {
 	g := newSubsetRig(t, "n1", 4, 5)
-	g.router.subset = nil
+	g.router.filter = nil
 	g.fill(4, 40)
 	g.raise(5)
 	if n := len(g.router.servers); n != 160 {
@@ -678,7 +678,7 @@
 		t.Error("a subset with a home zone of 400 servers: no line")
 	}
 	whole := newSubsetRig(t, "n8", zones, 100)
-	whole.router.subset = nil
+	whole.router.filter = nil
 	whole.fill(zones, 40)
 	whole.raise(proxies)
 	for _, id := range whole.zone(0) {
