Tests that hold three guards of subsets which none held

Found by taking out each guard once: the size of a lost zone, servers absent from a whole list, a drain that stays known.

--- a/internal/subset/failure_test.go
+++ b/internal/subset/failure_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// What a home zone lacks is the size that it had, not that of other zones.
+func TestTheSizeOfALostHomeZoneIsRemembered(t *testing.T) {
+	var home []Server
+	for n := range 500 {
+		home = append(home, serverOf(0, 1000+n))
+	}
+	r := raised(slices.Concat(home, fleetOf(20, 100)), 100)
+	r.list(false, in(choice.Gone, slices.Concat(home, ofZone(fleetOf(1, 100), 0))...)...)
+	r.seconds(1)
+	if n := float64(r.serving(0)); n < widenBelow*700 {
+		t.Errorf("%.0f servers of other zones serve in the second after 600 were removed", n)
+	}
+}
+
 // Members that are being probed are waited for: neither at the start nor after a widening is the subset widened for them.
 func TestMembersThatAreProbedAreWaitedFor(t *testing.T) {
 	const probing = settleTime - time.Second
@@ -430,9 +444,11 @@
 			t.Errorf("%s is handed on as %+v", s.Server, e)
 		}
 	}
-	r.seconds(200)
-	if e := r.fleet.entries[drained.Server]; e.State != choice.Draining {
-		t.Errorf("%s drains still and is handed on as %+v", drained.Server, e)
+	for range 200 {
+		r.look()
+		if e, known := r.fleet.entries[drained.Server]; !known || e.State != choice.Draining {
+			t.Fatalf("%s drains still and is handed on as %+v", drained.Server, e)
+		}
 	}
 	if known, _, _ := r.fleet.Sees(removed.Server); known || r.subset.Knows(removed.Server) {
 		t.Errorf("%s is not forgotten", removed.Server)
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -346,6 +346,10 @@
 				r.list(false, in(to, some...)...)
 			},
 			"whole list": func(t *rapid.T) {
+				absent := rapid.SliceOfN(rapid.SampledFrom(servers), 0, 10).Draw(t, "absent")
+				for _, s := range absent { // gone, without another word
+					state[s.Server] = choice.Gone
+				}
 				var all []Server
 				for _, s := range servers {
 					if s.State = state[s.Server]; s.State != choice.Gone {
