--- a/internal/node/subset.go
+++ b/internal/node/subset.go
@@ -42,12 +42,8 @@
 	if r.filter == nil {
 		return
 	}
-	zone, known := r.filter.zones[in.proxy]
-	if known && zone == in.zone {
-		return
-	}
-	if known {
-		r.filter.subset.Left(r.now, zone)
+	if before, known := r.filter.zones[in.proxy]; known {
+		r.filter.subset.Left(r.now, before)
 	}
 	r.filter.zones[in.proxy] = in.zone
 	r.handOn(r.filter.subset.Joined(r.now, in.zone))
--- a/internal/node/subset_test.go
+++ b/internal/node/subset_test.go
@@ -591,11 +591,28 @@
 	if home, others := len(g.some(0)), len(g.some(-1)); home != 50 || others < 32 || others > 60 {
 		t.Errorf("%d members of the home zone and %d others", home, others)
 	}
-	if n := len(g.router.servers); n > 120 {
-		t.Errorf("%d addresses are kept", n)
+	for id := range g.router.servers {
+		if !g.router.manager.Knows(id) {
+			t.Errorf("the address of %s is kept, and the module has forgotten it", id)
+		}
 	}
 }
 
+// A whole list that lacks a member says that it is gone.
+func TestAMemberAbsentFromAWholeListIsWithdrawn(t *testing.T) {
+	g := newSubsetRig(t, "n8", 6, 20)
+	g.fill(6, 30)
+	g.raise(10)
+	absent := g.zone(0)[3]
+	if !g.named(absent) {
+		t.Fatal("it gets no flows before")
+	}
+	g.set(choice.Gone, absent)
+	g.whole()
+	g.second()
+	g.mustNotUse("absent", absent)
+}
+
 // A server outside the subset drains while proxies come from another manager, with tables that name it: it is withdrawn
 // at once. When it is ready again, the withdrawal is lifted.
 func TestADrainOutsideTheSubsetIsWithdrawn(t *testing.T) {
