--- /dev/null
+++ b/internal/capacity/manager.go
@@ -0,0 +1,178 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// Messages and connections that a manager has whatever the size.
+const (
+	heartbeatsPerSecond = 2 // of the list's watch and the relay's news
+	callsPerSecond      = 1 // a batch a second
+	standingConnections = 3 // watch, news, the call under way
+)
+
+// inputs are the messages that a manager takes in, a second.
+type inputs struct {
+	reports, usages, news, listLines, probes float64
+}
+
+// decisions is how many of them the decisions hear, beside the list.
+func (in inputs) decisions() float64 { return in.reports + in.usages + in.news + in.probes }
+
+func (m *Model) managerInputs(s Situation, h holding) inputs {
+	p := m.Plan
+	in := inputs{reports: p.reports(h), usages: p.usages()}
+	in.news = m.newsPerSecond(h, in)
+	in.probes = p.probes(s.Silent * h.share(s.Homeless))
+	if s.Recovering > 0 {
+		in.probes += s.Recovering * h.share(s.Homeless) / s.Window
+	}
+	if s.Opens {
+		in.news += float64(p.Managers.Proxies) / s.Window
+		in.listLines = 1 / s.Window
+	}
+	in.listLines += p.listChanges(s, h.sentShare(s.Homeless)).lines / s.Window
+	return in
+}
+
+// newsPerSecond is how many events of the relay come: mostly answers to marks, more where tables change more.
+func (m *Model) newsPerSecond(h holding, in inputs) float64 {
+	if !m.Costs.measured(scale.NewsPerSecond) {
+		return callsPerSecond
+	}
+	return max(callsPerSecond, m.cost(scale.NewsPerSecond, m.busySizes(h, in, 0)).Value)
+}
+
+func (m *Model) manager(s Situation, scope Scope) Load {
+	p, h := m.Plan, m.Plan.holding(s, scope)
+	in := m.managerInputs(s, h)
+	load := Load{
+		State:       stateOf(h.held, "servers") + ", " + stateOf(float64(p.Managers.Proxies), "proxies"),
+		MessagesIn:  known(heartbeatsPerSecond + in.decisions() + in.listLines),
+		MessagesOut: known(callsPerSecond + in.probes),
+		Memory:      m.cost(scale.HeapBytes, m.managerSizes(h)),
+		Connections: known(standingConnections + float64(p.Managers.ProxyZones*p.Managers.CollectorsPerZone) + m.openProbes(in.probes)),
+	}
+	load.CollectorBytes = m.collectorLines(in)
+	load.BytesIn = m.listBytes(s, h).plus(load.CollectorBytes).plus(m.newsBytes(in)).plus(m.heartbeats())
+	heard := p.listChanges(s, h.share(s.Homeless))
+	load.BytesOut = m.calls(h, in, heard.lines/s.Window).plus(m.probeBytes(s, in)).plus(m.openingOrders(s, h))
+	eventCore := m.eventCore(s, h, in)
+	load.Core = m.busyCore(s, h, in, heard).plus(eventCore).plus(m.processOverhead(busyState))
+	load.CoreWithoutCollectors = m.quietCore(s, h, heard).plus(eventCore).plus(m.processOverhead(quietState))
+	return load
+}
+
+// managerSizes is the fleet as one manager sees it.
+func (m *Model) managerSizes(h holding) Sizes {
+	return Sizes{
+		scale.Servers:       h.held,
+		scale.Proxies:       float64(m.Plan.Managers.Proxies),
+		scale.Zones:         float64(m.Plan.Fleet.Zones),
+		scale.TrafficGroups: float64(m.Plan.Managers.TrafficGroups),
+	}
+}
+
+// busySizes adds what comes in a second: collectors' lines, and changes of the list. A busy second was measured with
+// the reference's changes, which are counted at least.
+func (m *Model) busySizes(h holding, in inputs, changes float64) Sizes {
+	sizes := m.managerSizes(h)
+	sizes[scale.Reports] = in.reports + in.usages
+	sizes[scale.ListChanges] = max(changes, m.Costs.report.Reference[scale.ListChanges])
+	return sizes
+}
+
+// quietCore is a second without collectors' lines, with changes of the list.
+func (m *Model) quietCore(s Situation, h holding, changes listChanges) Figure {
+	quiet := m.cost(scale.CPUPerQuietSecond, m.managerSizes(h))
+	if changes.lines == 0 {
+		return quiet
+	}
+	return quiet.plus(m.coreOfChange(h, changes.entries).times(changes.lines / s.Window))
+}
+
+// busyCore is a second in which collectors' lines come too: as measured, or the quiet second and each line's cost. It
+// was measured with changes of one entry each; what further entries of a change cost is added.
+func (m *Model) busyCore(s Situation, h holding, in inputs, changes listChanges) Figure {
+	if m.Costs.measured(scale.CPUPerBusySecond) {
+		busy := m.cost(scale.CPUPerBusySecond, m.busySizes(h, in, changes.lines/s.Window))
+		if changes.entries <= 1 {
+			return busy
+		}
+		further := m.coreOfChange(h, changes.entries).plus(m.coreOfChange(h, 1).times(-1))
+		return busy.plus(further.times(changes.lines / s.Window))
+	}
+	return m.quietCore(s, h, changes).plus(m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.reports + in.usages))
+}
+
+// eventCore is what comes beside the second's own work, collectors' lines and changes of the list: the relay's news,
+// probes' answers, an opening.
+func (m *Model) eventCore(s Situation, h holding, in inputs) Figure {
+	core := m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.news + in.probes)
+	if s.Opens {
+		core = core.plus(m.cost(scale.CPUPerOpening, m.openingSizes(h)).times(1 / s.Window))
+	}
+	return core
+}
+
+// openingSizes is what an opening's processor time was measured along.
+func (m *Model) openingSizes(h holding) Sizes {
+	if m.Costs.listAxis(scale.CPUPerOpening) == scale.OpeningListSize {
+		return Sizes{scale.OpeningListSize: h.held}
+	}
+	return m.managerSizes(h)
+}
+
+func (m *Model) opening(h holding) Figure {
+	sizes := m.listSizes(scale.BytesOfOpening, h.sent)
+	return m.keep(m.Costs.OrPlan(scale.BytesOfOpening, sizes, h.sent*m.Plan.Messages.ListEntry))
+}
+
+// listBytes is what the list costs a manager on the wire.
+func (m *Model) listBytes(s Situation, h holding) Figure {
+	if s.NoList {
+		return known(0)
+	}
+	bytes := m.bytesOfChanges(m.Plan.listChanges(s, h.sentShare(s.Homeless))).times(1 / s.Window)
+	if s.Opens {
+		bytes = bytes.plus(m.opening(h).times(1 / s.Window))
+	}
+	return bytes
+}
+
+func (m *Model) collectorLines(in inputs) Figure {
+	reports := m.bytesOf(scale.BytesOfReport, m.Plan.Messages.Report).times(in.reports)
+	return reports.plus(m.bytesOf(scale.BytesOfUsage, m.Plan.Messages.Usage).times(in.usages))
+}
+
+func (m *Model) newsBytes(in inputs) Figure {
+	return m.bytesOf(scale.BytesOfNews, m.Plan.Messages.News).times(in.news)
+}
+
+func (m *Model) heartbeats() Figure {
+	return m.bytesOf(scale.BytesOfHeartbeat, m.Plan.Messages.Heartbeat)
+}
+
+func (m *Model) calls(h holding, in inputs, changes float64) Figure {
+	return m.bytesAt(scale.BytesOfCalls, m.busySizes(h, in, changes), m.Plan.Messages.Calls)
+}
+
+// probeBytes counts a silent server's probe as the packet that opens its connection, which nobody answers.
+func (m *Model) probeBytes(s Situation, in inputs) Figure {
+	if s.Recovering > 0 {
+		return m.bytesOf(scale.BytesOfProbe, m.Plan.Messages.Probe).times(in.probes)
+	}
+	return known(m.Plan.Messages.UnansweredProbe * in.probes)
+}
+
+func (m *Model) openProbes(perSecond float64) float64 {
+	return min(float64(m.Plan.Managers.ProbesOpen), perSecond*m.Plan.Managers.ProbeTimeout.Seconds())
+}
+
+// openingOrders is what a manager that starts tells its proxies: the tables of their zones, and a binding for each.
+func (m *Model) openingOrders(s Situation, h holding) Figure {
+	if !s.Opens {
+		return known(0)
+	}
+	p := m.Plan
+	orders := m.tableLines(h)*float64(p.Managers.ProxyZones) + float64(p.Managers.Proxies)
+	return known(orders * p.Messages.Order / s.Window)
+}
--- /dev/null
+++ b/internal/capacity/sources.go
@@ -0,0 +1,149 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"tamarindshore/internal/scale"
+)
+
+func (m *Model) writeSources(w io.Writer) {
+	heading(w, "Where the figures come from")
+	r := m.Costs.report
+	fmt.Fprintf(w, "Slopes: version %d, seed %d, %d cores, %s.\n\n", r.Version, r.Seed, r.Cores, r.GoVersion)
+	sources := slices.SortedStableFunc(slices.Values(m.sources), func(a, b Source) int { return strings.Compare(string(a.Cost), string(b.Cost)) })
+	m.writeSlopes(w, sources)
+	fmt.Fprintln(w)
+	header(w, "cost", "at", "figure", "reckoned")
+	for _, group := range groupSources(sources) {
+		s := group[0]
+		row(w, string(s.Cost), rangesOf(group), costFigure(s), reckoned(s))
+	}
+}
+
+// groupSources joins the sources that have the same cost, figure and reckoning, and differ in sizes alone.
+func groupSources(sources []Source) [][]Source {
+	var groups [][]Source
+	alike := func(a, b Source) bool {
+		return a.Cost == b.Cost && costFigure(a) == costFigure(b) && reckoned(a) == reckoned(b)
+	}
+	for _, s := range sources {
+		i := slices.IndexFunc(groups, func(g []Source) bool { return alike(g[0], s) })
+		if i < 0 {
+			groups = append(groups, []Source{s})
+			continue
+		}
+		groups[i] = append(groups[i], s)
+	}
+	return groups
+}
+
+// rangesOf tells the sizes of a group along each axis.
+func rangesOf(group []Source) string {
+	var at []string
+	for _, axis := range sortedAxes(group[0].Sizes) {
+		least, most := group[0].Sizes[axis], group[0].Sizes[axis]
+		for _, s := range group {
+			least, most = min(least, s.Sizes[axis]), max(most, s.Sizes[axis])
+		}
+		text := fmt.Sprintf("%s %s", axis, number3(least))
+		if most > least {
+			text += " to " + number3(most)
+		}
+		at = append(at, text)
+	}
+	return orNone(at, "reference")
+}
+
+// writeSlopes tells each slope that a cost was worked out from, once.
+func (m *Model) writeSlopes(w io.Writer, sources []Source) {
+	header(w, "cost", "along", "shape", "worst distance of a size from the curve", "worst spread of runs", "sizes measured", "managers")
+	told := map[string]bool{}
+	for _, s := range sources {
+		for _, slope := range s.Along {
+			key := string(slope.Cost) + " " + string(slope.Axis)
+			if told[key] {
+				continue
+			}
+			told[key] = true
+			row(w, slopeCells(slope)...)
+		}
+	}
+}
+
+func slopeCells(s scale.Slope) []string {
+	shape, managers := string(s.Shape), "real"
+	if !s.Fits {
+		shape += ", does not fit"
+	}
+	if s.Hollow {
+		managers = "hollow"
+	}
+	sizes := number3(smallest(s)) + " to " + number3(largest(s))
+	return []string{string(s.Cost), string(s.Axis), shape, percent3(s.WorstError), percent3(s.Spread), sizes, managers}
+}
+
+func orNone(words []string, none string) string {
+	if len(words) == 0 {
+		return none
+	}
+	return strings.Join(words, ", ")
+}
+
+func costFigure(s Source) string {
+	unit := ""
+	if len(s.Along) > 0 {
+		unit = s.Along[0].Unit
+	}
+	switch {
+	case !s.Value.Known:
+		return unmeasured
+	case unit == "seconds":
+		return seconds3(s.Value.Value)
+	case unit == "bytes", s.Assumed:
+		return bytes3(s.Value.Value)
+	}
+	return number3(s.Value.Value)
+}
+
+// reckoned says how a cost was worked out beyond what was measured.
+func reckoned(s Source) string {
+	var notes []string
+	switch {
+	case s.Assumed:
+		return "not measured: the plan's figure"
+	case !s.Value.Known:
+		return "no slope: all that needs it says so"
+	}
+	if axes := misfits(s); len(axes) > 0 {
+		notes = append(notes, "no shape fits along "+axisNames(axes)+": between the measured sizes")
+	}
+	if len(s.Missing) > 0 {
+		notes = append(notes, "not measured along "+axisNames(s.Missing)+", counted as at the reference")
+	}
+	if len(s.Beyond) > 0 {
+		notes = append(notes, "beyond the largest size measured along "+axisNames(s.Beyond))
+	}
+	return orNone(notes, "within what was measured")
+}
+
+// misfits are the axes along which a cost comes from measured points.
+func misfits(s Source) []scale.Axis {
+	var axes []scale.Axis
+	for _, slope := range s.Along {
+		if size, asked := s.Sizes[slope.Axis]; asked && interpolated(slope, size) {
+			axes = append(axes, slope.Axis)
+		}
+	}
+	return axes
+}
+
+func axisNames(axes []scale.Axis) string {
+	var names []string
+	for _, axis := range axes {
+		names = append(names, string(axis))
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/node/moves_test.go
+++ b/internal/node/moves_test.go
@@ -34,6 +34,19 @@
 	return d
 }
 
+// beginManager starts a manager with the configuration that read gives, and reads it anew for a reload.
+func beginManager(read func() (config.Start, error)) (*ours, error) {
+	start, err := read()
+	if err != nil {
+		return nil, err
+	}
+	n, err := New(start, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	return begun(n, read), nil
+}
+
 func (d *ours) Ended() <-chan struct{}   { return d.ended }
 func (d *ours) Signal(s os.Signal) error { d.reload <- s; return nil }
 func (d *ours) Stop(bool) error {
@@ -57,16 +70,9 @@
 			}
 			return s, err
 		}
-		s, err := read()
-		if err != nil {
-			return nil, err
-		}
-		n, err := New(s, io.Discard)
-		if err != nil {
-			return nil, err
-		}
-		d = begun(n, read)
-		return d, nil
+		var err error
+		d, err = beginManager(read)
+		return d, err
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -184,13 +190,13 @@
 	}
 	soon(t, "all bound again", func() bool { return r.Relay.Counts().Bound == site.Proxies })
 	allRules(t, r)
-	if n := d.book.counts[laneMoves].Load(); n < 50 {
+	if n := d.metrics.counts[laneMoves].Load(); n < 50 {
 		t.Errorf("%d moves only", n)
 	}
-	if n := d.book.counts[callsUnknown].Load(); n == 0 {
+	if n := d.metrics.counts[callsUnknown].Load(); n == 0 {
 		t.Error("no answer was lost")
 	}
-	if n := d.book.counts[spoilt].Load() + d.book.counts[unknownNames].Load(); n == 0 {
+	if n := d.metrics.counts[spoilt].Load() + d.metrics.counts[unknownNames].Load(); n == 0 {
 		t.Error("nothing spoilt was counted")
 	}
 }
@@ -209,7 +215,7 @@
 		time.Sleep(max(0, time.Duration(at)*time.Second/time.Duration(site.Proxies)-time.Since(began)))
 	}
 	took := time.Since(began)
-	soon(t, "all joins taken", func() bool { return d.book.counts[joinsIn].Load() >= int64(site.Proxies) })
+	soon(t, "all joins taken", func() bool { return d.metrics.counts[joinsIn].Load() >= int64(site.Proxies) })
 	soon(t, "half of all bound", func() bool { return r.Relay.Counts().Bound >= site.Proxies/2 })
 	if took > 2*time.Second {
 		t.Logf("the joins took %v on this machine", took)
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -28,13 +28,13 @@
 	feed    *feed           // sends versions to holders; nil: there is none
 	vault   *vault          // keeps versions and commands; nil: they end with the process
 	lookAt  time.Duration
-	post    *post // samples that several cores took in; nil: they come with the inputs
+	post    *sampleQueue // samples that several cores took in; nil: they come with the inputs
 	backlog *backlog
-	probes  chan probe
+	probes  chan probeTarget
 	listen  chan struct{} // the list is asked for
 	opened  func()        // news has been opened
 	last    func()        // writes what is left of the log
-	book    *book
+	metrics *metrics
 	filter  *subsetFilter // which servers the module needs; nil: all that are listed
 
 	now       time.Duration
@@ -51,7 +51,7 @@
 func (r *router) run(stop <-chan struct{}) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			r.book.log.Error().Str("event", "panic").Float64("at", millis(r.now)).Str("cause", fmt.Sprint(cause)).
+			r.metrics.logger.Error().Str("event", "panic").Float64("at", roundedSeconds(r.now)).Str("cause", fmt.Sprint(cause)).
 				Str("stack", string(debug.Stack())).Send()
 			r.last()
 			os.Exit(1)
@@ -142,7 +142,7 @@
 		}
 	case applied:
 		if !r.proxies[in.proxy] {
-			r.book.add(unknownNames, 1)
+			r.metrics.add(unknownNames, 1)
 			return
 		}
 		r.decided(m.Applied(r.now, in.proxy, in.mark))
@@ -152,7 +152,7 @@
 		r.decided(m.ListFailed(r.now))
 	case probed:
 		if r.servers[in.server] != in.address { // guards against an answer of what was there before
-			r.book.add(probesDropped, 1)
+			r.metrics.add(probesDropped, 1)
 			return
 		}
 		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
@@ -191,7 +191,7 @@
 
 func (r *router) heard(in choice.Report) {
 	if _, known := r.servers[in.Server]; !known {
-		r.book.add(r.notNeeded(in.Server), 1)
+		r.metrics.add(r.notNeeded(in.Server), 1)
 		return
 	}
 	r.decided(r.manager.Heard(r.now, in))
@@ -199,7 +199,7 @@
 
 func (r *router) used(in choice.Usage) {
 	if !r.proxies[in.Proxy] {
-		r.book.add(unknownNames, 1)
+		r.metrics.add(unknownNames, 1)
 		return
 	}
 	r.decided(r.manager.Used(r.now, in))
@@ -207,13 +207,13 @@
 
 func (r *router) decided(o choice.Orders) {
 	for _, n := range o.Notes {
-		r.book.log.Info().Str("event", "note").Str("stage", "route").Float64("at", millis(r.now)).Str("note", n).Send()
+		r.metrics.logger.Info().Str("event", "note").Str("stage", "route").Float64("at", roundedSeconds(r.now)).Str("note", n).Send()
 	}
 	for _, s := range o.Probe {
 		select {
-		case r.probes <- probe{s, r.servers[s]}:
+		case r.probes <- probeTarget{s, r.servers[s]}:
 		default:
-			r.book.add(probesDropped, 1)
+			r.metrics.add(probesDropped, 1)
 		}
 	}
 	if o.Listen {
@@ -256,15 +256,15 @@
 	r.chain.Laid(r.manager.Layout())
 	res := r.chain.Propose(r.now, o, cause(o), r.sight())
 	for _, n := range res.Notes {
-		r.book.tell("version", "note", n)
+		r.metrics.logEvent("version", "note", n)
 	}
 	if res.Changed {
-		r.book.add(versionsHeld, 1)
+		r.metrics.add(versionsHeld, 1)
 		pin, state := r.chain.Standing(), r.chain.State()
 		r.manager.Stands(r.now, pin.Tables, pin.Levels, func(s choice.ServerID) bool { return state.Withdrawn(string(s)) })
 	}
 	if res.Version != nil {
-		r.book.add(versionsMade, 1)
+		r.metrics.add(versionsMade, 1)
 		if r.vault != nil {
 			r.vault.version(res.Version)
 		}
@@ -288,7 +288,7 @@
 	r.lookAt = r.now + time.Second
 	ended, notes := r.chain.Looked(r.now, r.sight())
 	for _, n := range notes {
-		r.book.tell("version", "note", n)
+		r.metrics.logEvent("version", "note", n)
 	}
 	if ended {
 		r.pin()
--- a/internal/node/subset.go
+++ b/internal/node/subset.go
@@ -72,7 +72,7 @@
 // handOn tells the module what changed in the subset.
 func (r *router) handOn(u subset.Update) {
 	for _, n := range u.Notes {
-		r.book.tell("subset", "note", n)
+		r.metrics.logEvent("subset", "note", n)
 	}
 	if u.Empty() {
 		return
--- a/internal/node/subset_test.go
+++ b/internal/node/subset_test.go
@@ -22,7 +22,7 @@
 	list    map[choice.ServerID]choice.Entry // as the list tells it
 	failed  map[choice.ServerID]bool         // don't answer
 	bound   map[choice.ProxyID]choice.TableID
-	held    *lists
+	held    *watchState
 	version int64
 }
 
@@ -46,15 +46,15 @@
 	wide := limits
 	wide.ProbesWait = 1 << 16
 	r := &router{limits: wide, born: time.Now(), manager: choice.New(1, site), inputs: make(chan any, limits.Inputs),
-		probes: make(chan probe, wide.ProbesWait), listen: make(chan struct{}, 1), opened: func() {}, book: newBook(time.Hour, zerolog.Nop()),
+		probes: make(chan probeTarget, wide.ProbesWait), listen: make(chan struct{}, 1), opened: func() {}, metrics: newMetrics(time.Hour, zerolog.Nop()),
 		proxies: map[choice.ProxyID]bool{}, unseen: map[choice.ProxyID]bool{}, servers: map[choice.ServerID]string{}, now: rigStart}
-	r.backlog = newBacklog(limits.CallsWait, r.book)
+	r.backlog = newBacklog(limits.CallsWait, r.metrics)
 	chain := versions.Usual(1)
 	chain.Began, chain.LinesMost = time.Now(), 1<<20
 	r.chain = versions.New(chain)
 	r.filter = newSubsetFilter(config.Start{Name: name, Spill: spill, Terms: site})
 	return &subsetRig{t: t, router: r, list: map[choice.ServerID]choice.Entry{}, failed: map[choice.ServerID]bool{},
-		bound: map[choice.ProxyID]choice.TableID{}, held: &lists{lowest: -1}}
+		bound: map[choice.ProxyID]choice.TableID{}, held: &watchState{lowestReset: -1}}
 }
 
 func rigZone(z int) choice.ZoneID { return choice.ZoneID(fmt.Sprintf("z%02d", z)) }
@@ -115,11 +115,11 @@
 	for _, e := range changes {
 		in.addresses[e.Server] = "10.0.0.1:80"
 	}
-	if !g.held.admits(in, whole) {
+	if !g.held.accepts(in, whole) {
 		return false
 	}
 	g.router.take(in)
-	g.held.took(in)
+	g.held.advance(in)
 	return true
 }
 
@@ -310,7 +310,7 @@
 		g.router.take(heard{choice.Report{Server: id, Zone: rigZone(0), Tries: 5, Span: time.Second}})
 	}
 	g.router.take(heard{choice.Report{Server: "none", Zone: rigZone(0), Tries: 5, Span: time.Second}})
-	outside, unknown := g.router.book.counts[outsideSubset].Load(), g.router.book.counts[unknownNames].Load()
+	outside, unknown := g.router.metrics.counts[outsideSubset].Load(), g.router.metrics.counts[unknownNames].Load()
 	if outside < 30 || outside > 40 || unknown != 1 {
 		t.Errorf("%d outside, %d unknown", outside, unknown)
 	}
