--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,7 @@
 	n.watchState = &watchState{version: known.generation, lowestReset: noReset}
 	n.router = newRouter(start, born, n.metrics)
 	if start.Spill > 0 {
-		n.router.subset = newSubsetter(start)
+		n.router.filter = newSubsetFilter(start)
 	}
 	if err := n.openStore(); err != nil {
 		return nil, err
