Capacity: subsetting stands, and the plan is judged with it

Change: the mechanism's row names internal/subset; what is built stays in the ranking that chose it and is no longer told twice; the plan judges the scope subset; names in the page follow internal/node.

--- a/deploy/capacity.sexp
+++ b/deploy/capacity.sexp
@@ -68,4 +68,4 @@
     (calls 1000)                       ; a second's
     (order 40))                        ; one line or binding within a call
 
-  (judged whole-list))                 ; whole-list, subset or subset-at-cache: whose passed budgets end in exit 3
+  (judged subset))                     ; whole-list, subset or subset-at-cache: whose passed budgets end in exit 3
--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -140,7 +140,7 @@
 func PassedPartly(all []Check) []Check {
 	var passed []Check
 	for _, c := range PassedBudgets(all, WholeList) {
-		if c.Mechanism.Status != Missing {
+		if c.Mechanism.Status != Missing && !c.Mechanism.Chosen {
 			passed = append(passed, c)
 		}
 	}
--- a/internal/capacity/limits.go
+++ b/internal/capacity/limits.go
@@ -32,13 +32,13 @@
 		{"bytes of a whole list, which is one line", float64(config.LongestList(p.Budgets.MemoryMB)), m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)) }),
 			"a whole list is refused as too long: only changes can be taken", "`config.Limits.LineList`"},
 		{"seconds of a whole list, sent at the budget's pace", mostLineTime, m.perScope(func(s Scope) Figure { return m.opening(p.usual(s)).times(1 / p.Budgets.BytesPerSecond) }),
-			"the watch counts as silent and is opened again", "`config.Limits.SilentWatch`, `expect` in `internal/node/dial.go`"},
+			"the watch counts as silent and is opened again", "`config.Limits.SilentWatch`, `deadlineConn` in `internal/node`"},
 		{"lines of a table, all of which the binding of a proxy sends", bindingPart * float64(p.Managers.QueueLines),
 			m.perScope(func(s Scope) Figure { return known(m.tableLines(p.usual(s))) }),
 			"no binding fits the queue, so no proxy is bound", "`queueUrgent` in `choice/choice.go`, `room` in `choice/ledger.go`, blocks by `part`"},
 		{"proxies of all managers, and their numbers", mostProxyNumber, m.perScope(func(Scope) Figure {
 			return known(float64(p.Managers.Proxies) * float64(p.Fleet.Managers))
-		}), "the settings are refused, unless each relay numbers its own proxies", "`domain.proxies` in `internal/terms`, `mostProxies` in `internal/node/admit.go`"},
+		}), "the settings are refused, unless each relay numbers its own proxies", "`domain.proxies` in `internal/terms`, `decoder` in `internal/node`"},
 		{"servers asked at once", mostProbesWait, m.perScope(func(s Scope) Figure { return known(p.usual(s).held) }),
 			"a lost fleet is not probed whole", "`config.Limits.ProbesWait`"},
 		{"traffic groups", mostGroups, m.perScope(func(Scope) Figure { return known(float64(p.Managers.TrafficGroups)) }),
--- a/internal/capacity/mechanism.go
+++ b/internal/capacity/mechanism.go
@@ -20,13 +20,13 @@
 
 // Mechanisms, with what the code has of each.
 var (
-	subsetting = Mechanism{"subsetting", Missing, "nowhere: `words.list` in `internal/node` decodes every entry, and `choice` looks at all of them each second", true}
+	subsetting = Mechanism{"subsetting", Stands, "`internal/subset`, off unless the operator's settings say `(subset (spill N))`: `choice` is handed the members alone", true}
 	watchCache = Mechanism{"watch cache", Missing, "nowhere: each manager's watch is served by discovery itself, whole", false}
 	aggregate  = Mechanism{"aggregation", Partly, "collectors sum an interval for each zone and server, and for each proxy and traffic group; nothing sums over proxies or thins out lines by the bytes that they take", false}
-	resume     = Mechanism{"delta with resume", Partly, "`lists` in `internal/node` asks from the generation that it holds, and takes what changed or all; how far back discovery goes is its own matter, and a second control machine's generations are not settled", false}
+	resume     = Mechanism{"delta with resume", Partly, "`watchState` in `internal/node` asks from the generation that it holds, and takes what changed or all; how far back discovery goes is its own matter, and a second control machine's generations are not settled", false}
 	snapshot   = Mechanism{"snapshot", Partly, "`known` in the start's file gives the list that a restart begins with, written by the platform; the manager keeps none of its own", false}
-	jitter     = Mechanism{"jittered restart", Partly, "`backoff` in `internal/node` waits 50 to 200 ms by chance between tries, which spreads a few managers and not thousands", false}
-	delta      = Mechanism{"delta with resume", Stands, "`lists` in `internal/node`: after the opening only changes come", false}
+	jitter     = Mechanism{"jittered restart", Partly, "`waitBackoff` in `internal/node` waits 50 to 200 ms by chance between tries, which spreads a few managers and not thousands", false}
+	delta      = Mechanism{"delta with resume", Stands, "`watchState` in `internal/node`: after the opening only changes come", false}
 )
 
 // carryingStrict is the mechanism that carries all bytes of a manager: that of collectors' lines where they are most.
