--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -63,22 +63,16 @@
 	return all
 }
 
-// session is one run of the measurement.
+// session is one run of the measurement. The reference is measured anew on each axis: on a shared machine only figures
+// of about the same time compare.
 type session struct {
 	options        Options
 	reference      Scenario
-	measured       map[Scenario][]sample // the reference stands on each axis
-	writePerReader time.Duration         // of the control side before the most readers, the median of the runs
+	writePerReader time.Duration // of the control side before the most readers, the median of the runs
 }
 
 func (r *session) oneManager(ctx context.Context, size float64, s survey) ([]sample, error) {
-	scenario := r.reference.With(s.axis, size)
-	if r.measured[scenario] != nil {
-		return r.measured[scenario], nil
-	}
-	samples, err := measure(ctx, scenario, r.options.Runs)
-	r.measured[scenario] = samples
-	return samples, err
+	return measure(ctx, r.reference.With(s.axis, size), r.options.Runs)
 }
 
 func (r *session) scenarioFits(size float64, s survey) error {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -53,7 +53,7 @@
 	reference := Reference()
 	reference.Seed = options.Seed
 	report := Report{Version: ReportVersion, Seed: options.Seed, Cores: runtime.NumCPU(), GoVersion: runtime.Version(), Reference: reference.sizes()}
-	run := &session{options: options, reference: reference, measured: map[Scenario][]sample{}}
+	run := &session{options: options, reference: reference}
 	wanted := run.wanted()
 	for _, s := range wanted {
 		for _, size := range s.sizes {
--- a/internal/scale/script.go
+++ b/internal/scale/script.go
@@ -21,8 +21,8 @@
 	PhaseJoin    Phase = "join"    // proxies join and are bound
 	PhaseWarm    Phase = "warm"    // reports come; not measured
 	PhaseBusy    Phase = "busy"    // reports come
-	PhaseInputs  Phase = "inputs"  // reports alone, within one second's decision
 	PhaseChanges Phase = "changes" // changes of the list alone
+	PhaseInputs  Phase = "inputs"  // reports alone, within one second's decision
 	PhaseQuiet   Phase = "quiet"   // nothing comes
 )
 
@@ -70,7 +70,7 @@
 	quietSpan      = 4 * time.Second
 	newsBatch      = 512 // events that the router takes together
 	reportTick     = time.Millisecond
-	inputsMeasured = 2048
+	inputsMeasured = 20 * newsBatch
 	changesMost    = 16
 	longestReport  = time.Minute // span that the manager takes a report for
 	heartbeatEvery = time.Second
@@ -123,7 +123,7 @@
 		do   func() error
 	}{
 		{PhaseList, r.list}, {PhaseJoin, r.join}, {PhaseWarm, func() error { return r.busy(warmSpan) }},
-		{PhaseBusy, func() error { return r.busy(busySpan) }}, {PhaseInputs, r.inputs}, {PhaseChanges, r.changes},
+		{PhaseBusy, func() error { return r.busy(busySpan) }}, {PhaseChanges, r.changes}, {PhaseInputs, r.inputs},
 	}
 	if quiet {
 		parts = append(parts[:2], []struct {
