--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	usualVolume                 = 0.5           // of what a proxy usually gets, while servers climb
 	volumeMoved                 = 0.2           // part by which a volume moves before a new split
 	lineDiffers, linePriced     = 0.1, 1.5      // part by which a weight moves, more for what a line costs
-	leastLine                   = 0.005         // part of a table below which a server has no line
+	leastLine, leastOfLargest   = 0.005, 0.5    // part of a table, of its largest line: less is no line
 	levelStep                   = 0.04          // part by which a level moves before it is sent
 	fullTries, enoughTries      = 6, 3          // that make figures full, and a server a peer
 	slowLatency                 = 1.25          // of the peers' median latency, not yet slow
@@ -64,6 +64,7 @@
 	rateOpen                    = 1e6
 )
 
+// New makes a manager of a site; the same seed and the same inputs give the same orders.
 func New(seed uint64, t Terms) *Manager {
 	m := &Manager{bounds: stated(t), chance: seed, line: math.Inf(1), hold: holdUnheard, calmest: math.Inf(1)}
 	m.markedAt, m.heldAt, m.doubted, m.due = -1, -1, -1, time.Duration(m.random()*float64(batchEvery))
@@ -101,7 +102,7 @@
 	{(*Manager).zoneDoubted, (*Manager).askZone},
 	{(*Manager).unstarted, (*Manager).start},
 	{(*Manager).secondOver, (*Manager).openSecond},
-	{(*Manager).newcomer, (*Manager).weigh},
+	{(*Manager).proxyJoined, (*Manager).awaitSolve},
 	{(*Manager).unsolved, (*Manager).solve},
 	{(*Manager).batchWaits, (*Manager).lay},
 	{(*Manager).readmitWaits, (*Manager).readmit},
@@ -109,6 +110,7 @@
 	{(*Manager).unwoken, (*Manager).setWake},
 }
 
+// Listed takes the list of servers, whole or as changes of it.
 func (m *Manager) Listed(now time.Duration, whole bool, entries []Entry) Orders {
 	m.now = now
 	seen := map[ServerID]bool{}
@@ -172,6 +174,7 @@
 	return s.state == Ready || s.state == Gone && m.goneStays && m.probes
 }
 
+// Probed takes the outcome of a probe, how long it took, and the flows held that the server told; -1 without.
 func (m *Manager) Probed(now time.Duration, id ServerID, a Answer, took time.Duration, load float64) Orders {
 	m.now = now
 	if s := m.server(id); s != nil && m.open(s) {
@@ -225,8 +228,7 @@
 		}
 	}
 	for _, s := range m.servers {
-		fell := lost[s.zone] >= max(zoneLeast, zoneLost*all[s.zone])
-		if fell && s.missed && !s.out && told(s) {
+		if s.missed && !s.out && told(s) && lost[s.zone] >= max(zoneLeast, zoneLost*all[s.zone]) {
 			m.takeOut(s, "zone")
 		}
 	}
@@ -259,8 +261,7 @@
 // lookForBare guards against proxies without any server: such a table is laid at once, with all the room.
 func (m *Manager) lookForBare() {
 	m.bareWaits, m.drains = slices.ContainsFunc(m.tables, m.bare), m.leaving() != nil
-	m.urgent = m.urgent || slices.ContainsFunc(m.tables, m.homeless)
-	m.urgent = m.urgent || m.bareWaits
+	m.urgent = m.urgent || m.bareWaits || slices.ContainsFunc(m.tables, m.homeless)
 }
 
 func (m *Manager) unstarted() bool { return !m.parted && len(m.proxies) > 0 && m.due > m.now+partAfter }
@@ -494,12 +495,14 @@
 
 // A newcomer's flows are in no table yet. While servers climb, tables are solved anew before it is bound:
 // guards against a table laid for a zone without proxies, as after a cut, that names cold servers only. It
-// waits for the next second, with the tables that it holds: hundreds join one by one after a restart.
-func (m *Manager) newcomer() bool { return m.joined }
-func (m *Manager) weigh() {
-	m.joined = false
-	if m.climbs() {
-		m.cause, m.unweighed = "join", true
+// waits for the next second, with the tables that it holds: hundreds join one by one after a restart. While
+// servers drain, which other managers' tables may name, it waits only where its own is colder than the fleet.
+func (m *Manager) proxyJoined() bool { return m.joinedTable != nil }
+func (m *Manager) awaitSolve() {
+	t := m.joinedTable
+	if m.joinedTable = nil; m.climbs() {
+		m.cause = "join"
+		t.awaitsSolve = t.awaitsSolve || m.sets().drained == 0 || m.coldPart(t) > coldMost*m.coldShare
 	}
 }
 
@@ -519,8 +522,7 @@
 }
 
 func (m *Manager) solve() {
-	m.cause, m.batch, m.relisted, m.unweighed, m.heldBy = "", true, false, false, 0
-	m.solved = m.volumes()
+	m.cause, m.batch, m.relisted, m.heldBy, m.solved = "", true, false, 0, m.volumes()
 	var parts []part
 	var in []*server
 	anyIn := m.anyIn() // health never takes the last server of all
@@ -553,10 +555,12 @@
 		// guards against a sound server that gets the flows of all its weak peers, as after its climb
 		parts[i].target = min(parts[i].target, shareMost*all*max(s.weight, 1e-6)/listed)
 	}
+	m.coldShare = either(steady == 0, 1, cold/all)
 	shares := split(m.solved, parts, m.nearest(), m.closed)
 	for z, t := range m.tables {
 		clear(t.wanted)
-		least := leastLine * m.solved[z]
+		t.awaitsSolve = false
+		least := min(leastLine*m.solved[z], leastOfLargest*shares.largest(z)) // guards hundreds of even ones
 		shares.above(z, least, func(i int, x float64) { t.wanted[in[i].id] = x / m.solved[z] })
 		m.keepPinned(TableID(z), t, anyIn)
 		m.keepHome(t)
@@ -777,8 +781,7 @@
 		if moved && len(t.wanted) > 0 {
 			flows := math.Abs(weight-was) / scale * m.solved[id]
 			// what guards a rule goes first, with the drains' room, then what is lost
-			lost := weight < was && (s.climbing || weight == 0)
-			guard := guards || s.climbing && weight < was/coldMost
+			lost, guard := weight < was && (s.climbing || weight == 0), guards || s.climbing && weight < was/coldMost
 			flows = either(guard, math.Inf(1), either(lost, math.MaxFloat64, flows))
 			moves = append(moves, move{Line: Line{id, s.id, weight}, flows: flows})
 		}
@@ -786,19 +789,19 @@
 	return moves
 }
 
-// A proxy that joins is put on its block's table as soon as the channel has room.
+// A proxy that joins is put on its block's table once the channel has room, the first that joined first.
 func (m *Manager) waitingProxy() *proxy {
 	spare := m.spare(pressing)
 	for _, p := range m.unboundWithin(spare) {
 		t := m.tables[p.block]
-		if !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
+		if !t.awaitsSolve && !m.bare(t) && m.room([]*proxy{p}, m.whole(t), pressing) {
 			return p
 		}
 	}
 	return nil
 }
 
-func (m *Manager) proxyWaits() bool { return m.parted && !m.unweighed && m.waitingProxy() != nil }
+func (m *Manager) proxyWaits() bool { return m.parted && m.waitingProxy() != nil }
 
 func (m *Manager) bind() {
 	p := m.waitingProxy()
--- /dev/null
+++ b/internal/capacity/surroundings.go
@@ -0,0 +1,81 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// The roles of this file belong to others than this project: what they are sent and send is reckoned from the
+// managers' side, and their own processor time and memory are not measured.
+
+// relay carries the calls of the managers of its zone to their proxies.
+func (m *Model) relay(s Situation, scope Scope) Load {
+	p := m.Plan
+	managers, h := p.perRelay(), p.holding(s, scope)
+	in := m.managerInputs(s, h)
+	calls := m.calls(h, in, p.listChanges(s, h.share(s.Homeless)).lines/s.Window).plus(m.openingOrders(s, h))
+	return Load{
+		State:       stateOf(managers*float64(p.Managers.Proxies), "proxies") + ", " + stateOf(managers, "managers"),
+		MessagesIn:  known(managers * callsPerSecond),
+		MessagesOut: known(managers * in.news),
+		BytesIn:     calls.times(managers),
+		BytesOut:    m.newsBytes(in).times(managers),
+		Connections: known(managers * (2 + float64(p.Managers.Proxies))),
+	}
+}
+
+func (p Plan) perRelay() float64 {
+	return float64(p.Fleet.Managers) / float64(p.Fleet.Zones*p.Managers.RelaysPerZone)
+}
+
+// collector tells the managers of its zone what their proxies met.
+func (m *Model) collector(s Situation, scope Scope) Load {
+	p := m.Plan
+	managers := float64(p.Fleet.Managers*p.Managers.ProxyZones) / float64(p.Fleet.Zones)
+	part := 1 / float64(p.Managers.ProxyZones*p.Managers.CollectorsPerZone)
+	lines := inputs{reports: p.reports(p.holding(s, scope)) * part, usages: p.usages() * part}
+	requests := p.Fleet.RequestsPerSecond / float64(p.Fleet.Zones*p.Managers.CollectorsPerZone)
+	return Load{
+		State:       stateOf(requests, "requests a second"),
+		MessagesIn:  Figure{},
+		MessagesOut: known(managers * lines.decisions()),
+		BytesIn:     Figure{},
+		BytesOut:    m.collectorLines(lines).times(managers),
+		Connections: known(managers),
+	}
+}
+
+// proxy holds the table of its zone.
+func (m *Model) proxy(s Situation, scope Scope) Load {
+	p := m.Plan
+	h := p.holding(s, scope)
+	requests := p.requestsPerManager() / float64(p.Managers.Proxies)
+	orders := known(0)
+	if s.Opens {
+		orders = known((m.tableLines(h) + 1) * p.Messages.Order / s.Window)
+	}
+	return Load{
+		State:       stateOf(m.tableLines(h), "lines at most") + ", " + stateOf(requests, "requests a second"),
+		MessagesIn:  known(callsPerSecond),
+		MessagesOut: known(callsPerSecond),
+		BytesIn:     orders,
+		BytesOut:    m.bytesOf(scale.BytesOfNews, p.Messages.News),
+		Connections: known(1 + m.tableLines(h)),
+	}
+}
+
+// server answers requests, and the probes of all managers that hold it and take it for silent or back.
+func (m *Model) server(s Situation, scope Scope) Load {
+	p := m.Plan
+	holders := p.holders(p.usual(scope))
+	probes := 0.0
+	if s.Silent > 0 || s.Recovering > 0 {
+		probes = holders / p.Managers.ProbeInterval.Seconds()
+	}
+	requests := p.Fleet.RequestsPerSecond / float64(p.Fleet.Servers)
+	return Load{
+		State:       stateOf(requests, "requests a second") + ", held by " + stateOf(holders, "managers"),
+		MessagesIn:  known(probes),
+		MessagesOut: known(probes),
+		BytesIn:     m.bytesOf(scale.BytesOfProbe, p.Messages.Probe).times(probes),
+		BytesOut:    Figure{},
+		Connections: Figure{},
+	}
+}
--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node.words.born = epoch
+	node.decoder.born = epoch
 	// The router's own reading of the clock is never later than the virtual time: its tick only makes times differ.
 	node.router.born = time.Now().Add(hollowFuture)
 	node.router.opened = func() {}
@@ -143,7 +143,7 @@
 
 // decode counts a message and decodes it as the daemon's readers do; nil where the router isn't told of it.
 func (h *Hollow) decode(message Message) (input any, err error) {
-	words := h.node.words
+	words := h.node.decoder
 	switch message.Kind {
 	case ListMessage:
 		h.count(message.Kind, chunked(len(message.Text)+len("\n")), 0)
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -28,13 +28,14 @@
 	feed    *feed           // sends versions to holders; nil: there is none
 	vault   *vault          // keeps versions and commands; nil: they end with the process
 	lookAt  time.Duration
-	post    *post // samples that several cores took in; nil: they come with the inputs
+	post    *sampleQueue // samples that several cores took in; nil: they come with the inputs
 	backlog *backlog
-	probes  chan probe
+	probes  chan probeTarget
 	listen  chan struct{} // the list is asked for
 	opened  func()        // news has been opened
 	last    func()        // writes what is left of the log
-	book    *book
+	metrics *metrics
+	subset  *subsetter // which servers the module needs; nil: all that are listed
 
 	now       time.Duration
 	wake      time.Duration // 0: none
@@ -50,7 +51,7 @@
 func (r *router) run(stop <-chan struct{}) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			r.book.log.Error().Str("event", "panic").Float64("at", millis(r.now)).Str("cause", fmt.Sprint(cause)).
+			r.metrics.logger.Error().Str("event", "panic").Float64("at", roundedSeconds(r.now)).Str("cause", fmt.Sprint(cause)).
 				Str("stack", string(debug.Stack())).Send()
 			r.last()
 			os.Exit(1)
@@ -98,6 +99,7 @@
 			r.decided(r.manager.Woke(r.now))
 		}
 		r.lookAtHold()
+		r.lookAtSubset()
 		r.carry()
 	}
 }
@@ -129,28 +131,28 @@
 		// one that is told again after a gap may have left and come back: the module binds it again
 		delete(r.unseen, in.proxy)
 		r.proxies[in.proxy] = true
+		r.joinSubset(in)
 		r.decided(m.Joined(r.now, in.proxy, in.zone, in.rate))
 	case left:
 		delete(r.unseen, in.proxy)
 		if r.proxies[in.proxy] {
 			delete(r.proxies, in.proxy)
+			r.leaveSubset(in)
 			r.decided(m.Left(r.now, in.proxy))
 		}
 	case applied:
 		if !r.proxies[in.proxy] {
-			r.book.add(unknownNames, 1)
+			r.metrics.add(unknownNames, 1)
 			return
 		}
 		r.decided(m.Applied(r.now, in.proxy, in.mark))
 	case listed:
-		maps.Copy(r.servers, in.addresses)
-		r.decided(m.Listed(r.now, in.snapshot, in.entries))
-		maps.DeleteFunc(r.servers, func(s choice.ServerID, _ string) bool { return !m.Knows(s) })
+		r.listed(in)
 	case listFailed:
 		r.decided(m.ListFailed(r.now))
 	case probed:
 		if r.servers[in.server] != in.address { // guards against an answer of what was there before
-			r.book.add(probesDropped, 1)
+			r.metrics.add(probesDropped, 1)
 			return
 		}
 		r.decided(m.Probed(r.now, in.server, in.answer, in.took, in.load))
@@ -171,9 +173,25 @@
 	}
 }
 
+// listed hands the module a list, or what a subset needs of it.
+func (r *router) listed(in listed) {
+	if r.subset != nil {
+		r.handOn(r.subset.listed(r.now, in))
+		return
+	}
+	maps.Copy(r.servers, in.addresses)
+	r.decided(r.manager.Listed(r.now, in.snapshot, in.entries))
+	r.forgetAddresses()
+}
+
+// forgetAddresses drops those of servers that the module does not know.
+func (r *router) forgetAddresses() {
+	maps.DeleteFunc(r.servers, func(s choice.ServerID, _ string) bool { return !r.manager.Knows(s) })
+}
+
 func (r *router) heard(in choice.Report) {
 	if _, known := r.servers[in.Server]; !known {
-		r.book.add(unknownNames, 1)
+		r.metrics.add(r.notNeeded(in.Server), 1)
 		return
 	}
 	r.decided(r.manager.Heard(r.now, in))
@@ -181,7 +199,7 @@
 
 func (r *router) used(in choice.Usage) {
 	if !r.proxies[in.Proxy] {
-		r.book.add(unknownNames, 1)
+		r.metrics.add(unknownNames, 1)
 		return
 	}
 	r.decided(r.manager.Used(r.now, in))
@@ -189,13 +207,13 @@
 
 func (r *router) decided(o choice.Orders) {
 	for _, n := range o.Notes {
-		r.book.log.Info().Str("event", "note").Str("stage", "route").Float64("at", millis(r.now)).Str("note", n).Send()
+		r.metrics.logger.Info().Str("event", "note").Str("stage", "route").Float64("at", roundedSeconds(r.now)).Str("note", n).Send()
 	}
 	for _, s := range o.Probe {
 		select {
-		case r.probes <- probe{s, r.servers[s]}:
+		case r.probes <- probeTarget{s, r.servers[s]}:
 		default:
-			r.book.add(probesDropped, 1)
+			r.metrics.add(probesDropped, 1)
 		}
 	}
 	if o.Listen {
@@ -236,17 +254,17 @@
 // version asks the chain what of some orders may go out. Where that is not all, the module hears what stands.
 func (r *router) version(o choice.Orders) choice.Orders {
 	r.chain.Laid(r.manager.Layout())
-	res := r.chain.Propose(r.now, o, cause(o), sight{r.manager})
+	res := r.chain.Propose(r.now, o, cause(o), r.sight())
 	for _, n := range res.Notes {
-		r.book.tell("version", "note", n)
+		r.metrics.logEvent("version", "note", n)
 	}
 	if res.Changed {
-		r.book.add(versionsHeld, 1)
+		r.metrics.add(versionsHeld, 1)
 		pin, state := r.chain.Standing(), r.chain.State()
 		r.manager.Stands(r.now, pin.Tables, pin.Levels, func(s choice.ServerID) bool { return state.Withdrawn(string(s)) })
 	}
 	if res.Version != nil {
-		r.book.add(versionsMade, 1)
+		r.metrics.add(versionsMade, 1)
 		if r.vault != nil {
 			r.vault.version(res.Version)
 		}
@@ -268,9 +286,9 @@
 		return
 	}
 	r.lookAt = r.now + time.Second
-	ended, notes := r.chain.Looked(r.now, sight{r.manager})
+	ended, notes := r.chain.Looked(r.now, r.sight())
 	for _, n := range notes {
-		r.book.tell("version", "note", n)
+		r.metrics.logEvent("version", "note", n)
 	}
 	if ended {
 		r.pin()
@@ -288,11 +306,21 @@
 }
 
 // sight is the module's view of the fleet, as the chain asks for it.
-type sight struct{ m *choice.Manager }
+type sight struct {
+	m      *choice.Manager
+	lifted map[choice.ServerID]bool // servers that the module has forgotten, whose withdrawals are lifted
+}
+
+func (r *router) sight() sight {
+	if r.subset == nil {
+		return sight{m: r.manager}
+	}
+	return sight{m: r.manager, lifted: r.subset.lifted}
+}
 
 func (s sight) Sees(id choice.ServerID) versions.Sight {
 	known, open, climbed := s.m.Sees(id)
-	return versions.Sight{Known: known, Open: open, Climbed: climbed}
+	return versions.Sight{Known: known, Open: open || !known && s.lifted[id], Climbed: climbed}
 }
 func (s sight) Flows(id choice.TableID) float64 { return s.m.Flows(id) }
 func (s sight) Ready() (all, warm int)          { return s.m.Ready() }
--- a/internal/scale/limits.go
+++ b/internal/scale/limits.go
@@ -49,6 +49,7 @@
 	Fits  string
 }
 
+// Error says which size passes the limit, and what fits.
 func (e *LimitError) Error() string {
 	return fmt.Sprintf("%s: needs %s, the limit is %s; %s", e.What, e.Needs, e.Limit, e.Fits)
 }
--- a/internal/scale/replay.go
+++ b/internal/scale/replay.go
@@ -11,15 +11,14 @@
 
 // played is what one phase cost when a script was played.
 type played struct {
-	cpu         time.Duration // of the process
-	changeCPU   time.Duration // of the thread, in the steps that tell a change of the list
-	changes     int
-	reportCPU   time.Duration // of the process, in the steps that tell reports
-	reports     int
-	longest     time.Duration // of the thread, in the longest single call of the router
-	allocations uint64
-	calls       int
-	heapBytes   float64 // held at the phase's end
+	cpu       time.Duration // of the process
+	changeCPU time.Duration // of the thread, in the steps that tell a change of the list
+	changes   int
+	reportCPU time.Duration // of the process, in the steps that tell reports
+	reports   int
+	longest   time.Duration // of the thread, in the longest single call of the router
+	calls     int
+	heapBytes float64 // held at the phase's end
 }
 
 // replay plays a script on a fresh manager and measures each phase.
--- a/internal/scale/work_test.go
+++ b/internal/scale/work_test.go
@@ -66,7 +66,6 @@
 type work struct {
 	allocations float64
 	bytes       float64
-	orders      int
 }
 
 const inputsCounted = 400
