Tables are rid of servers that leave before waiting proxies are put on them

Change: where bindings go first, lines of servers that leave are taken off with the drains' room, before proxies are bound. Measured: TestTablesAreRidOfServersThatLeaveBeforeProxiesAreBound (red without it).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,8 +27,7 @@
 	pairLast, daySamples        = 3, 64         // samples that must agree on it, and make its norm
 	zoneLeast, zoneLost         = 3.0, 0.9      // servers, and the part of those asked: their zone is lost
 	keptOpen                    = 8.0           // uses of a connection before an idle one closes
-	blockServers                = 4.0           // servers of a block at least,
-	blockProxies                = 5.0           // and proxies of this manager
+	blockServers, blockProxies  = 4.0, 5.0      // servers of a block at least, and proxies of this manager
 	climbFrom, climbCold        = 0.1, 0.6      // of its target, of the stated cold share: a climb's start
 	floodDrops, holdUnheard     = 0.4, 0.5      // median drops, and part of a climb, at which cold servers wait
 	askedFor, volumeFor         = 0.9, 6.0      // seconds of usage that make what is asked, and a volume
@@ -783,6 +782,7 @@
 			flows := math.Abs(weight-was) / scale * m.solved[id]
 			// what guards a rule goes first, with the drains' room, then what is lost
 			lost, guard := weight < was && (s.climbing || weight == 0), guards || s.climbing && weight < was/coldMost
+			guard = guard || weight == 0 && s.leavesAt > 0 && m.bindsFirst() // before proxies are put on it
 			flows = either(guard, math.Inf(1), either(lost, math.MaxFloat64, flows))
 			moves = append(moves, move{Line: Line{id, s.id, weight}, flows: flows})
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -465,6 +465,16 @@
 	}
 }
 
+func TestTablesAreRidOfServersThatLeaveBeforeProxiesAreBound(t *testing.T) {
+	m := waitingManager(1)
+	m.graceLines, m.soon[calm], m.rooms[calm] = 1000, 0, 0
+	m.tables[0].standing["a1"] = 20 // the cold server's part is as it should be
+	o := m.Listed(2*time.Second, false, []Entry{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if len(o.Bind) != 1 || m.tables[0].standing["a0"] > 0 {
+		t.Errorf("bound %v to a table with %v for the server that drains", o.Bind, m.tables[0].standing["a0"])
+	}
+}
+
 // Drains are looked at once a second where they find no room; the last binding makes room for them.
 func TestDrainsGoOnceTheLastProxyIsBound(t *testing.T) {
 	m := waitingManager(1)
