--- a/cmd/tamarindshore/capacity_test.go
+++ b/cmd/tamarindshore/capacity_test.go
@@ -38,11 +38,12 @@
 		t.Errorf("no budget is passed: %v", err)
 	}
 	const coreBetween = "(core 2%)" // over what a subset takes while it is widened, under what the whole list takes
-	onlyCore := planFile(t, "(bytes-per-second 8000)", generousBudget, "(core 1.1%)", coreBetween)
+	const judgedSubset, judgedWhole = "(judged subset)", "(judged whole-list)"
+	onlyCore := planFile(t, "(bytes-per-second 8000)", generousBudget, "(core 1.1%)", coreBetween, judgedSubset, judgedWhole)
 	if err := (capacityCmd{Plan: onlyCore, Slopes: madeUpSlopes}).Run(); !errors.Is(err, errNotGood) {
 		t.Errorf("the core's budget alone is passed: %v, not %v", err, errNotGood)
 	}
-	divided := planFile(t, "(bytes-per-second 8000)", generousBudget, "(core 1.1%)", coreBetween, "(judged whole-list)", "(judged subset)")
+	divided := planFile(t, "(bytes-per-second 8000)", generousBudget, "(core 1.1%)", coreBetween, judgedWhole, judgedSubset)
 	if err := (capacityCmd{Plan: divided, Slopes: madeUpSlopes}).Run(); err != nil {
 		t.Errorf("with a subset no budget is passed: %v", err)
 	}
