Tests of internal/node read a manager's start in one place

Cause: the rigs of versions and of subsets had the same fourteen lines. Change: startReader, beginManager in both.

--- a/internal/node/subset_process_test.go
+++ b/internal/node/subset_process_test.go
@@ -1,11 +1,9 @@
 package node
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"tamarindshore/internal/config"
 	"tamarindshore/internal/stand"
 )
 
@@ -14,26 +12,11 @@
 	t.Helper()
 	how := stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 1, Settings: "(subset (spill 10))"}
 	rig, err := stand.Raise(site, how, func(start, settings string) (stand.Daemon, error) {
-		operator, err := config.ReadOperator(settings)
+		read, err := startReader(start, settings)
 		if err != nil {
 			return nil, err
 		}
-		read := func() (config.Start, error) {
-			s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
-			if err != nil {
-				return s, err
-			}
-			return s.With(operator)
-		}
-		s, err := read()
-		if err != nil {
-			return nil, err
-		}
-		n, err := New(s, io.Discard)
-		if err != nil {
-			return nil, err
-		}
-		return begun(n, read), nil
+		return beginManager(read)
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/versions_rig_test.go
+++ b/internal/node/versions_rig_test.go
@@ -41,6 +41,21 @@
 	now          *ours
 }
 
+// startReader reads the operator's settings, and with each call of the result the start's file joined to them.
+func startReader(start, settings string) (read func() (config.Start, error), err error) {
+	operator, err := config.ReadOperator(settings)
+	if err != nil {
+		return nil, err
+	}
+	return func() (config.Start, error) {
+		s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
+		if err != nil {
+			return s, err
+		}
+		return s.With(operator)
+	}, nil
+}
+
 func raise(t testing.TB, site stand.Site) *versioned {
 	t.Helper()
 	dir := t.TempDir()
@@ -51,17 +66,10 @@
 	}
 	settings := fmt.Sprintf("(admin (socket %q)) (store (path %q)) (tables (listen %q) (keys %q))", v.socket, filepath.Join(dir, "v.db"), v.feed, keys)
 	r, err := stand.Raise(site, stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 1, Settings: settings}, func(start, settings string) (stand.Daemon, error) {
-		o, err := config.ReadOperator(settings)
+		read, err := startReader(start, settings)
 		if err != nil {
 			return nil, err
 		}
-		read := func() (config.Start, error) {
-			s, err := config.Read(func(key string) string { return map[string]string{"PROXY_CONFIG": start}[key] })
-			if err != nil {
-				return s, err
-			}
-			return s.With(o)
-		}
 		v.now, err = beginManager(read)
 		return v.now, err
 	})
