scale: changes in force beside all openings and with control machines lost, run

Need: the time until a change is in force was measured in quiet alone, and reckoned beside openings and with two of seven control machines lost. The cost of reading a whole list of which a subset is taken stood in no slope.

--- /dev/null
+++ b/internal/scale/fleet.go
@@ -0,0 +1,179 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"tamarindshore/choice"
+	"tamarindshore/internal/config"
+	"tamarindshore/internal/node"
+	"tamarindshore/internal/stand"
+)
+
+// coreShare is the part of a core that a manager may use.
+const coreShare = 0.011
+
+// fleet is many hollow managers that read one list.
+type fleet struct {
+	scenario Scenario
+	site     stand.Site
+	start    config.Start
+	list     string         // the whole list at the first version
+	opening  []node.Message // what the relay tells a manager that starts
+	managers []*follower
+	bytes    float64 // of the heap, for each manager
+}
+
+// follower is one manager of a fleet, on its part of a core: a step begins once the one before it is done.
+type follower struct {
+	manager   *node.Hollow
+	proxies   *proxyTables
+	now       time.Duration
+	busyUntil time.Duration
+	answers   []step
+}
+
+// newFleet is a fleet without managers.
+func newFleet(scenario Scenario) (*fleet, error) {
+	f := &fleet{scenario: scenario, site: scenario.site()}
+	f.list = scenario.wholeList(f.site, firstVersion)
+	f.opening = []node.Message{{Kind: node.NewsOpened}}
+	source := &recorder{scenario: scenario, site: f.site}
+	for proxy := range scenario.Proxies {
+		f.opening = append(f.opening, source.joined(proxy))
+	}
+	f.opening = append(f.opening, node.Message{Kind: node.NewsComplete}, usage(0, f.site.Groups[0].Name, 0, time.Second))
+	var err error
+	f.start, err = scenario.start(f.site)
+	return f, err
+}
+
+func (f *fleet) close() {
+	for _, one := range f.managers {
+		one.manager.Close()
+	}
+}
+
+// add starts one more manager, which knows nothing yet.
+func (f *fleet) add() (*follower, error) {
+	start := f.start
+	start.Seed = f.scenario.Seed + uint64(len(f.managers))
+	manager, err := node.NewHollow(start, scriptEpoch)
+	if err != nil {
+		return nil, err
+	}
+	one := &follower{manager: manager, proxies: newProxyTables()}
+	f.managers = append(f.managers, one)
+	return one, nil
+}
+
+// fleetProbe is how many managers are opened before it is said whether all of them fit.
+const fleetProbe = 8
+
+// checkMemory tells once, after the first managers were opened, whether all of them fit.
+func (f *fleet) checkMemory(memory Memory, empty float64, managers int) error {
+	if len(f.managers) != fleetProbe {
+		return nil
+	}
+	f.bytes = (heldBytes() - empty) / fleetProbe
+	return memory.allows(fmt.Sprintf("%s %d", Managers, managers), f.bytes, managers)
+}
+
+// advanceAll lets time pass for all managers.
+func (f *fleet) advanceAll(ctx context.Context, to time.Duration) error {
+	for _, one := range f.managers {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if _, err := one.advance(to, ""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// open tells a manager that starts the whole list and the relay's news. Besides what it does here, reading the list
+// takes it a processor time that is given.
+func (f *fleet) open(one *follower, at, reading time.Duration) error {
+	if _, err := one.advance(at, ""); err != nil {
+		return err
+	}
+	if _, err := one.step(at, node.Message{Kind: node.ListMessage, Text: f.list}); err != nil {
+		return err
+	}
+	one.busyUntil += pacedTime(reading)
+	_, err := one.step(at, f.opening...)
+	return err
+}
+
+// pacedTime is how long a processor time takes on a manager's part of a core.
+func pacedTime(cpu time.Duration) time.Duration { return time.Duration(float64(cpu) / coreShare) }
+
+// step tells a follower messages, once it is done with what came before, and lets its proxies' answers be under way.
+// The calling goroutine must be locked to its thread.
+func (f *follower) step(at time.Duration, messages ...node.Message) (withdrawn []choice.ServerID, err error) {
+	f.now = max(f.now, at, f.busyUntil)
+	began := threadCPU()
+	result, err := f.manager.Step(f.now, messages...)
+	f.busyUntil = f.now + pacedTime(threadCPU()-began)
+	if err != nil {
+		return nil, err
+	}
+	for _, call := range result.Calls {
+		withdrawn = append(withdrawn, call.Withdraw...)
+		answers := step{at: f.busyUntil + answerDelay}
+		for _, proxy := range f.proxies.apply(call) {
+			if call.Mark > 0 {
+				answers.messages = append(answers.messages, appliedMessage(proxy, call.Mark))
+			}
+		}
+		if len(answers.messages) > 0 {
+			f.answers = append(f.answers, answers)
+		}
+	}
+	return withdrawn, nil
+}
+
+// advance lets time pass for a follower until its orders withdraw a server, or to a time. It tells whether they did.
+func (f *follower) advance(to time.Duration, server choice.ServerID) (withdrawn bool, err error) {
+	for {
+		at := to + 1
+		if next := f.manager.Next(); next > 0 {
+			at = max(next, f.now)
+		}
+		var messages []node.Message
+		if len(f.answers) > 0 && f.answers[0].at <= at {
+			at, messages = f.answers[0].at, f.answers[0].messages
+			f.answers = f.answers[1:]
+		}
+		if at > to {
+			f.now = max(f.now, to)
+			return false, nil
+		}
+		servers, err := f.step(at, messages...)
+		if err != nil {
+			return false, err
+		}
+		if server != "" && slices.Contains(servers, server) {
+			return true, nil
+		}
+	}
+}
+
+// withdraws tells a follower a message and gives the time at which its orders carry a server's withdrawal.
+func (f *follower) withdraws(at time.Duration, message node.Message, server choice.ServerID) (time.Duration, error) {
+	if withdrawn, err := f.advance(at, server); err != nil || withdrawn {
+		return f.busyUntil, err
+	}
+	servers, err := f.step(at, message)
+	if err != nil || slices.Contains(servers, server) {
+		return f.busyUntil, err
+	}
+	withdrawn, err := f.advance(f.now+inForceMost, server)
+	if err == nil && !withdrawn {
+		return 0, fmt.Errorf("%s is not withdrawn %v after its drain was told", server, inForceMost)
+	}
+	return f.busyUntil, err
+}
--- /dev/null
+++ b/internal/scale/inforce_test.go
@@ -0,0 +1,122 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+)
+
+func testControl() controlSide {
+	return controlSide{change: time.Millisecond, list: 160 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))}
+}
+
+func TestAChangeIsInForceAtEachManager(t *testing.T) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	const managers = 12
+	f, err := newFleet(inForceScenario(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.close()
+	ctx := context.Background()
+	r := &inForceRun{fleet: f, control: testControl(), reading: time.Millisecond, version: firstVersion}
+	opening, err := r.besideOpenings(ctx, Memory{2 << 30}, managers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Two lists of 10 ms stand before the change, and reading one takes 1 ms at a part of a core.
+	least := 20*time.Millisecond + time.Millisecond + transitLeast
+	expectTimes(t, "beside openings", opening, managers, least)
+	quiet, err := r.drain(ctx, 2*inForceEvery, r.control.quiet(managers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectTimes(t, "quiet", quiet, managers, time.Millisecond+transitLeast)
+	again := reconnect{silent: 2 * time.Second, backoffLeast: 50 * time.Millisecond, backoffMost: 200 * time.Millisecond}
+	lost, err := r.drain(ctx, 4*inForceEvery, r.control.machinesLost(managers, again))
+	if err != nil {
+		t.Fatal(err)
+	}
+	expectTimes(t, "machines lost", lost, managers, time.Millisecond+transitLeast)
+	late := slices.IndexFunc(lost, func(seconds float64) bool { return seconds > again.silent.Seconds() })
+	if came := managers - late; late < 0 || came < 2 || came > 4 { // those of two machines in seven
+		t.Errorf("machines lost: %v", lost)
+	}
+}
+
+func expectTimes(t *testing.T, circumstance string, times []float64, managers int, least time.Duration) {
+	t.Helper()
+	if len(times) != managers || !slices.IsSorted(times) || times[0] < least.Seconds() || times[len(times)-1] > inForceMost.Seconds() {
+		t.Errorf("%s: %v", circumstance, times)
+	}
+}
+
+func TestAManagerThatReadsALongListHearsTheChangeLater(t *testing.T) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	const managers = 3
+	last := func(reading time.Duration) float64 {
+		f, err := newFleet(inForceScenario(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.close()
+		r := &inForceRun{fleet: f, control: testControl(), reading: reading, version: firstVersion}
+		times, err := r.besideOpenings(context.Background(), Memory{2 << 30}, managers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return times[managers-1]
+	}
+	if long := last(100 * time.Millisecond); long < pacedTime(100*time.Millisecond).Seconds() {
+		t.Errorf("a list that takes %v of a core is read within %.3f s", pacedTime(100*time.Millisecond), long)
+	}
+}
+
+func TestOpeningsAreWrittenBeforeTheChange(t *testing.T) {
+	control := testControl()
+	const managers = 70
+	for place, reached := range control.besideOpenings(managers) {
+		written := managers / controlMachines * control.listEvery()
+		if reached.list < control.listEvery() || reached.change <= written || reached.change < reached.list {
+			t.Errorf("manager %d: %+v", place, reached)
+		}
+	}
+}
+
+func TestManagersOfLostMachinesGetTheListFromTheOthers(t *testing.T) {
+	control := testControl()
+	const managers = 700
+	again := reconnect{silent: 2 * time.Second, backoffLeast: 50 * time.Millisecond, backoffMost: 200 * time.Millisecond}
+	var lists []time.Duration
+	for place, reached := range control.machinesLost(managers, again) {
+		if (reached.list == 0) == (reached.change == 0) {
+			t.Errorf("manager %d gets both or neither: %+v", place, reached)
+		}
+		if reached.list > 0 {
+			lists = append(lists, reached.list)
+		}
+	}
+	if len(lists) != managers*machinesLost/controlMachines {
+		t.Errorf("%d managers reopen", len(lists))
+	}
+	slices.Sort(lists)
+	if first := again.silent + again.backoffLeast + control.listEvery(); lists[0] < first {
+		t.Errorf("the first list comes after %v, before %v", lists[0], first)
+	}
+	// Each of five machines writes forty lists one after another.
+	if last, least := lists[len(lists)-1], again.silent+again.backoffLeast+40*control.listEvery(); last < least {
+		t.Errorf("the last list comes after %v, before %v", last, least)
+	}
+}
+
+func TestASubsetIsTakenOfAWholeList(t *testing.T) {
+	samples, err := measureSubsetRead(context.Background(), subsetScenario(1, 2400), 1)
+	if err != nil || len(samples) != 1 || samples[0][CPUPerSubsetRead] <= 0 {
+		t.Errorf("%v, %v", samples, err)
+	}
+}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -44,8 +44,9 @@
 		measure: (*session).controlByManagers, check: (*session).readersFit},
 	{axis: OpeningListSize, sizes: []float64{60, 600, 6000, 24000}, small: []float64{60, 240, 600, 2400}, costs: controlCosts[:4], real: true,
 		measure: (*session).controlByList, check: (*session).anyFits},
-	{axis: Managers, sizes: []float64{56, 560, 2800, 5600}, small: []float64{14, 28, 56, 140},
-		costs:   []Cost{ChangeInForceMedian, ChangeInForceTail, ChangeInForceLast, HollowBytes},
+	{axis: OpeningListSize, sizes: []float64{600, 2400, 6000, 24000}, small: []float64{60, 240, 600, 2400}, costs: []Cost{CPUPerSubsetRead},
+		measure: (*session).subsetRead, check: (*session).scenarioFits},
+	{axis: Managers, sizes: []float64{56, 560, 2800, 5600}, small: []float64{14, 28, 56, 140}, costs: inForceCosts,
 		measure: (*session).inForce, check: (*session).managersFit},
 }
 
@@ -69,6 +70,7 @@
 	options        Options
 	reference      Scenario
 	writePerReader time.Duration // of the control side before the most readers, the median of the runs
+	terms          *inForceTerms // nil: not measured yet
 }
 
 func (r *session) oneManager(ctx context.Context, size float64, s survey) ([]sample, error) {
@@ -82,7 +84,7 @@
 func (r *session) controlByManagers(ctx context.Context, size float64, _ survey) ([]sample, error) {
 	samples, err := r.control(ctx, controlServers, int(size))
 	if err == nil {
-		r.writePerReader = time.Duration(medianOf(pointOf(size, ControlCPUPerChange, samples).Runs) * float64(time.Second))
+		r.writePerReader = medianTime(samples, ControlCPUPerChange)
 	}
 	return samples, err
 }
@@ -115,12 +117,53 @@
 
 func (r *session) anyFits(float64, survey) error { return nil }
 
+func (r *session) subsetRead(ctx context.Context, size float64, _ survey) ([]sample, error) {
+	return measureSubsetRead(ctx, subsetScenario(r.options.Seed, int(size)), r.options.Runs)
+}
+
 func (r *session) inForce(ctx context.Context, size float64, _ survey) ([]sample, error) {
-	return measureInForce(ctx, r.options, max(r.writePerReader, writeLeast), int(size))
+	terms, err := r.inForceTerms(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return measureInForce(ctx, r.options, terms, int(size))
 }
 
-// writeLeast is taken for the control side's time for one change and one reader where it wasn't measured.
-const writeLeast = 10 * time.Microsecond
+// inForceTerms measures, once in a session, what a change in force depends on besides the managers.
+func (r *session) inForceTerms(ctx context.Context) (inForceTerms, error) {
+	if r.terms != nil {
+		return *r.terms, nil
+	}
+	servers := planServers
+	if r.options.Small {
+		servers = smallList
+	}
+	reading, err := measureSubsetRead(ctx, subsetScenario(r.options.Seed, servers), r.options.Runs)
+	if err != nil {
+		return inForceTerms{}, err
+	}
+	terms := inForceTerms{change: max(r.writePerReader, writeLeast), list: listWriteLeast, reading: medianTime(reading, CPUPerSubsetRead)}
+	if r.options.Program != "" {
+		lists, err := r.control(ctx, servers, controlReaders)
+		if err != nil {
+			return inForceTerms{}, err
+		}
+		terms.list = medianTime(lists, ControlCPUPerManager)
+	}
+	r.terms = &terms
+	return terms, nil
+}
+
+// medianTime is the median of a cost in seconds.
+func medianTime(samples []sample, cost Cost) time.Duration {
+	return time.Duration(medianOf(pointOf(0, cost, samples).Runs) * float64(time.Second))
+}
+
+const (
+	smallList      = 2400                  // entries that managers read in the short form, where they open together
+	writeLeast     = 10 * time.Microsecond // taken for one change and one reader where the control side wasn't measured
+	listWriteLeast = time.Millisecond      // taken for a whole list and one reader where it wasn't
+)
 
 func (r *session) managersFit(size float64, s survey) error {
 	return r.options.Memory.allows(fmt.Sprintf("%s %g", s.axis, size), bytesOfHollow, int(size))
@@ -129,7 +172,10 @@
 // units of the costs; those that aren't named are in bytes.
 var units = map[Cost]string{
 	CPUPerInput: seconds, CPUPerQuietSecond: seconds, CPUPerBusySecond: seconds, CPUPerListChange: seconds, CPUPerListRead: seconds,
-	CPUPerOpening: seconds, LongestDecision: seconds, ChangeInForceMedian: seconds, ChangeInForceTail: seconds, ChangeInForceLast: seconds,
+	CPUPerSubsetRead: seconds, CPUPerOpening: seconds, LongestDecision: seconds,
+	ChangeInForceMedian: seconds, ChangeInForceTail: seconds, ChangeInForceLast: seconds,
+	ChangeBesideOpeningsMedian: seconds, ChangeBesideOpeningsTail: seconds, ChangeBesideOpeningsLast: seconds,
+	ChangeMachinesLostMedian: seconds, ChangeMachinesLostTail: seconds, ChangeMachinesLostLast: seconds,
 	ControlCPUPerManager: seconds, ControlCPUPerChange: seconds, OpeningLast: seconds, ControlConnections: "connections",
 	ProbesPerSecond: perSecondUnit, NewsPerSecond: perSecondUnit, OrdersPerSecond: perSecondUnit, ProxiesBound: "proxies",
 }
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -109,8 +109,13 @@
 func TestManagersThatTakeMoreThanEstimatedAreRefused(t *testing.T) {
 	o := options(Managers)
 	o.Memory = Memory{64 << 20}
-	f, err := newFleet(context.Background(), inForceScenario(1), 1000, o.Memory)
+	f, err := newFleet(inForceScenario(1))
+	if err != nil {
+		t.Fatal(err)
+	}
 	defer f.close()
+	r := &inForceRun{fleet: f, control: testControl(), version: firstVersion}
+	_, err = r.besideOpenings(context.Background(), o.Memory, 1000)
 	var limit *LimitError
 	if !errors.As(err, &limit) || len(f.managers) > fleetProbe {
 		t.Errorf("%v after %d", err, len(f.managers))
@@ -199,24 +204,6 @@
 	}
 }
 
-func TestAChangeIsInForceAtEachManager(t *testing.T) {
-	f, err := newFleet(context.Background(), inForceScenario(1), 12, Memory{2 << 30})
-	defer f.close()
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.writePerReader = time.Millisecond
-	for run := range 3 {
-		times, err := f.change(context.Background(), joinSpan+time.Duration(run+1)*inForceEvery, firstVersion+1+run, run)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(times) != 12 || times[0] < (time.Millisecond+transitLeast).Seconds() || times[11] > inForceMost.Seconds() {
-			t.Errorf("%v", times)
-		}
-	}
-}
-
 func TestPlotsAreWritten(t *testing.T) {
 	dir := t.TempDir()
 	if err := WritePlots(dir, sound()); err != nil {
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -28,28 +28,38 @@
 
 // Costs of one manager, but for those of the control side, which are the control side's for all managers that it serves.
 const (
-	CPUPerInput            Cost = "cpu-per-input"             // seconds
-	CPUPerQuietSecond      Cost = "cpu-per-quiet-second"      // seconds, no input in it
-	CPUPerBusySecond       Cost = "cpu-per-busy-second"       // seconds, with the reference inputs
-	CPUPerListChange       Cost = "cpu-per-list-change"       // seconds
-	CPUPerOpening          Cost = "cpu-per-opening"           // seconds
-	CPUPerListRead         Cost = "cpu-per-list-read"         // seconds of a whole list's decoding and first decision
-	LongestDecision        Cost = "longest-decision"          // seconds
-	HeapBytes              Cost = "heap-bytes"                // bytes held after a collection
-	BytesOfOpening         Cost = "bytes-of-opening"          // bytes of a whole list
-	BytesOfListChange      Cost = "bytes-of-list-change"      // bytes of one change on the wire
-	BytesOfReport          Cost = "bytes-of-report"           // bytes of one collector's line on a server
-	BytesOfUsage           Cost = "bytes-of-usage"            // bytes of one collector's line on a proxy
-	BytesOfNews            Cost = "bytes-of-news"             // bytes of one event of the relay
-	BytesOfCalls           Cost = "bytes-of-calls"            // bytes of a second's calls to the relay
-	BytesOfProbe           Cost = "bytes-of-probe"            // bytes of one probe and its answer
-	BytesOfHeartbeat       Cost = "bytes-of-heartbeat"        // bytes of a second's signs of life
-	ProbesPerSecond        Cost = "probes-per-second"         // probes that a busy second orders
-	NewsPerSecond          Cost = "news-per-second"           // events of the relay in a busy second: answers to marks
-	OrdersPerSecond        Cost = "orders-per-second"         // orders to the relay in a busy second
-	ChangeInForceMedian    Cost = "change-in-force-p50"       // seconds until half of the managers' orders carry it
-	ChangeInForceTail      Cost = "change-in-force-p99"       // seconds, 99 in 100
-	ChangeInForceLast      Cost = "change-in-force-last"      // seconds, the last manager
+	CPUPerInput         Cost = "cpu-per-input"        // seconds
+	CPUPerQuietSecond   Cost = "cpu-per-quiet-second" // seconds, no input in it
+	CPUPerBusySecond    Cost = "cpu-per-busy-second"  // seconds, with the reference inputs
+	CPUPerListChange    Cost = "cpu-per-list-change"  // seconds
+	CPUPerOpening       Cost = "cpu-per-opening"      // seconds
+	CPUPerListRead      Cost = "cpu-per-list-read"    // seconds of a whole list's decoding and first decision
+	LongestDecision     Cost = "longest-decision"     // seconds
+	HeapBytes           Cost = "heap-bytes"           // bytes held after a collection
+	BytesOfOpening      Cost = "bytes-of-opening"     // bytes of a whole list
+	BytesOfListChange   Cost = "bytes-of-list-change" // bytes of one change on the wire
+	BytesOfReport       Cost = "bytes-of-report"      // bytes of one collector's line on a server
+	BytesOfUsage        Cost = "bytes-of-usage"       // bytes of one collector's line on a proxy
+	BytesOfNews         Cost = "bytes-of-news"        // bytes of one event of the relay
+	BytesOfCalls        Cost = "bytes-of-calls"       // bytes of a second's calls to the relay
+	BytesOfProbe        Cost = "bytes-of-probe"       // bytes of one probe and its answer
+	BytesOfHeartbeat    Cost = "bytes-of-heartbeat"   // bytes of a second's signs of life
+	ProbesPerSecond     Cost = "probes-per-second"    // probes that a busy second orders
+	NewsPerSecond       Cost = "news-per-second"      // events of the relay in a busy second: answers to marks
+	OrdersPerSecond     Cost = "orders-per-second"    // orders to the relay in a busy second
+	ChangeInForceMedian Cost = "change-in-force-p50"  // seconds until half of the managers' orders carry it
+	ChangeInForceTail   Cost = "change-in-force-p99"  // seconds, 99 in 100
+	ChangeInForceLast   Cost = "change-in-force-last" // seconds, the last manager
+	CPUPerSubsetRead    Cost = "cpu-per-subset-read"  // seconds of a whole list's decoding where a subset is taken of it
+
+	// The same where all managers open at once, and where two control machines are lost, just as the change is told.
+	ChangeBesideOpeningsMedian Cost = "change-beside-openings-p50"
+	ChangeBesideOpeningsTail   Cost = "change-beside-openings-p99"
+	ChangeBesideOpeningsLast   Cost = "change-beside-openings-last"
+	ChangeMachinesLostMedian   Cost = "change-machines-lost-p50"
+	ChangeMachinesLostTail     Cost = "change-machines-lost-p99"
+	ChangeMachinesLostLast     Cost = "change-machines-lost-last"
+
 	ControlCPUPerManager   Cost = "control-cpu-per-manager"   // seconds of an opening
 	ControlHeapPerManager  Cost = "control-heap-per-manager"  // bytes
 	ControlBytesPerManager Cost = "control-bytes-per-manager" // bytes of an opening
