scale: fleets of up to 200 real processes, beside as many hollow managers

Need: real processes were measured one at a time; slopes of hollow managers are to be held against real ones at sizes that both reach.

--- a/cmd/tamarindshore/scale_test.go
+++ b/cmd/tamarindshore/scale_test.go
@@ -42,6 +42,7 @@
 		{[]string{"--sizes", "60"}, "--sizes"},
 		{[]string{"--axis", "servers", "--sizes", "1e8"}, " fit"},
 		{[]string{"--axis", "managers", "--sizes", "1e6"}, " fit"},
+		{[]string{"--axis", "real-processes", "--sizes", "1000"}, "300 fit"},
 	} {
 		cmd, said := scaleProgram(one.arguments...)
 		err := cmd.Run()
@@ -91,3 +92,22 @@
 		}
 	}
 }
+
+func TestScaleRaisesAFleetOfRealProcesses(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "slopes.json")
+	cmd, said := scaleProgram("--axis", "real-processes", "--sizes", "2,5", "--runs", "1", "--json", path)
+	if err := cmd.Run(); err != nil {
+		t.Fatalf("%v: %s", err, said)
+	}
+	report, err := scale.ReadReport(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, cost := range []scale.Cost{scale.ProcessInForceLast, scale.ProcessReadyLast, scale.ProcessBesideOpeningsLast, scale.ProcessMemory,
+		scale.HollowInForceLast} {
+		slope, measured := report.Find(cost, scale.Processes)
+		if !measured || len(slope.Points) != 2 || slope.Points[0].Runs[0] <= 0 || slope.Points[1].Runs[0] <= 0 {
+			t.Errorf("%s: %+v", cost, slope.Points)
+		}
+	}
+}
--- a/internal/scale/delivery.go
+++ b/internal/scale/delivery.go
@@ -21,6 +21,7 @@
 type controlSide struct {
 	change time.Duration // processor time of one change told to one reader
 	list   time.Duration // processor time of a whole list told to one reader
+	local  bool          // the managers are on the same machine: nothing crosses a network
 	random *rand.Rand
 }
 
@@ -31,6 +32,9 @@
 }
 
 func (c controlSide) transit() time.Duration {
+	if c.local {
+		return 0
+	}
 	return transitLeast + time.Duration(c.random.Float64()*float64(transitMost-transitLeast))
 }
 
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -22,6 +22,7 @@
 	start    config.Start
 	list     string         // the whole list at the first version
 	opening  []node.Message // what the relay tells a manager that starts
+	share    float64        // of a core, that each manager has
 	managers []*follower
 	bytes    float64 // of the heap, for each manager
 }
@@ -29,15 +30,16 @@
 // follower is one manager of a fleet, on its part of a core: a step begins once the one before it is done.
 type follower struct {
 	manager   *node.Hollow
+	share     float64
 	proxies   *proxyTables
 	now       time.Duration
 	busyUntil time.Duration
 	answers   []step
 }
 
-// newFleet is a fleet without managers.
-func newFleet(scenario Scenario) (*fleet, error) {
-	f := &fleet{scenario: scenario, site: scenario.site()}
+// newFleet is a fleet without managers, each of which will have a share of a core.
+func newFleet(scenario Scenario, share float64) (*fleet, error) {
+	f := &fleet{scenario: scenario, site: scenario.site(), share: share}
 	f.list = scenario.wholeList(f.site, firstVersion)
 	f.opening = []node.Message{{Kind: node.NewsOpened}}
 	source := &recorder{scenario: scenario, site: f.site}
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	one := &follower{manager: manager, proxies: newProxyTables()}
+	one := &follower{manager: manager, share: f.share, proxies: newProxyTables()}
 	f.managers = append(f.managers, one)
 	return one, nil
 }
@@ -103,13 +105,15 @@
 	if _, err := one.step(at, node.Message{Kind: node.ListMessage, Text: f.list}); err != nil {
 		return err
 	}
-	one.busyUntil += pacedTime(reading)
+	one.busyUntil += one.paced(reading)
 	_, err := one.step(at, f.opening...)
 	return err
 }
 
-// pacedTime is how long a processor time takes on a manager's part of a core.
-func pacedTime(cpu time.Duration) time.Duration { return time.Duration(float64(cpu) / coreShare) }
+// paced is how long a processor time takes on the manager's share of a core.
+func (f *follower) paced(cpu time.Duration) time.Duration {
+	return time.Duration(float64(cpu) / f.share)
+}
 
 // step tells a follower messages, once it is done with what came before, and lets its proxies' answers be under way.
 // The calling goroutine must be locked to its thread.
@@ -117,7 +121,7 @@
 	f.now = max(f.now, at, f.busyUntil)
 	began := threadCPU()
 	result, err := f.manager.Step(f.now, messages...)
-	f.busyUntil = f.now + pacedTime(threadCPU()-began)
+	f.busyUntil = f.now + f.paced(threadCPU()-began)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scale/inforce.go
+++ b/internal/scale/inforce.go
@@ -67,7 +67,7 @@
 }
 
 func measureInForceRun(ctx context.Context, options Options, terms inForceTerms, managers int, run uint64) (sample, error) {
-	f, err := newFleet(inForceScenario(options.Seed))
+	f, err := newFleet(inForceScenario(options.Seed), coreShare)
 	if err != nil {
 		return nil, err
 	}
@@ -144,7 +144,7 @@
 		reachedAt, message := at+reached.change, change.message
 		if reached.change == 0 { // the list holds it
 			reachedAt, message = at+reached.list, r.wholeList()
-			one.busyUntil = reachedAt + pacedTime(r.reading)
+			one.busyUntil = reachedAt + one.paced(r.reading)
 		}
 		took, err := one.withdraws(reachedAt, message, change.server)
 		if err != nil {
--- a/internal/scale/inforce_test.go
+++ b/internal/scale/inforce_test.go
@@ -17,7 +17,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	const managers = 12
-	f, err := newFleet(inForceScenario(1))
+	f, err := newFleet(inForceScenario(1), coreShare)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,7 +60,7 @@
 	defer runtime.UnlockOSThread()
 	const managers = 3
 	last := func(reading time.Duration) float64 {
-		f, err := newFleet(inForceScenario(1))
+		f, err := newFleet(inForceScenario(1), coreShare)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -72,8 +72,9 @@
 		}
 		return times[managers-1]
 	}
-	if long := last(100 * time.Millisecond); long < pacedTime(100*time.Millisecond).Seconds() {
-		t.Errorf("a list that takes %v of a core is read within %.3f s", pacedTime(100*time.Millisecond), long)
+	const reading = 100 * time.Millisecond
+	if long := last(reading); long < reading.Seconds()/coreShare {
+		t.Errorf("a list that takes %v is read within %.3f s on %g of a core", reading, long, coreShare)
 	}
 }
 
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -48,6 +48,8 @@
 		measure: (*session).subsetRead, check: (*session).scenarioFits},
 	{axis: Managers, sizes: []float64{56, 560, 2800, 5600}, small: []float64{14, 28, 56, 140}, costs: inForceCosts,
 		measure: (*session).inForce, check: (*session).managersFit},
+	{axis: Processes, sizes: []float64{10, 30, 100, 200}, small: []float64{2, 4, 6, 8}, costs: processCosts, real: true,
+		measure: (*session).realFleet, check: (*session).processesFit},
 }
 
 func hollow(axis Axis, sizes, small []float64, costs []Cost) survey {
@@ -165,6 +167,14 @@
 	listWriteLeast = time.Millisecond      // taken for a whole list and one reader where it wasn't
 )
 
+func (r *session) realFleet(ctx context.Context, size float64, _ survey) ([]sample, error) {
+	return measureRealFleet(ctx, r.options, max(r.writePerReader, writeLeast), int(size))
+}
+
+func (r *session) processesFit(size float64, _ survey) error {
+	return allowsProcesses(r.options.Memory, int(size))
+}
+
 func (r *session) managersFit(size float64, s survey) error {
 	return r.options.Memory.allows(fmt.Sprintf("%s %g", s.axis, size), bytesOfHollow, int(size))
 }
@@ -175,6 +185,8 @@
 	CPUPerSubsetRead: seconds, CPUPerOpening: seconds, LongestDecision: seconds,
 	ChangeInForceMedian: seconds, ChangeInForceTail: seconds, ChangeInForceLast: seconds,
 	ChangeBesideOpeningsMedian: seconds, ChangeBesideOpeningsTail: seconds, ChangeBesideOpeningsLast: seconds,
+	ProcessInForceMedian: seconds, ProcessInForceLast: seconds, HollowInForceMedian: seconds, HollowInForceLast: seconds,
+	ProcessReadyMedian: seconds, ProcessReadyLast: seconds, ProcessBesideOpeningsLast: seconds, ProcessCPUPerQuietSecond: seconds,
 	ChangeMachinesLostMedian: seconds, ChangeMachinesLostTail: seconds, ChangeMachinesLostLast: seconds,
 	ControlCPUPerManager: seconds, ControlCPUPerChange: seconds, OpeningLast: seconds, ControlConnections: "connections",
 	ProbesPerSecond: perSecondUnit, NewsPerSecond: perSecondUnit, OrdersPerSecond: perSecondUnit, ProxiesBound: "proxies",
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -109,7 +109,7 @@
 func TestManagersThatTakeMoreThanEstimatedAreRefused(t *testing.T) {
 	o := options(Managers)
 	o.Memory = Memory{64 << 20}
-	f, err := newFleet(inForceScenario(1))
+	f, err := newFleet(inForceScenario(1), coreShare)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -16,7 +16,8 @@
 	Proxies         Axis = "proxies"
 	Zones           Axis = "zones"
 	TrafficGroups   Axis = "traffic-groups"
-	Managers        Axis = "managers" // that read one list
+	Managers        Axis = "managers"       // that read one list
+	Processes       Axis = "real-processes" // managers as processes of their own, on loopback, that read one list
 	ListChanges     Axis = "list-changes-per-second"
 	Reports         Axis = "reports-per-second"
 	RestartsAtOnce  Axis = "restarts-at-once"
@@ -67,7 +68,20 @@
 	ControlCPUPerChange    Cost = "control-cpu-per-change"    // seconds of one change told to one manager
 	OpeningLast            Cost = "opening-last"              // seconds until the last manager that opens has the whole list
 	HollowBytes            Cost = "hollow-bytes"              // bytes of each of many hollow managers in the smallest state
-	ProxiesBound           Cost = "proxies-bound"             // proxies that have a table
+
+	// Of fleets of real processes, all on one machine: a change told in quiet until it is in force, beside the same of
+	// hollow managers with a core each; all started at once, until ready, and until a change told meanwhile is in force.
+	ProcessInForceMedian      Cost = "process-in-force-p50"
+	ProcessInForceLast        Cost = "process-in-force-last"
+	HollowInForceMedian       Cost = "hollow-in-force-p50"
+	HollowInForceLast         Cost = "hollow-in-force-last"
+	ProcessReadyMedian        Cost = "process-ready-p50"
+	ProcessReadyLast          Cost = "process-ready-last"
+	ProcessBesideOpeningsLast Cost = "process-beside-openings-last"
+	ProcessCPUPerQuietSecond  Cost = "process-cpu-per-quiet-second" // seconds of each process
+	ProcessMemory             Cost = "process-memory"               // bytes, the largest resident set
+
+	ProxiesBound Cost = "proxies-bound" // proxies that have a table
 )
 
 // Shape is the form of curve that fits best.
--- /dev/null
+++ b/internal/scale/withdrawals_test.go
@@ -0,0 +1,30 @@
+package scale
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWithdrawalsAreOverOnceEachManagerMadeIt(t *testing.T) {
+	var orders withdrawals
+	told := time.Unix(1000, 0)
+	all := orders.expect("s-1", 2)
+	orders.note("n1", told.Add(time.Second), "withdraw", "s-1")
+	orders.note("n1", told.Add(2*time.Second), "withdraw", "s-1") // again, by the same manager
+	orders.note("n2", told.Add(time.Second), "restore", "s-1")
+	orders.note("n2", told.Add(time.Second), "withdraw", "s-2")
+	select {
+	case <-all:
+		t.Fatal("over before the second manager withdrew the server")
+	default:
+	}
+	orders.note("n2", told.Add(3*time.Second), "withdraw", "s-1")
+	select {
+	case <-all:
+	default:
+		t.Fatal("not over though both withdrew it")
+	}
+	if times := orders.since(told); len(times) != 2 || times[0] != 1 || times[1] != 3 {
+		t.Errorf("%v", times)
+	}
+}
--- /dev/null
+++ b/internal/stand/manager.go
@@ -0,0 +1,84 @@
+package stand
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Daemon is a manager that a rig runs.
+type Daemon interface {
+	Stop(kill bool) error // SIGTERM, or SIGKILL
+	Signal(s os.Signal) error
+	Ended() <-chan struct{}
+}
+
+// Begin starts a manager with the files of a rig: the platform's JSON and the operator's settings.
+type Begin func(start, settings string) (Daemon, error)
+
+// How is what a manager is started with.
+type How struct {
+	Cores    int
+	MemoryMB float64
+	Sockets  int
+	Seed     uint64
+	Settings string // further forms of the operator's
+}
+
+// ManagerStart is what one manager of a site is told at its start.
+type ManagerStart struct {
+	Dir              string // of its files
+	Name             string
+	Listen, Status   string // its addresses
+	Discovery, Relay string
+	List             List
+	How              How
+}
+
+// StartManager writes a manager's files and starts it.
+func (s Site) StartManager(m ManagerStart, begin Begin) (Daemon, error) {
+	start, settings := filepath.Join(m.Dir, "start.json"), filepath.Join(m.Dir, "operator.sexp")
+	text := s.Start(m.Name, m.Listen, m.Discovery, m.Relay, m.List, m.How.Seed, float64(m.How.Cores), m.How.MemoryMB, m.How.Sockets)
+	if err := os.WriteFile(start, text, 0o600); err != nil {
+		return nil, err
+	}
+	operator := fmt.Sprintf("(tamarindshore (cores %d) (listen (status %q)) %s)\n", m.How.Cores, m.Status, m.How.Settings)
+	if err := os.WriteFile(settings, []byte(operator), 0o600); err != nil {
+		return nil, err
+	}
+	return begin(start, settings)
+}
+
+// readyMost is how long a rig waits for its manager.
+const readyMost = 10 * time.Second
+
+// AwaitReady waits until a manager answers a ping.
+func AwaitReady(daemon Daemon, address string, within time.Duration) error {
+	for late := time.Now().Add(within); time.Now().Before(late); time.Sleep(5 * time.Millisecond) {
+		select {
+		case <-daemon.Ended():
+			return errors.New("the manager ended before it was ready; its log says why")
+		default:
+		}
+		if answersPing(address) {
+			return nil
+		}
+	}
+	return fmt.Errorf("the manager was not ready within %v", within)
+}
+
+func answersPing(address string) bool {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer connection.Close()
+	connection.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	fmt.Fprint(connection, "ping\r\n")
+	line, err := bufio.NewReader(connection).ReadString('\n')
+	return err == nil && line == "pong\r\n"
+}
