load: the relay is not asked under the watch's lock, which the relay takes in its own

Cause: watch.drain held the watch's lock while it asked Relay.Pulled, which takes the relay's; Relay.carryOut holds the relay's while it calls watch.ordered, which takes the watch's. The test run of internal/load hung for its 600 s once beside other work, with handlers of the relay waiting; the load command had the same fault. Change: expectDrain asks before it locks; the relay's callbacks are set under its lock.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -99,8 +99,7 @@
 		return res, err
 	}
 	defer rig.Close()
-	w := &watch{rig: rig, binds: newMeter(), drains: newMeter(), joined: map[string]time.Time{}, drained: map[string]time.Time{}, stop: make(chan struct{})}
-	rig.Relay.Ordered = w.ordered
+	w := newWatch(rig)
 	began := time.Now()
 	w.join(p.Proxies)
 	if err := w.allBound(p.Proxies, 60*time.Second); err != nil {
@@ -108,7 +107,7 @@
 	}
 	res.Joined = time.Since(began)
 	fmt.Fprintf(progress, "%d cores: all bound after %.2fs\n", cores, res.Joined.Seconds())
-	rig.Relay.Fault = mishaps(p.Faults, p.Seed)
+	rig.Relay.Set(func(r *stand.Relay) { r.Fault = mishaps(p.Faults, p.Seed) })
 	f := newFeed(rig.Manager, site, p.Collectors)
 	defer f.end()
 	res.Rate = p.Rate
@@ -144,13 +143,23 @@
 type watch struct {
 	rig           *stand.Rig
 	binds, drains *meter
-	mu            sync.Mutex
-	joined        map[string]time.Time // when a proxy's joining was told, by its number
-	drained       map[string]time.Time // when a drain was told, by server
+	isPulled      func(server string) bool // the relay's; it takes the relay's lock
+	mu            sync.Mutex               // taken within the relay's lock: none of the relay's methods is called under it
+	joined        map[string]time.Time     // when a proxy's joining was told, by its number
+	drained       map[string]time.Time     // when a drain was told, by server
 	stop          chan struct{}
 	all           sync.WaitGroup
 }
 
+// newWatch watches the orders that a rig's relay gets.
+func newWatch(rig *stand.Rig) *watch {
+	w := &watch{rig: rig, binds: newMeter(), drains: newMeter(), isPulled: rig.Relay.Pulled, joined: map[string]time.Time{},
+		drained: map[string]time.Time{}, stop: make(chan struct{})}
+	rig.Relay.Set(func(r *stand.Relay) { r.Ordered = w.ordered })
+	return w
+}
+
+// ordered takes an order that the relay got. The relay calls it under its lock.
 func (w *watch) ordered(at time.Time, kind, about string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -284,11 +293,7 @@
 	w.every(100*time.Millisecond, func(n int) {
 		s := w.rig.Servers[n*7%len(w.rig.Servers)]
 		back := w.rig.Servers[(n+len(w.rig.Servers)-10)*7%len(w.rig.Servers)]
-		w.mu.Lock()
-		if !w.rig.Relay.Pulled(s.ID) {
-			w.drained[s.ID] = time.Now()
-		}
-		w.mu.Unlock()
+		w.expectDrain(s.ID)
 		entries := []stand.Entry{s.Entry("draining")}
 		if n >= 10 && back != s {
 			entries = append(entries, back.Entry("up"))
@@ -297,6 +302,16 @@
 	})
 }
 
+// expectDrain notes that a server is about to drain, unless it is withdrawn already.
+func (w *watch) expectDrain(server string) {
+	if w.isPulled(server) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drained[server] = time.Now()
+}
+
 // rejoin lets proxies leave and join again, one after another.
 func (w *watch) rejoin() {
 	w.every(20*time.Millisecond, func(n int) {
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -116,8 +116,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Close)
-	w := &watch{rig: r, binds: newMeter(), drains: newMeter(), joined: map[string]time.Time{}, drained: map[string]time.Time{}, stop: make(chan struct{})}
-	r.Relay.Ordered = w.ordered
+	w := newWatch(r)
 	w.join(site.Proxies)
 	if err := w.allBound(site.Proxies, 30*time.Second); err != nil {
 		t.Fatal(err)
@@ -125,6 +124,30 @@
 	return r, w
 }
 
+// The relay calls the watch under its lock, so the watch must not ask the relay under its own.
+func TestTheRelayIsNotAskedUnderTheWatchsLock(t *testing.T) {
+	relay, err := stand.NewRelay("127.0.0.1:0", stand.Usual(1, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	w := newWatch(&stand.Rig{Relay: relay})
+	asked := false
+	w.isPulled = func(string) bool {
+		asked = true
+		if !w.mu.TryLock() {
+			t.Error("asked under the lock")
+			return false
+		}
+		w.mu.Unlock()
+		return false
+	}
+	w.expectDrain("s-1")
+	if _, due := w.drained["s-1"]; !asked || !due {
+		t.Errorf("asked: %v, noted: %v", asked, due)
+	}
+}
+
 func within(t *testing.T, span time.Duration, what string, is func() bool) {
 	t.Helper()
 	for late := time.Now().Add(span); time.Now().Before(late); time.Sleep(10 * time.Millisecond) {
