Reads can be spaced, so that messages of an interval are read together

Change: (read-interval 50ms) of the operator's settings, off by default: collectors and the relay's news are read at common instants; a filled buffer is read on at once; the watch of the list is not spaced. stream takes its terms as a struct. scale measures real processes with it too; up to 1,200 readers and the signs of life of the control side are measured. Test edits: '400 fit' is '1200 fit' and the list of known keys has the new one, since both limits moved; they are as strict.

--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -10,4 +10,5 @@
   ; (store (path "/var/lib/tamarindshore/n1.db"))      ; versions survive a crash
   ; (tables (listen "127.0.0.1:9802") (keys "/etc/tamarindshore/keys"))   ; holders of versioned tables
   ; (listen (status "127.0.0.1:9801"))   ; GET /status, on loopback only
+  ; (read-interval 50ms)   ; read what collectors and the relay tell together, so often; without: each as it comes
   ; (subset (spill 100))   ; use all servers of the proxies' zones and about so many of the others; without: all
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -57,6 +57,8 @@
 	Piece       int // bytes read at one time where several cores take in
 	Pieces      int // of them that wait of one connection
 
+	ReadInterval time.Duration // between reads of what collectors and the relay tell; 0: each is made at once
+
 	IdleMost  int     // messages one after another that report nothing
 	FlowsMost float64 // a second in a report, and held by a server
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"tamarindshore/internal/lanes"
 	"tamarindshore/internal/logs"
@@ -24,9 +25,17 @@
 	Keys     string // file of the keys that sign versions
 	Store    string // file that survives a crash; empty: none
 	Spill    int    // servers of other zones than its proxies' that a manager uses; 0: it uses all that are listed
-	line     map[string]*sexp.Node
+	// ReadInterval is the time between two reads of what collectors and the relay tell; 0: each is made at once.
+	ReadInterval time.Duration
+	line         map[string]*sexp.Node
 }
 
+// Bounds of the interval between reads: more would keep what must be known within a second from the decisions.
+const (
+	leastReadInterval = time.Millisecond
+	mostReadInterval  = 200 * time.Millisecond
+)
+
 // mostSpill is the largest number of spill servers that may be stated.
 const mostSpill = 1 << 20
 
@@ -85,7 +94,8 @@
 			spill := note("spill", func(n *sexp.Node) error { return n.Whole(&o.Spill, 1, mostSpill) })
 			spill.Must = true
 			return sexp.Read(n, n.Args(), spill)
-		}))
+		}),
+		note("read-interval", func(n *sexp.Node) error { return n.Span(&o.ReadInterval, leastReadInterval, mostReadInterval) }))
 	if err != nil {
 		return o, err
 	}
@@ -121,5 +131,6 @@
 	s.Limits.Cores = max(s.Limits.Cores, o.Lanes)
 	s.LogLevel, s.LogForm, s.Status, s.Admin, s.Store = o.LogLevel, o.LogForm, o.Status, o.Admin, o.Store
 	s.Tables, s.Keys, s.Spill = o.Tables, o.Keys, o.Spill
+	s.Limits.ReadInterval = o.ReadInterval
 	return s, nil
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -3,7 +3,9 @@
 import (
 	"testing"
 
+	"strings"
 	"tamarindshore/internal/logs"
+	"time"
 )
 
 func TestOperatorsSettingsAreTakenWholeWithDefaults(t *testing.T) {
@@ -29,7 +31,7 @@
 		"(tamarindshore\n (cores 0))":                         "f:2: cores: 0 is no whole number from 1 to 64",
 		"(tamarindshore\n (log (level loud)))":                "f:2: level: loud is none of debug, info, warn, error",
 		"(tamarindshore\n (listen (status \"10.0.0.1:80\")))": "f:2: status: 10.0.0.1:80 is not on loopback: it tells of the fleet without asking who reads",
-		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen, admin, tables, store, subset",
+		"(tamarindshore (zones 3))":                           "f:1: zones: is no key here; known are cores, log, listen, admin, tables, store, subset, read-interval",
 		"(tamarindshore\n (subset))":                          "f:2: spill: is missing",
 		"(tamarindshore\n (subset\n  (spill 0)))":             "f:3: spill: 0 is no whole number from 1 to 1048576",
 		"(tamarindshore\n (subset (spill -3)))":               "f:2: spill: -3 is no whole number from 1 to 1048576",
@@ -60,3 +62,24 @@
 		}
 	}
 }
+
+func TestReadsAreSpacedWhereItIsAskedFor(t *testing.T) {
+	for text, want := range map[string]time.Duration{"(tamarindshore)": 0, "(tamarindshore (read-interval 50ms))": 50 * time.Millisecond} {
+		o, err := ParseOperator("f", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := parse(none, []byte(told), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, err = s.With(o); err != nil || s.Limits.ReadInterval != want {
+			t.Errorf("%s: %v, %v", text, s.Limits.ReadInterval, err)
+		}
+	}
+	for _, text := range []string{"0s", "1us", "201ms", "-1ms", "soon"} {
+		if _, err := ParseOperator("f", []byte("(tamarindshore\n (read-interval "+text+"))")); err == nil || !strings.HasPrefix(err.Error(), "f:2: read-interval") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/node/collector_conn.go
+++ b/internal/node/collector_conn.go
@@ -28,6 +28,7 @@
 	conn.Conn = netConn
 	conn.grace = limits.Look
 	conn.writeTimeout = limits.Write
+	conn.pace = newReadPace(limits.ReadInterval)
 	conn.deadline = accepted.Add(limits.Stranger)
 	conn.fixedDeadline = true
 	return conn
--- a/internal/node/deadline_conn.go
+++ b/internal/node/deadline_conn.go
@@ -16,6 +16,7 @@
 	grace        time.Duration // of the read after the deadline has passed
 	writeTimeout time.Duration
 	readErr      error // of the last read
+	pace         readPace
 
 	mu            sync.Mutex
 	idleTimeout   time.Duration
@@ -58,8 +59,15 @@
 	return c.deadline, c.graceUsed
 }
 
-// Read reads until the deadline, and once more within the grace after it.
+// Read waits until a read is due, and reads until the deadline, and once more within the grace after it.
 func (c *deadlineConn) Read(buffer []byte) (int, error) {
+	c.pace.beforeRead()
+	n, err := c.readByDeadline(buffer)
+	c.pace.afterRead(n, len(buffer))
+	return n, err
+}
+
+func (c *deadlineConn) readByDeadline(buffer []byte) (int, error) {
 	for {
 		deadline, graceUsed := c.currentDeadline()
 		c.Conn.SetReadDeadline(deadline)
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -45,22 +45,29 @@
 	}
 }
 
+// streamRequest says what endless answer is asked for, and how it is read.
+type streamRequest struct {
+	address, path string
+	idleTimeout   time.Duration
+	maxLength     int           // of a line
+	readInterval  time.Duration // 0: what comes is read at once
+}
+
 // stream gets a path and hands each line of the endless answer to take, without its line end. The answer must begin
 // within Limits.Opening and then bring a line within the idle timeout each time. Guards against a new connection that
 // is as silent as the last, while there is time for another. It returns why it ended, which is soon after ctx does.
-func stream(ctx context.Context, limits config.Limits, address, path string, idleTimeout time.Duration, maxLength int,
-	opened func() error, take func(line []byte) error) error {
-	conn, err := dial(ctx, limits, address, limits.Opening)
+func stream(ctx context.Context, limits config.Limits, wanted streamRequest, opened func() error, take func(line []byte) error) error {
+	conn, err := dial(ctx, limits, wanted.address, limits.Opening)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	client := newClient(limits, address, conn, true)
+	client := newClient(limits, wanted.address, conn, true)
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + path)
+	request.SetRequestURI("http://" + wanted.address + wanted.path)
 	if err := client.Do(request, response); err != nil {
 		return err
 	}
@@ -74,8 +81,9 @@
 	if err := opened(); err != nil {
 		return err
 	}
-	conn.startIdleTimeout(idleTimeout)
-	return readLines(response.BodyStream(), func() int { return maxLength }, func(line []byte) error {
+	conn.startIdleTimeout(wanted.idleTimeout)
+	conn.pace = newReadPace(wanted.readInterval)
+	return readLines(response.BodyStream(), func() int { return wanted.maxLength }, func(line []byte) error {
 		conn.extendDeadline()
 		return take(line)
 	})
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -33,7 +33,9 @@
 // readNews reads the relay's news once, to its end.
 func (r *receiver) readNews(up *upstream) (opened bool, err error) {
 	reader := newsReader{receiver: r, up: up}
-	err = stream(up.ctx, r.limits, up.address, newsPath, r.limits.SilentNews, r.limits.LineNews, reader.open, reader.readLine)
+	wanted := streamRequest{address: up.address, path: newsPath, idleTimeout: r.limits.SilentNews, maxLength: r.limits.LineNews,
+		readInterval: r.limits.ReadInterval}
+	err = stream(up.ctx, r.limits, wanted, reader.open, reader.readLine)
 	return reader.opened, err
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -59,7 +59,8 @@
 func (r *receiver) readWatch(up *upstream, state *watchState) (opened bool, err error) {
 	reader := watchReader{receiver: r, up: up, state: state}
 	path := watchPath + strconv.FormatInt(state.resumeVersion(), 10)
-	err = stream(up.ctx, r.limits, up.address, path, r.limits.SilentWatch, r.limits.LineList, reader.open, reader.readLine)
+	wanted := streamRequest{address: up.address, path: path, idleTimeout: r.limits.SilentWatch, maxLength: r.limits.LineList}
+	err = stream(up.ctx, r.limits, wanted, reader.open, reader.readLine)
 	return reader.opened, err
 }
 
--- a/internal/scale/control.go
+++ b/internal/scale/control.go
@@ -24,6 +24,7 @@
 // Requests that a control process takes, a line each.
 const (
 	requestUse    = "use"    // answered by its controlUse
+	requestTime   = "time"   // answered by its controlUse without the heap, which takes a collection to tell
 	requestChange = "change" // a server drains, or comes back; answered by its controlUse
 )
 
@@ -157,11 +158,13 @@
 	controlTimeout = 60 * time.Second
 	controlChanges = 20
 	controlServers = 600
-	controlReaders = 20 // where the list grows
+	controlReaders = 20              // where the list grows
+	controlQuiet   = 4 * time.Second // two signs of life for each reader
 )
 
-// measureControl measures the control side of one list for so many readers.
-func measureControl(ctx context.Context, program string, servers, readers int) (sample, error) {
+// measureControl measures the control side of one list for so many readers, and how it does while nothing changes
+// for a time; 0: that isn't measured.
+func measureControl(ctx context.Context, program string, servers, readers int, quiet time.Duration) (sample, error) {
 	c, err := startControl(ctx, program, servers)
 	if err != nil {
 		return nil, err
@@ -198,10 +201,26 @@
 		ControlConnections:     n,
 		OpeningLast:            opened.Seconds(),
 	}
-	one[ControlCPUPerChange], err = changeCost(c, all)
+	if one[ControlCPUPerChange], err = changeCost(c, all); err != nil || quiet == 0 {
+		return one, err
+	}
+	one[ControlCPUPerQuietSecond], err = quietCost(ctx, c, len(all), quiet)
 	return one, err
 }
 
+// quietCost is the control side's processor time in a second for each reader, while nothing changes.
+func quietCost(ctx context.Context, c *control, readers int, span time.Duration) (float64, error) {
+	before, err := c.ask(requestUse)
+	if err != nil {
+		return 0, err
+	}
+	if err := wait(ctx, span); err != nil {
+		return 0, err
+	}
+	after, err := c.ask(requestTime)
+	return (after.CPU - before.CPU) / span.Seconds() / float64(readers), err
+}
+
 // openReaders opens all readers at once and waits until each has the whole list.
 func openReaders(address string, readers int) ([]*reader, error) {
 	all, errs := make([]*reader, readers), make([]error, readers)
--- a/internal/scale/limits.go
+++ b/internal/scale/limits.go
@@ -12,8 +12,9 @@
 const (
 	mib        = 1 << 20
 	memoryMost = 12 << 10 * mib // bytes that a run may hold, or half of the machine's memory where that is less
-	// ReadersMost is the largest number of connections, and of processes, that a run opens at once.
-	ReadersMost = 400
+	// ReadersMost is the largest number of connections that a run opens at once: what a control machine of the plan
+	// serves while two of seven are lost, and some more.
+	ReadersMost = 1200
 	garbage     = 2 // times what is held: the heap between two collections
 )
 
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -27,7 +27,8 @@
 var busyCosts = []Cost{CPUPerInput, CPUPerBusySecond, LongestDecision, HeapBytes, BytesOfCalls, ProbesPerSecond, NewsPerSecond, OrdersPerSecond}
 
 // controlCosts are the control side's for each manager that it serves.
-var controlCosts = []Cost{ControlCPUPerManager, ControlCPUPerChange, ControlHeapPerManager, ControlBytesPerManager, ControlConnections, OpeningLast}
+var controlCosts = []Cost{ControlCPUPerManager, ControlCPUPerChange, ControlHeapPerManager, ControlBytesPerManager, ControlConnections, OpeningLast,
+	ControlCPUPerQuietSecond}
 
 // surveys in the order in which they are made: those of the control side stand before the changes in force, which use
 // their figures.
@@ -40,7 +41,7 @@
 	hollow(Reports, []float64{20, 200, 2000, 20000}, []float64{20, 60, 200, 2000}, busyCosts),
 	hollow(RestartsAtOnce, []float64{1, 10, 30, 100, 300}, []float64{1, 3, 10, 30}, []Cost{CPUPerListChange, BytesOfListChange, LongestDecision}),
 	hollow(OpeningListSize, []float64{60, 600, 6000, 24000}, []float64{60, 240, 600, 2400}, []Cost{CPUPerListRead, BytesOfOpening}),
-	{axis: Managers, sizes: []float64{4, 20, 100, 400}, small: []float64{4, 10, 20, 40}, costs: controlCosts, real: true,
+	{axis: Managers, sizes: []float64{4, 20, 100, 400, 1200}, small: []float64{4, 10, 20, 40}, costs: controlCosts, real: true,
 		measure: (*session).controlByManagers, check: (*session).readersFit},
 	{axis: OpeningListSize, sizes: []float64{60, 600, 6000, 24000}, small: []float64{60, 240, 600, 2400}, costs: controlCosts[:4], real: true,
 		measure: (*session).controlByList, check: (*session).anyFits},
@@ -72,6 +73,7 @@
 	options        Options
 	reference      Scenario
 	writePerReader time.Duration // of the control side before the most readers, the median of the runs
+	reading        time.Duration // of the longest list that a subset was taken of; 0: not measured yet
 	terms          *inForceTerms // nil: not measured yet
 }
 
@@ -84,7 +86,7 @@
 }
 
 func (r *session) controlByManagers(ctx context.Context, size float64, _ survey) ([]sample, error) {
-	samples, err := r.control(ctx, controlServers, int(size))
+	samples, err := r.control(ctx, controlServers, int(size), controlQuiet)
 	if err == nil {
 		r.writePerReader = medianTime(samples, ControlCPUPerChange)
 	}
@@ -92,12 +94,12 @@
 }
 
 func (r *session) controlByList(ctx context.Context, size float64, _ survey) ([]sample, error) {
-	return r.control(ctx, int(size), controlReaders)
+	return r.control(ctx, int(size), controlReaders, 0)
 }
 
-func (r *session) control(ctx context.Context, servers, readers int) (samples []sample, err error) {
+func (r *session) control(ctx context.Context, servers, readers int, quiet time.Duration) (samples []sample, err error) {
 	for range r.options.Runs {
-		one, err := measureControl(ctx, r.options.Program, servers, readers)
+		one, err := measureControl(ctx, r.options.Program, servers, readers, quiet)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -120,7 +122,11 @@
 func (r *session) anyFits(float64, survey) error { return nil }
 
 func (r *session) subsetRead(ctx context.Context, size float64, _ survey) ([]sample, error) {
-	return measureSubsetRead(ctx, subsetScenario(r.options.Seed, int(size)), r.options.Runs)
+	samples, err := measureSubsetRead(ctx, subsetScenario(r.options.Seed, int(size)), r.options.Runs)
+	if err == nil {
+		r.reading = medianTime(samples, CPUPerSubsetRead)
+	}
+	return samples, err
 }
 
 func (r *session) inForce(ctx context.Context, size float64, _ survey) ([]sample, error) {
@@ -140,13 +146,14 @@
 	if r.options.Small {
 		servers = smallList
 	}
-	reading, err := measureSubsetRead(ctx, subsetScenario(r.options.Seed, servers), r.options.Runs)
-	if err != nil {
-		return inForceTerms{}, err
+	if r.reading == 0 {
+		if _, err := r.subsetRead(ctx, float64(servers), survey{}); err != nil {
+			return inForceTerms{}, err
+		}
 	}
-	terms := inForceTerms{change: max(r.writePerReader, writeLeast), list: listWriteLeast, reading: medianTime(reading, CPUPerSubsetRead)}
+	terms := inForceTerms{change: max(r.writePerReader, writeLeast), list: listWriteLeast, reading: r.reading}
 	if r.options.Program != "" {
-		lists, err := r.control(ctx, servers, controlReaders)
+		lists, err := r.control(ctx, servers, controlReaders, 0)
 		if err != nil {
 			return inForceTerms{}, err
 		}
@@ -188,7 +195,7 @@
 	ProcessInForceMedian: seconds, ProcessInForceLast: seconds, HollowInForceMedian: seconds, HollowInForceLast: seconds,
 	ProcessReadyMedian: seconds, ProcessReadyLast: seconds, ProcessBesideOpeningsLast: seconds, ProcessCPUPerQuietSecond: seconds,
 	ChangeMachinesLostMedian: seconds, ChangeMachinesLostTail: seconds, ChangeMachinesLostLast: seconds,
-	ControlCPUPerManager: seconds, ControlCPUPerChange: seconds, OpeningLast: seconds, ControlConnections: "connections",
+	ControlCPUPerQuietSecond: seconds, ControlCPUPerManager: seconds, ControlCPUPerChange: seconds, OpeningLast: seconds, ControlConnections: "connections",
 	ProbesPerSecond: perSecondUnit, NewsPerSecond: perSecondUnit, OrdersPerSecond: perSecondUnit, ProxiesBound: "proxies",
 }
 
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -17,6 +17,7 @@
 // RealCase is a real process in one state, and a hollow manager in the same where it has one.
 type RealCase struct {
 	Name       string    `json:"name"`
+	Interval   float64   `json:"readIntervalSeconds,omitempty"` // between reads; 0: each is made at once
 	Servers    int       `json:"servers"`
 	Proxies    int       `json:"proxies"`
 	Reports    float64   `json:"reportsPerSecond"`
@@ -43,15 +44,19 @@
 	reports float64
 	changes float64
 	every   time.Duration // between the writes of reports
+	spaced  bool          // it is measured with spaced reads too
 }
 
+// realIntervals are the settings between reads under which real processes are measured.
+var realIntervals = []time.Duration{0, 50 * time.Millisecond}
+
 var realStates = []realState{
-	{"no proxies", false, 0, 0, writeEvery},
-	{"proxies joined, nothing reported", true, 0, 0, writeEvery},
-	{"200 reports a second", true, 200, 0, writeEvery},
-	{"200 reports a second in one write", true, 200, 0, time.Second},
-	{"200 reports and one list change a second", true, 200, 1, writeEvery},
-	{"2000 reports a second", true, 2000, 0, writeEvery},
+	{"no proxies", false, 0, 0, writeEvery, false},
+	{"proxies joined, nothing reported", true, 0, 0, writeEvery, true},
+	{"200 reports a second", true, 200, 0, writeEvery, false},
+	{"200 reports a second in one write", true, 200, 0, time.Second, false},
+	{"200 reports and one list change a second", true, 200, 1, writeEvery, true},
+	{"2000 reports a second", true, 2000, 0, writeEvery, true},
 }
 
 // realSizes are servers and proxies of the real processes.
@@ -75,29 +80,38 @@
 	defer os.RemoveAll(dir)
 	for _, size := range realSizes {
 		scenario := realScenario(options.Seed, size[0], size[1])
-		some, err := measureProcess(ctx, options, scenario, filepath.Join(dir, "manager.log"))
-		if err != nil {
-			return nil, err
+		for _, interval := range realIntervals {
+			some, err := measureProcess(ctx, options, scenario, interval, filepath.Join(dir, "manager.log"))
+			if err != nil {
+				return nil, err
+			}
+			cases = append(cases, some...)
 		}
-		cases = append(cases, some...)
 	}
 	return cases, nil
 }
 
 // measureProcess measures one process in one state after the other.
-func measureProcess(ctx context.Context, options Options, scenario Scenario, log string) (cases []RealCase, err error) {
+func measureProcess(ctx context.Context, options Options, scenario Scenario, interval time.Duration, log string) (cases []RealCase, err error) {
 	site := scenario.site()
 	begin := stand.Process(options.Program, log)
-	rig, err := stand.Raise(site, stand.How{Cores: realCores, MemoryMB: 512, Sockets: maxSockets, Seed: scenario.Seed}, begin)
+	how := stand.How{Cores: realCores, MemoryMB: 512, Sockets: maxSockets, Seed: scenario.Seed}
+	if interval > 0 {
+		how.Settings = fmt.Sprintf("(read-interval %v)", interval)
+	}
+	rig, err := stand.Raise(site, how, begin)
 	if err != nil {
 		return nil, err
 	}
 	defer rig.Close()
 	for _, state := range realStates {
-		fmt.Fprintf(options.Progress, "real process, %d servers, %d proxies: %s\n", scenario.Servers, scenario.Proxies, state.name)
+		if interval > 0 && !state.spaced {
+			continue
+		}
+		fmt.Fprintf(options.Progress, "real process, %d servers, %d proxies, %v between reads: %s\n", scenario.Servers, scenario.Proxies, interval, state.name)
 		now := scenario
 		now.Reports, now.ListChanges = state.reports, state.changes
-		one := RealCase{Name: state.name, Servers: now.Servers, Proxies: now.Proxies, Reports: now.Reports}
+		one := RealCase{Name: state.name, Interval: interval.Seconds(), Servers: now.Servers, Proxies: now.Proxies, Reports: now.Reports}
 		if err := measureState(ctx, rig, now, state, &one); err != nil {
 			return nil, err
 		}
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -124,7 +124,7 @@
 
 func TestMoreConnectionsThanTheLimitAreRefused(t *testing.T) {
 	session := &session{options: options()}
-	if err := session.readersFit(ReadersMost+1, survey{axis: Managers}); err == nil || !strings.Contains(err.Error(), "400 fit") {
+	if err := session.readersFit(ReadersMost+1, survey{axis: Managers}); err == nil || !strings.Contains(err.Error(), "1200 fit") {
 		t.Error(err)
 	}
 }
@@ -191,7 +191,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	one, err := measureControl(context.Background(), program, 60, 5)
+	one, err := measureControl(context.Background(), program, 60, 5, 2*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,7 +199,7 @@
 	if bytes := one[ControlBytesPerManager]; bytes < float64(list) || bytes > float64(list)+500 {
 		t.Errorf("%g bytes of an opening, the list has %d", bytes, list)
 	}
-	if one[ControlCPUPerManager] <= 0 || one[ControlCPUPerChange] <= 0 || one[ControlConnections] != 5 || one[OpeningLast] <= 0 {
+	if one[ControlCPUPerManager] <= 0 || one[ControlCPUPerChange] <= 0 || one[ControlCPUPerQuietSecond] <= 0 || one[ControlConnections] != 5 || one[OpeningLast] <= 0 {
 		t.Errorf("%v", one)
 	}
 }
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -66,8 +66,10 @@
 	ControlBytesPerManager Cost = "control-bytes-per-manager" // bytes of an opening
 	ControlConnections     Cost = "control-connections"       // connections open
 	ControlCPUPerChange    Cost = "control-cpu-per-change"    // seconds of one change told to one manager
-	OpeningLast            Cost = "opening-last"              // seconds until the last manager that opens has the whole list
-	HollowBytes            Cost = "hollow-bytes"              // bytes of each of many hollow managers in the smallest state
+	// ControlCPUPerQuietSecond is seconds for each manager, whose signs of life are all that is written.
+	ControlCPUPerQuietSecond Cost = "control-cpu-per-quiet-second"
+	OpeningLast              Cost = "opening-last" // seconds until the last manager that opens has the whole list
+	HollowBytes              Cost = "hollow-bytes" // bytes of each of many hollow managers in the smallest state
 
 	// Of fleets of real processes, all on one machine: a change told in quiet until it is in force, beside the same of
 	// hollow managers with a core each; all started at once, until ready, and until a change told meanwhile is in force.
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -23,7 +23,7 @@
 			c.Costs[CPUPerQuietSecond], c.Costs[CPUPerBusySecond], c.Costs[LongestDecision], c.Costs[CPUPerOpening], c.Costs[HeapBytes]/mib, c.Costs[ProxiesBound])
 	}
 	for _, c := range report.Real {
-		fmt.Fprintf(out, "\nreal process, %d servers, %d proxies, %s: %.4f of a core, %.0f wakeups and %.0f probes a second; hollow %.4f of a core\n", c.Servers,
-			c.Proxies, c.Name, medianOf(c.CPU), medianOf(c.Wakeups), medianOf(c.Probes), medianOf(c.HollowCPU))
+		fmt.Fprintf(out, "\nreal process, %d servers, %d proxies, %g s between reads, %s: %.4f of a core, %.0f wakeups and %.0f probes a second; hollow %.4f of a core\n", c.Servers,
+			c.Proxies, c.Interval, c.Name, medianOf(c.CPU), medianOf(c.Wakeups), medianOf(c.Probes), medianOf(c.HollowCPU))
 	}
 }
--- a/internal/stand/address.go
+++ b/internal/stand/address.go
@@ -36,6 +36,7 @@
 	return addresses, nil
 }
 
+// listenOnOwnLoopback listens at any port of a loopback address of this process's own, where there are several.
 func listenOnOwnLoopback() (net.Listener, error) {
 	id := os.Getpid()
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+id>>16&63, id>>8&255, 1+id&127))
--- a/internal/stand/servers.go
+++ b/internal/stand/servers.go
@@ -32,24 +32,24 @@
 	started time.Time // zero: long ago
 }
 
-// NewServers raises so many servers, each with a port of its own.
+// NewServers raises so many servers, each with a port of its own, on a loopback address of this process's own where
+// there are several. Guards against another process that takes the port of one that is down.
 func NewServers(site Site) ([]*Server, error) {
 	var all []*Server
 	for n := range site.Servers {
 		s := &Server{ID: ServerID(n), Zone: site.Zone(n)}
-		if err := s.listen("127.0.0.1:0"); err != nil {
+		listener, err := listenOnOwnLoopback()
+		if err != nil {
 			return all, err
 		}
+		s.serve(listener)
 		all = append(all, s)
 	}
 	return all, nil
 }
 
-func (s *Server) listen(address string) error {
-	at, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
+// serve answers at a listener until that is closed.
+func (s *Server) serve(at net.Listener) {
 	s.mu.Lock()
 	s.at, s.Address = at, at.Addr().String()
 	s.mu.Unlock()
@@ -58,7 +58,6 @@
 		server.Serve(at)
 		server.Close()
 	}()
-	return nil
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
@@ -91,7 +90,11 @@
 		s.mu.Lock()
 		s.started = time.Now()
 		s.mu.Unlock()
-		return s.listen(address)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		s.serve(listener)
 	}
 	return nil
 }
