capacity: changes in force as run, subset reads, signs of life and spaced reads are counted

Need: beside openings a change in force was reckoned, with control machines lost it stood nowhere; the decoding of what a subset drops was counted as nothing; a control machine's core was 'at least'. Change: inForce takes the measured times and puts the reading of each scope in; an opening of a subset reads all that is sent; (read-interval) is a key of the plan and chooses the state of the real processes; tables of changes in force, of fleets of real processes and of the core by the time between reads. Test edits: two expected rows have the new column, the plan has one key more.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"tamarindshore/internal/scale"
 )
 
 // Resource is what a budget bounds.
@@ -91,35 +89,6 @@
 	return b.BytesPerSecond
 }
 
-// inForce holds the time until a change is in force at the last manager against its budget: alone, and beside the
-// openings of all managers.
-func (m *Model) inForce() []Check {
-	quiet := Check{Situation: "a change in a quiet second", Role: Manager, Resource: InForce, Ratio: map[Scope]Figure{}, Mechanism: subsetting}
-	beside := Check{Situation: "a change beside all managers' openings", Role: Manager, Resource: InForce, Ratio: map[Scope]Figure{}, Mechanism: watchCache}
-	most := m.Plan.Budgets.ChangeInForce.Seconds()
-	for _, scope := range Scopes {
-		alone := m.changeInForce(scope)
-		quiet.Ratio[scope] = alone.times(1 / most)
-		beside.Ratio[scope] = alone.plus(m.allOpenings(scope)).times(1 / most)
-	}
-	return []Check{quiet, beside}
-}
-
-// changeInForce is when the last manager's orders carry a change: as measured with managers of the smallest useful state,
-// and the longest decision of a manager of the plan's size, for which a change may wait, on its share of a core.
-func (m *Model) changeInForce(scope Scope) Figure {
-	last := m.cost(scale.ChangeInForceLast, Sizes{scale.Managers: float64(m.Plan.Fleet.Managers)})
-	decision := m.cost(scale.LongestDecision, m.managerSizes(m.Plan.usual(scope)))
-	return last.plus(decision.times(1 / m.Plan.Budgets.Core))
-}
-
-// allOpenings is how long a control machine's cores need to open all its managers, for which a change may wait.
-func (m *Model) allOpenings(scope Scope) Figure {
-	quiet := m.Plan.situations()[0]
-	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, quiet, m.Plan.usual(scope)))
-	return opening.times(m.readers(quiet) / float64(m.Plan.Control.Cores))
-}
-
 // Ranking is the checks whose mechanism is missing, the worst first by what is spent with the whole list. It chooses the
 // mechanism that is built first.
 func Ranking(all []Check) []Check {
--- a/internal/capacity/cases.go
+++ b/internal/capacity/cases.go
@@ -67,15 +67,22 @@
 		fmt.Fprintln(w, "The slopes' file has none: not measured.")
 		return
 	}
-	header(w, "state", "servers", "proxies", "collectors' lines a second", "core, real", "core, hollow", "the process alone", "largest resident set", "hollow heap", "context switches a second")
+	header(w, "state", "between reads", "servers", "proxies", "collectors' lines a second", "core, real", "core, hollow", "the process alone", "largest resident set", "hollow heap", "context switches a second")
 	for _, c := range r.Real {
-		row(w, c.Name, number3(float64(c.Servers)), number3(float64(c.Proxies)), number3(c.Reports), medianOrNone(c.CPU, percent3),
+		row(w, c.Name, intervalCell(c.Interval), number3(float64(c.Servers)), number3(float64(c.Proxies)), number3(c.Reports), medianOrNone(c.CPU, percent3),
 			medianOrNone(c.HollowCPU, percent3), overheadCell(c), number3(c.MemoryMB)+" MB", number3(c.HollowHeap)+" MB", medianOrNone(c.Wakeups, number3))
 	}
 	fmt.Fprintf(w, "\nCounted to a manager's core beside the slopes: %s in the strict reading (state \"%s\"), %s without collectors' lines (state \"%s\").\n",
 		show(m.processOverhead(busyState), percent3), busyState, show(m.processOverhead(quietState), percent3), quietState)
 }
 
+func intervalCell(seconds float64) string {
+	if seconds == 0 {
+		return "as it comes"
+	}
+	return seconds3(seconds)
+}
+
 func overheadCell(c scale.RealCase) string {
 	if len(c.CPU) == 0 || len(c.HollowCPU) == 0 {
 		return unmeasured
--- a/internal/capacity/cases_test.go
+++ b/internal/capacity/cases_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"tamarindshore/internal/scale"
 )
@@ -44,12 +45,12 @@
 	r := madeUp(t)
 	r.Real = []scale.RealCase{
 		{Name: "quiet", Servers: 60, Proxies: 40, CPU: []float64{0.03, 0.01, 0.02}, Wakeups: []float64{1000}, HollowCPU: []float64{0.005}, MemoryMB: 30, HollowHeap: 2},
-		{Name: "alone", Servers: 60, Proxies: 40, CPU: []float64{0.01}},
+		{Name: "alone", Interval: 0.05, Servers: 60, Proxies: 40, CPU: []float64{0.01}},
 	}
 	text := tablesOf(r, t)
 	for _, want := range []string{
-		"| quiet | 60 | 40 | 0 | 2% | 0.5% | 1.5% | 30 MB | 2 MB | 1,000 |",
-		"| alone | 60 | 40 | 0 | 1% | not measured | not measured | 0 MB | 0 MB | not measured |",
+		"| quiet | as it comes | 60 | 40 | 0 | 2% | 0.5% | 1.5% | 30 MB | 2 MB | 1,000 |",
+		"| alone | 50 ms | 60 | 40 | 0 | 1% | not measured | not measured | 0 MB | 0 MB | not measured |",
 	} {
 		if !strings.Contains(text, want) {
 			t.Errorf("no row %s", want)
@@ -88,6 +89,12 @@
 	if lost.Core.Known {
 		t.Error("signs of life are not measured, yet the sum is called known")
 	}
+	r.Slopes = append(r.Slopes, constant(scale.ControlCPUPerQuietSecond, scale.Managers, 0.0001))
+	alive := NewModel(p, r).Load(ControlMachine, situation(t, p, "a zone is lost"), WholeList)
+	near(t, "signs of life for 9/5 readers", alive.Core.Value-lost.Core.Value, 0.0001*9/5)
+	if !alive.Core.Known {
+		t.Error("all was measured, yet the sum is not called known")
+	}
 }
 
 func TestALineLongerThanMeasuredIsNoDearerThanAnOpening(t *testing.T) {
@@ -105,6 +112,7 @@
 func TestAProcessBeyondItsHollowManager(t *testing.T) {
 	r := madeUp(t)
 	p := small(t)
+	p.Managers.ReadInterval = 0
 	before := NewModel(p, r).Load(Manager, p.situations()[0], WholeList)
 	if before.Core.Known {
 		t.Error("no real process was measured, yet the core is called known")
@@ -121,4 +129,43 @@
 	if !after.Core.Known {
 		t.Error("all was measured, yet the core is not called known")
 	}
+
+	p.Managers.ReadInterval = 50 * time.Millisecond
+	if spaced := NewModel(p, r).Load(Manager, p.situations()[0], WholeList); spaced.Core.Known {
+		t.Error("no real process was measured with reads 50 ms apart, yet the core is called known")
+	}
+	r.Real = append(r.Real, scale.RealCase{Name: busyState, Interval: 0.05, CPU: []float64{0.004}, HollowCPU: []float64{0.001}})
+	spaced := NewModel(p, r).Load(Manager, p.situations()[0], WholeList)
+	near(t, "strict, reads 50 ms apart", spaced.Core.Value-before.Core.Value, 0.003)
+}
+
+func TestAChangeBesideOpeningsAsMeasured(t *testing.T) {
+	r := madeUp(t)
+	r.Slopes = append(r.Slopes, constant(scale.ChangeInForceLast, scale.Managers, 2), constant(scale.LongestDecision, scale.Servers, 0.011),
+		constant(scale.ChangeBesideOpeningsLast, scale.Managers, 6), constant(scale.ChangeMachinesLostLast, scale.Managers, 8),
+		constant(scale.CPUPerSubsetRead, scale.OpeningListSize, 0.022), constant(scale.CPUPerListRead, scale.OpeningListSize, 0.033))
+	m := NewModel(small(t), r)
+	checks := m.inForce()
+	near(t, "beside openings, subset", checks[1].Ratio[Subset].Value, (6.0+1)/19)          // and a decision of 0.011 s on 1.1% of a core
+	near(t, "beside openings, whole list", checks[1].Ratio[WholeList].Value, (6.0+1+1)/19) // it reads for 1 s more
+	near(t, "machines lost, subset", checks[2].Ratio[Subset].Value, (8.0+1)/19)
+	if checks[1].Ratio[Subset].Known != true {
+		t.Error("all was measured, yet the time is not called known")
+	}
+}
+
+func TestAChangeWhileMachinesAreLostIsUnknownWhereItWasNotMeasured(t *testing.T) {
+	checks := NewModel(small(t), madeUp(t)).inForce()
+	if len(checks) != 3 || checks[2].Ratio[Subset].Known {
+		t.Errorf("%+v", checks)
+	}
+}
+
+func TestAnOpeningReadsWhatItDrops(t *testing.T) {
+	r := madeUp(t)
+	r.Slopes = append(r.Slopes, constant(scale.CPUPerSubsetRead, scale.OpeningListSize, 0.022), constant(scale.CPUPerListRead, scale.OpeningListSize, 0.002))
+	p := small(t)
+	m := NewModel(p, r)
+	held := p.usual(CachedSubset)
+	near(t, "a subset of what is sent", m.openingCore(p.usual(Subset)).Value-m.openingCore(held).Value, 0.02)
 }
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -33,12 +33,13 @@
 	return load
 }
 
-// controlCore is the least that a control machine spends: what its readers' openings cost, and the changes that it tells
-// them. Its signs of life were not measured apart.
+// controlCore is what a control machine spends: what its readers' openings cost, the changes that it tells them, and its
+// signs of life. Where these were not measured it is the least.
 func (m *Model) controlCore(s Situation, h holding, opens, changes float64) Figure {
 	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, s, h))
 	telling := m.cost(scale.ControlCPUPerChange, m.controlSizes(scale.ControlCPUPerChange, s, h))
-	return Figure{Value: opening.Value*opens + telling.Value*changes}
+	alive := m.cost(scale.ControlCPUPerQuietSecond, Sizes{scale.Managers: m.readers(s)})
+	return opening.times(opens).plus(telling.times(changes)).plus(alive.times(m.readers(s)))
 }
 
 // controlSizes is the fleet as one control machine sees it.
--- /dev/null
+++ b/internal/capacity/inforce.go
@@ -0,0 +1,72 @@
+package capacity
+
+import "tamarindshore/internal/scale"
+
+// inForce holds the time until a change is in force at the last manager against its budget: alone, beside the openings
+// of all managers, and while two control machines are lost.
+func (m *Model) inForce() []Check {
+	check := func(situation string, carried Mechanism, time func(Scope) Figure) Check {
+		c := Check{Situation: situation, Role: Manager, Resource: InForce, Ratio: map[Scope]Figure{}, Mechanism: carried}
+		for _, scope := range Scopes {
+			c.Ratio[scope] = time(scope).times(1 / m.Plan.Budgets.ChangeInForce.Seconds())
+		}
+		return c
+	}
+	return []Check{
+		check("a change in a quiet second", subsetting, m.changeInForce),
+		check("a change beside all managers' openings", watchCache, m.changeBesideOpenings),
+		check("a change as two control machines are lost", resume, m.changeMachinesLost),
+	}
+}
+
+// changeInForce is when the last manager's orders carry a change: as measured with managers of the smallest useful state,
+// and the longest decision of a manager of the plan's size, for which a change may wait, on its share of a core.
+func (m *Model) changeInForce(scope Scope) Figure {
+	return m.allManagers(scale.ChangeInForceLast).plus(m.waitForDecision(scope))
+}
+
+// changeBesideOpenings is the same where all managers open as the change is told: as measured, or else the change alone
+// and what a control machine needs for its openings.
+func (m *Model) changeBesideOpenings(scope Scope) Figure {
+	if !m.Costs.measured(scale.ChangeBesideOpeningsLast) {
+		return m.changeInForce(scope).plus(m.allOpenings(scope))
+	}
+	return m.afterReading(scale.ChangeBesideOpeningsLast, scope)
+}
+
+// changeMachinesLost is the same where two control machines are lost as the change is told.
+func (m *Model) changeMachinesLost(scope Scope) Figure {
+	return m.afterReading(scale.ChangeMachinesLostLast, scope)
+}
+
+// afterReading is a time that was measured with managers that read a whole list of the plan's size and take a subset of
+// it, with the reading of another scope in its place.
+func (m *Model) afterReading(cost scale.Cost, scope Scope) Figure {
+	other := m.reading(scope).plus(m.reading(Subset).times(-1))
+	return m.allManagers(cost).plus(other.times(1 / m.Plan.Budgets.Core)).plus(m.waitForDecision(scope))
+}
+
+// reading is the processor time in which a manager reads the list that it is sent at an opening.
+func (m *Model) reading(scope Scope) Figure {
+	h := m.Plan.usual(scope)
+	if scope == Subset {
+		return m.cost(scale.CPUPerSubsetRead, Sizes{scale.OpeningListSize: h.sent})
+	}
+	return m.cost(scale.CPUPerListRead, m.listSizes(scale.CPUPerListRead, h.sent))
+}
+
+func (m *Model) allManagers(cost scale.Cost) Figure {
+	return m.cost(cost, Sizes{scale.Managers: float64(m.Plan.Fleet.Managers)})
+}
+
+func (m *Model) waitForDecision(scope Scope) Figure {
+	decision := m.cost(scale.LongestDecision, m.managerSizes(m.Plan.usual(scope)))
+	return decision.times(1 / m.Plan.Budgets.Core)
+}
+
+// allOpenings is how long a control machine's cores need to open all its managers, for which a change may wait.
+func (m *Model) allOpenings(scope Scope) Figure {
+	quiet := m.Plan.situations()[0]
+	opening := m.cost(scale.ControlCPUPerManager, m.controlSizes(scale.ControlCPUPerManager, quiet, m.Plan.usual(scope)))
+	return opening.times(m.readers(quiet) / float64(m.Plan.Control.Cores))
+}
--- /dev/null
+++ b/internal/capacity/inforce_page.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"io"
+
+	"tamarindshore/internal/scale"
+)
+
+// circumstance is what happens as a change is told, and the costs that were measured of it.
+type circumstance struct {
+	name               string
+	median, tail, last scale.Cost
+}
+
+var circumstances = []circumstance{
+	{"quiet, one control machine tells all", scale.ChangeInForceMedian, scale.ChangeInForceTail, scale.ChangeInForceLast},
+	{"all managers open, seven machines tell them", scale.ChangeBesideOpeningsMedian, scale.ChangeBesideOpeningsTail, scale.ChangeBesideOpeningsLast},
+	{"two of seven machines are lost", scale.ChangeMachinesLostMedian, scale.ChangeMachinesLostTail, scale.ChangeMachinesLostLast},
+}
+
+// writeInForce shows the times until a change is in force, as measured.
+func (m *Model) writeInForce(w io.Writer) {
+	heading(w, "A change in force at hollow managers, as measured")
+	header(w, "as the change is told", "managers", "half of them", "99 in 100", "the last", "spread of runs of the last")
+	for _, c := range circumstances {
+		last, measured := m.Costs.report.Find(c.last, scale.Managers)
+		if !measured {
+			row(w, c.name, unmeasured, unmeasured, unmeasured, unmeasured, unmeasured)
+			continue
+		}
+		for _, point := range last.Points {
+			row(w, c.name, number3(point.Size), m.measuredAt(c.median, scale.Managers, point.Size), m.measuredAt(c.tail, scale.Managers, point.Size),
+				seconds3(median(point.Runs)), percent3(last.Spread))
+		}
+	}
+}
+
+// fleetCosts are shown of fleets of real processes, with the heading of each.
+var fleetCosts = []struct {
+	cost    scale.Cost
+	heading string
+}{
+	{scale.ProcessInForceMedian, "in force, half of them"},
+	{scale.ProcessInForceLast, "the last"},
+	{scale.HollowInForceMedian, "hollow, half of them"},
+	{scale.HollowInForceLast, "hollow, the last"},
+	{scale.ProcessReadyMedian, "started at once: half ready"},
+	{scale.ProcessReadyLast, "the last ready"},
+	{scale.ProcessBesideOpeningsLast, "a change told meanwhile, in force at the last"},
+	{scale.ProcessCPUPerQuietSecond, "processor time of a quiet second, each"},
+	{scale.ProcessMemory, "largest resident set"},
+}
+
+// writeFleets shows fleets of real processes beside as many hollow managers.
+func (m *Model) writeFleets(w io.Writer) {
+	heading(w, "Fleets of real processes on one machine, and as many hollow managers")
+	slope, measured := m.Costs.report.Find(scale.ProcessInForceLast, scale.Processes)
+	if !measured {
+		io.WriteString(w, "The slopes' file has none: not measured.\n")
+		return
+	}
+	headings := []string{"processes"}
+	for _, one := range fleetCosts {
+		headings = append(headings, one.heading)
+	}
+	header(w, headings...)
+	for _, point := range slope.Points {
+		cells := []string{number3(point.Size)}
+		for _, one := range fleetCosts {
+			cells = append(cells, m.measuredAt(one.cost, scale.Processes, point.Size))
+		}
+		row(w, cells...)
+	}
+}
+
+// measuredAt is the median of the runs at a size, in the cost's unit.
+func (m *Model) measuredAt(cost scale.Cost, axis scale.Axis, size float64) string {
+	slope, measured := m.Costs.report.Find(cost, axis)
+	if !measured {
+		return unmeasured
+	}
+	for _, point := range slope.Points {
+		if point.Size == size {
+			return costFigure(Source{Along: []scale.Slope{slope}, Value: known(median(point.Runs))})
+		}
+	}
+	return unmeasured
+}
+
+// writeReadIntervals shows what the time between reads does to a manager's core, for each that was measured.
+func (m *Model) writeReadIntervals(w io.Writer) {
+	heading(w, "A manager's core in a quiet second, by the time between reads")
+	header(w, "between reads", "scope", "ratio: "+string(CoreStrict), "ratio: "+string(CoreWithoutCollectors))
+	for _, interval := range m.Costs.readIntervals() {
+		other := *m
+		other.Plan.Managers.ReadInterval = interval
+		quiet := other.Plan.situations()[0]
+		for _, scope := range []Scope{WholeList, Subset} {
+			row(w, intervalCell(interval.Seconds()), string(scope), show(other.check(Manager, CoreStrict, quiet).Ratio[scope], number3),
+				show(other.check(Manager, CoreWithoutCollectors, quiet).Ratio[scope], number3))
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/inforce_page_test.go
@@ -0,0 +1,51 @@
+package capacity
+
+import (
+	"strings"
+	"testing"
+
+	"tamarindshore/internal/scale"
+)
+
+func measuredSlope(cost scale.Cost, axis scale.Axis, unit string, size float64, runs ...float64) scale.Slope {
+	return scale.Slope{Cost: cost, Axis: axis, Unit: unit, Shape: scale.Constant, Fits: true, Spread: 0.25,
+		Points: []scale.Point{{Size: size, Runs: runs}}}
+}
+
+func TestChangesInForceAndFleetsAreShownAsMeasured(t *testing.T) {
+	r := madeUp(t)
+	text := tablesOf(r, t)
+	for _, want := range []string{"| two of seven machines are lost | not measured |", "as many hollow managers\n\nThe slopes' file has none"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q", want)
+		}
+	}
+	r.Slopes = append(r.Slopes,
+		measuredSlope(scale.ChangeMachinesLostMedian, scale.Managers, "seconds", 56, 0.06),
+		measuredSlope(scale.ChangeMachinesLostLast, scale.Managers, "seconds", 56, 9, 8, 10),
+		measuredSlope(scale.ProcessInForceLast, scale.Processes, "seconds", 30, 0.004),
+		measuredSlope(scale.ProcessMemory, scale.Processes, "bytes", 30, 27e6))
+	text = tablesOf(r, t)
+	for _, want := range []string{
+		"| two of seven machines are lost | 56 | 60 ms | not measured | 9 s | 25% |",
+		"| 30 | not measured | 4 ms | not measured | not measured | not measured | not measured | not measured | not measured | 27 MB |",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no row %s", want)
+		}
+	}
+}
+
+func TestTheCoreIsShownForEachIntervalBetweenReads(t *testing.T) {
+	r := madeUp(t)
+	r.Real = []scale.RealCase{
+		{Name: busyState, Interval: 0.05, CPU: []float64{0.002}, HollowCPU: []float64{0.001}},
+		{Name: busyState, CPU: []float64{0.02}, HollowCPU: []float64{0.001}},
+	}
+	text := tablesOf(r, t)
+	at := strings.Index(text, "by the time between reads")
+	comes, spaced := strings.Index(text[at:], "| as it comes | whole-list |"), strings.Index(text[at:], "| 50 ms | whole-list |")
+	if at < 0 || comes < 0 || spaced < comes {
+		t.Errorf("rows at %d and %d", comes, spaced)
+	}
+}
--- a/internal/capacity/manager.go
+++ b/internal/capacity/manager.go
@@ -108,11 +108,21 @@
 func (m *Model) eventCore(s Situation, h holding, in inputs) Figure {
 	core := m.cost(scale.CPUPerInput, m.managerSizes(h)).times(in.news + in.probes)
 	if s.Opens {
-		core = core.plus(m.cost(scale.CPUPerOpening, m.openingSizes(h)).times(1 / s.Window))
+		core = core.plus(m.openingCore(h).times(1 / s.Window))
 	}
 	return core
 }
 
+// openingCore is the processor time of an opening. What is sent beyond what is held is decoded, and dropped there.
+func (m *Model) openingCore(h holding) Figure {
+	opening := m.cost(scale.CPUPerOpening, m.openingSizes(h))
+	if h.sent <= h.held {
+		return opening
+	}
+	held := m.cost(scale.CPUPerListRead, m.listSizes(scale.CPUPerListRead, h.held))
+	return opening.plus(m.reading(Subset)).plus(held.times(-1))
+}
+
 // openingSizes is what an opening's processor time was measured along.
 func (m *Model) openingSizes(h holding) Sizes {
 	if m.Costs.listAxis(scale.CPUPerOpening) == scale.OpeningListSize {
--- a/internal/capacity/markdown.go
+++ b/internal/capacity/markdown.go
@@ -17,6 +17,7 @@
 		m.writeRole(w, role)
 	}
 	m.writeProxies(w)
+	m.writeReadIntervals(w)
 	writeChecks(w, checks)
 	m.writeLimits(w)
 	writeRanking(w, checks)
@@ -24,6 +25,8 @@
 	m.writeSources(w)
 	m.writePlanSize(w)
 	m.writeReal(w)
+	m.writeInForce(w)
+	m.writeFleets(w)
 	passed = PassedBudgets(checks, m.Plan.Judged)
 	m.writeVerdict(w, passed)
 	return passed
--- a/internal/capacity/plan_read.go
+++ b/internal/capacity/plan_read.go
@@ -114,6 +114,7 @@
 		whole("traffic-groups", &m.TrafficGroups, 1, 64),
 		number("tries-per-request", &m.TriesPerRequest, 1, 10),
 		span("report-interval", &m.ReportInterval),
+		spanOrNone("read-interval", &m.ReadInterval),
 		whole("collectors-per-zone", &m.CollectorsPerZone, 1, 1000),
 		whole("relays-per-zone", &m.RelaysPerZone, 1, 1000),
 		whole("queue-lines", &m.QueueLines, 1, mostCount),
@@ -190,6 +191,11 @@
 	return sexp.Key{Name: name, Must: true, Read: func(n *sexp.Node) error { return n.Number(to, least, most) }}
 }
 
+// spanOrNone is a time that may be 0s.
+func spanOrNone(name string, to *time.Duration) sexp.Key {
+	return sexp.Key{Name: name, Must: true, Read: func(n *sexp.Node) error { return n.Span(to, 0, mostTime) }}
+}
+
 func span(name string, to *time.Duration) sexp.Key {
 	return sexp.Key{Name: name, Must: true, Read: func(n *sexp.Node) error { return n.Span(to, shortest, mostTime) }}
 }
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	const all = 8 + 5 + 8 + 1 + 4 + 11 + 3 + 9 // fleet, budgets, day, events, control machines, managers, subset, messages
+	const all = 8 + 5 + 8 + 1 + 4 + 12 + 3 + 9 // fleet, budgets, day, events, control machines, managers, subset, messages
 	if keys != all {
 		t.Errorf("%d keys were looked at, not %d", keys, all)
 	}
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -1,6 +1,11 @@
 package capacity
 
-import "tamarindshore/internal/scale"
+import (
+	"slices"
+	"time"
+
+	"tamarindshore/internal/scale"
+)
 
 // States in which real processes are measured, that stand for a second without collectors' lines and for a busy one.
 const (
@@ -9,11 +14,12 @@
 )
 
 // processOverhead is what a real process takes beyond a hollow manager in a state, as part of a core: sockets, the
-// runtime, waking up. It is the mean over the sizes that both were measured at.
+// runtime, waking up. It is the mean over the sizes that both were measured at with the plan's interval between reads.
 func (m *Model) processOverhead(state string) Figure {
+	interval := m.Plan.Managers.ReadInterval.Seconds()
 	var differences []float64
 	for _, c := range m.Costs.report.Real {
-		if c.Name == state && len(c.CPU) > 0 && len(c.HollowCPU) > 0 {
+		if c.Name == state && c.Interval == interval && len(c.CPU) > 0 && len(c.HollowCPU) > 0 {
 			differences = append(differences, overheadOf(c))
 		}
 	}
@@ -23,6 +29,18 @@
 	return known(mean(differences))
 }
 
+// readIntervals are the intervals between reads that real processes were measured with, the shortest first.
+func (c Costs) readIntervals() (intervals []time.Duration) {
+	for _, one := range c.report.Real {
+		interval := time.Duration(one.Interval * float64(time.Second))
+		if !slices.Contains(intervals, interval) {
+			intervals = append(intervals, interval)
+		}
+	}
+	slices.Sort(intervals)
+	return intervals
+}
+
 func overheadOf(c scale.RealCase) float64 {
 	return max(0, median(c.CPU)-median(c.HollowCPU))
 }
