A restart begins with the server list that the store kept, and its age is told

Need: docs/CAPACITY.md has the bytes of a restart at 19 to 22 times their budget, since it takes the whole list; a manager that restarts in a region that is cut off began with the list of its start's file, an hour old, with servers removed meanwhile as ready; nothing told how old the list in use is. Change: with (store (path FILE)) the vault keeps the list as it is told, folded while it waits, behind the decisions; a change behind a gap does not move the generation; the head's digest finds a lost entry. The later of both lists is begun with (internal/versions), and the watch resumes from its generation. GET /status tells version, age and whether discovery confirmed it; event=list_age once a second at most while the watch is broken for longer than its silence. (list-stored) is a key of the capacity plan. Test edits: grow saves the list beside each version, and the tests of crashes and bit rot look at it too; small() states list-stored no, as its figures were reckoned.

--- a/deploy/capacity.sexp
+++ b/deploy/capacity.sexp
@@ -46,6 +46,7 @@
     (tries-per-request 1.05)
     (report-interval 1s)               ; `periodUs`
     (read-interval 0s)                 ; of the operator's settings; 0s: each read is made at once
+    (list-stored yes)                  ; each manager has a store; no: a restart takes the whole list
     (collectors-per-zone 1)
     (relays-per-zone 1)
     (queue-lines 8600)                 ; `queueCap` of today's largest deployment
--- a/internal/capacity/load_test.go
+++ b/internal/capacity/load_test.go
@@ -46,6 +46,7 @@
 // a second.
 func small(t *testing.T) Plan {
 	p := planned(t)
+	p.Managers.ListStored = false
 	p.Fleet = Fleet{Managers: 10, Servers: 100, Services: 2, RequestsPerSecond: 100, Regions: 5, Zones: 10}
 	p.Managers.Proxies, p.Managers.TrafficGroups, p.Managers.TriesPerRequest = 50, 1, 1
 	p.Control.Count = 5
--- a/internal/capacity/manager.go
+++ b/internal/capacity/manager.go
@@ -27,7 +27,9 @@
 	}
 	if s.Opens {
 		in.news += float64(p.Managers.Proxies) / s.Window
-		in.listLines = 1 / s.Window
+		if !s.FromStore {
+			in.listLines = 1 / s.Window
+		}
 	}
 	in.listLines += p.listChanges(s, h.sentShare(s.Homeless)).lines / s.Window
 	return in
@@ -113,7 +115,8 @@
 	return core
 }
 
-// openingCore is the processor time of an opening. What is sent beyond what is held is decoded, and dropped there.
+// openingCore is the processor time of an opening. What is sent beyond what is held is decoded, and dropped there. A list
+// from the store is counted as dear as one on the wire.
 func (m *Model) openingCore(h holding) Figure {
 	opening := m.cost(scale.CPUPerOpening, m.openingSizes(h))
 	if h.sent <= h.held {
@@ -142,7 +145,7 @@
 		return known(0)
 	}
 	bytes := m.bytesOfChanges(m.Plan.listChanges(s, h.sentShare(s.Homeless))).times(1 / s.Window)
-	if s.Opens {
+	if s.Opens && !s.FromStore {
 		bytes = bytes.plus(m.opening(h).times(1 / s.Window))
 	}
 	return bytes
--- a/internal/capacity/mechanism.go
+++ b/internal/capacity/mechanism.go
@@ -25,6 +25,7 @@
 	aggregate  = Mechanism{"aggregation", Partly, "collectors sum an interval for each zone and server, and for each proxy and traffic group; nothing sums over proxies or thins out lines by the bytes that they take", false}
 	resume     = Mechanism{"delta with resume", Partly, "`watchState` in `internal/node` asks from the generation that it holds, and takes what changed or all; how far back discovery goes is its own matter, and a second control machine's generations are not settled", false}
 	snapshot   = Mechanism{"snapshot", Partly, "`known` in the start's file gives the list that a restart begins with, written by the platform; the manager keeps none of its own", false}
+	storedList = Mechanism{"snapshot", Stands, "`internal/store` keeps the list as last held, off unless the operator's settings say `(store (path FILE))`: a restart begins with it and asks for what changed since", false}
 	jitter     = Mechanism{"jittered restart", Partly, "`waitBackoff` in `internal/node` waits 50 to 200 ms by chance between tries, which spreads a few managers and not thousands", false}
 	delta      = Mechanism{"delta with resume", Stands, "`watchState` in `internal/node`: after the opening only changes come", false}
 )
@@ -45,6 +46,8 @@
 	switch {
 	case resource == CoreStrict, resource == CoreWithoutCollectors, resource == Memory:
 		return subsetting
+	case s.FromStore:
+		return storedList
 	case s.Resumes > 0:
 		return resume
 	case s.Reopens:
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -77,6 +77,7 @@
 	ProxyZones        int // zones in which they stand
 	TrafficGroups     int
 	TriesPerRequest   float64
+	ListStored        bool          // each keeps the list as last held in its store
 	ReadInterval      time.Duration // between reads of what collectors and the relay tell; 0: each is made at once
 	ReportInterval    time.Duration // over which a collector sums
 	CollectorsPerZone int
--- a/internal/capacity/plan_read.go
+++ b/internal/capacity/plan_read.go
@@ -115,6 +115,7 @@
 		number("tries-per-request", &m.TriesPerRequest, 1, 10),
 		span("report-interval", &m.ReportInterval),
 		spanOrNone("read-interval", &m.ReadInterval),
+		yesOrNo("list-stored", &m.ListStored),
 		whole("collectors-per-zone", &m.CollectorsPerZone, 1, 1000),
 		whole("relays-per-zone", &m.RelaysPerZone, 1, 1000),
 		whole("queue-lines", &m.QueueLines, 1, mostCount),
@@ -191,6 +192,15 @@
 	return sexp.Key{Name: name, Must: true, Read: func(n *sexp.Node) error { return n.Number(to, least, most) }}
 }
 
+func yesOrNo(name string, to *bool) sexp.Key {
+	return sexp.Key{Name: name, Must: true, Read: func(n *sexp.Node) error {
+		var word string
+		err := n.OneOf(&word, "yes", "no")
+		*to = word == "yes"
+		return err
+	}}
+}
+
 // spanOrNone is a time that may be 0s.
 func spanOrNone(name string, to *time.Duration) sexp.Key {
 	return sexp.Key{Name: name, Must: true, Read: func(n *sexp.Node) error { return n.Span(to, 0, mostTime) }}
--- a/internal/capacity/plan_test.go
+++ b/internal/capacity/plan_test.go
@@ -67,6 +67,8 @@
 		"more regions than zone": {change("(regions 27)", "(regions 89)"), `^plan\.sexp:[0-9]+: regions: 89 is more than the 88 zones$`},
 		"more homes than zones":  {change("(home-zones 1)", "(home-zones 89)"), `^plan\.sexp:[0-9]+: home-zones: 89 is more than the 88 zones$`},
 		"no number at all":       {change("(core 1.1%)", "(core NaN)"), `^plan\.sexp:[0-9]+: core: NaN is no number`},
+		"neither yes nor no":     {change("(list-stored yes)", "(list-stored perhaps)"), `^plan\.sexp:[0-9]+: list-stored: perhaps is none of`},
+		"stored is not said":     {change("(list-stored yes)", ""), `^plan\.sexp:[0-9]+: list-stored: is missing$`},
 		"no time":                {change("(change-in-force 19s)", "(change-in-force 19)"), `^plan\.sexp:[0-9]+: change-in-force: 19 is no time`},
 	} {
 		_, err := ParsePlan("plan.sexp", []byte(one.text))
--- a/internal/capacity/situation.go
+++ b/internal/capacity/situation.go
@@ -10,6 +10,7 @@
 	Changes    float64 // entries of the list that change
 	Silent     float64 // servers that do not answer, as the worst-off manager sees it
 	Opens      bool    // the worst-off manager takes its list anew
+	FromStore  bool    // it opens with the list that its store kept, and asks for what changed since
 	Reopens    bool    // it ran on meanwhile and holds a generation
 	Openers    float64 // managers that do
 	Resumes    float64 // entries that the worst-off manager missed and asks for
@@ -38,13 +39,28 @@
 		{Name: "the zone is back", Window: window, Changes: perZone, Recovering: perZone, Openers: managersPerZone, Homeless: true, Machines: machines},
 		p.regionCut(),
 		{Name: "the region returns", Window: window, Resumes: p.busyHourEntries() * p.Events.RegionCut.Hours(), Resumers: managersPerRegion, Recovering: perRegion, Machines: machines},
-		{Name: "all managers of a zone restart", Window: window, Opens: true, Openers: managersPerZone, Machines: machines},
-		{Name: "all managers restart", Window: window, Opens: true, Openers: float64(f.Managers), Machines: machines},
+		p.restart("all managers of a zone restart", managersPerZone),
+		p.restart("all managers restart", float64(f.Managers)),
 		{Name: "one control machine is lost", Window: window, Opens: true, Reopens: true, Openers: perMachine, Machines: machines - 1},
 		{Name: "two control machines are lost", Window: window, Opens: true, Reopens: true, Openers: 2 * perMachine, Machines: machines - 2},
 	}
 }
 
+// restart is so many managers that restart together. Where each has a list in its store, it asks for what changed within
+// the window at the pace of the busiest hour.
+func (p Plan) restart(name string, managers float64) Situation {
+	window := p.Budgets.ChangeInForce.Seconds()
+	s := Situation{Name: name, Window: window, Opens: true, Machines: float64(p.Control.Count)}
+	if !p.Managers.ListStored {
+		s.Openers = managers
+		return s
+	}
+	s.FromStore = true
+	s.Resumers = managers
+	s.Resumes = p.busyHourEntries() / secondsPerHour * window
+	return s
+}
+
 // regionCut is a region without a way to any other, as a manager within it sees it.
 func (p Plan) regionCut() Situation {
 	f := p.Fleet
--- a/internal/node/decoder.go
+++ b/internal/node/decoder.go
@@ -181,8 +181,13 @@
 	if message.Generation == nil {
 		return list, 0, errors.New("generation: is missing")
 	}
-	list = listed{generation: *message.Generation, snapshot: message.Reset, addresses: map[choice.ServerID]string{}}
-	for i, server := range message.Instances {
+	return d.listOf(*message.Generation, message.Reset, message.Instances)
+}
+
+// listOf checks the servers of a list. Entries of unknown zones are left out and counted.
+func (d *decoder) listOf(generation int64, snapshot bool, instances []instance) (list listed, unknown int, err error) {
+	list = listed{generation: generation, snapshot: snapshot, addresses: map[choice.ServerID]string{}, instances: instances}
+	for i, server := range instances {
 		entry, err := d.entry(server)
 		if err == errUnknownName {
 			unknown++
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -26,8 +26,11 @@
 	listed struct {
 		generation int64
 		snapshot   bool // the whole list, not changes of it
+		complete   bool // nothing before its generation is missing
+		stored     bool // the store kept it
 		entries    []choice.Entry
 		addresses  map[choice.ServerID]string
+		instances  []instance // as discovery told them
 	}
 	listFailed struct{}
 	probed     struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,7 +60,6 @@
 		return nil, fmt.Errorf("known: %v", err)
 	}
 	n.known = known
-	n.watchState = &watchState{version: known.generation, lowestReset: noReset}
 	n.router = newRouter(start, born, n.metrics)
 	if start.Spill > 0 {
 		n.router.filter = newSubsetFilter(start)
@@ -68,6 +67,7 @@
 	if err := n.openStore(); err != nil {
 		return nil, err
 	}
+	n.watchState = newWatchState(n.known.generation, born)
 	if start.Tables != "" {
 		keys, err := readKeys(start.Keys)
 		if err != nil {
@@ -107,6 +107,7 @@
 		}
 		epoch = n.store.Epoch()
 		n.router.vault = newVault(n.store, kept, n.metrics, n.life.Done())
+		n.beginWithStoredList(kept.List)
 	}
 	terms := versions.Usual(epoch)
 	terms.Began = n.born
@@ -117,6 +118,20 @@
 	return nil
 }
 
+// beginWithStoredList takes the list that the store kept in place of the one told at the start, where it is the later
+// one.
+func (n *Node) beginWithStoredList(kept store.List) {
+	if versions.StoredListIsLater(n.known.generation, kept.Generation, len(kept.Entries)) {
+		stored, _, err := n.decoder.listOf(kept.Generation, true, instancesOf(kept.Entries))
+		if err == nil {
+			n.known = stored
+			n.known.stored = true
+			return
+		}
+		n.metrics.logEvent("stored_list_left_out", "version", kept.Generation, "error", err)
+	}
+}
+
 // recovered are the versions and commands of a store, as the chain takes them.
 func recovered(kept store.Kept) (old []*versions.Version, done []versions.Done) {
 	state := tables.Empty()
@@ -216,7 +231,9 @@
 		go n.hub.runKeeper()
 	}
 	n.known.snapshot = true
+	n.known.complete = true
 	n.router.inputs <- n.known
+	n.known.instances = nil // they are the store's by now, and many
 	go n.router.run(n.life.Done())
 	n.relay = newRelay(limits, n.start.Relay, n.start.Groups, n.router.backlog, r)
 	go n.relay.run()
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -175,6 +175,9 @@
 
 // listed hands the module a list, or what a subset needs of it.
 func (r *router) listed(in listed) {
+	if r.vault != nil {
+		r.vault.list(in)
+	}
 	if r.filter != nil {
 		r.handOn(r.filter.listed(r.now, in))
 		return
--- /dev/null
+++ b/internal/node/snapshot_test.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"tamarindshore/internal/stand"
+	"tamarindshore/internal/store"
+)
+
+// awaitList waits until a manager holds a version of the list.
+func (v *versioned) awaitList(t *testing.T, version int64) {
+	t.Helper()
+	for late := time.Now().Add(10 * time.Second); v.now.tellStatus().List.Version != version; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatalf("%+v within 10 s, not version %d", v.now.tellStatus().List, version)
+		}
+	}
+}
+
+// restartWith starts the manager anew with a list told at the start.
+func (v *versioned) restartWith(t *testing.T, told stand.List) {
+	t.Helper()
+	if err := v.Daemon.Stop(false); err != nil {
+		t.Fatal(err)
+	}
+	start := stand.ManagerStart{Dir: t.TempDir(), Name: "n1", Listen: v.Manager, Status: v.Status, Discovery: v.Discovery.Address,
+		Relay: v.Relay.Address, List: told, How: stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 2, Settings: v.settings}}
+	var err error
+	if v.Daemon, err = v.Site.StartManager(start, v.begin); err != nil {
+		t.Fatal(err)
+	}
+	if err := stand.AwaitReady(v.Daemon, v.Manager, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A region that is cut off has no discovery. A manager that restarts there must not take an hour-old list for true, and
+// once discovery is back it must not ask for the whole list.
+func TestAManagerThatRestartsWithoutDiscoveryBeginsWithTheListItHeld(t *testing.T) {
+	v := raise(t, stand.Usual(6, 20))
+	v.bound(t)
+	old := v.Discovery.Whole()
+	drains, leaves := v.Servers[0], v.Servers[1]
+	v.Discovery.Change(drains.Entry("draining"))
+	v.Discovery.Change(leaves.Entry("removed"))
+	held := int64(old.Version + 2)
+	v.awaitList(t, held)
+	if list := v.now.tellStatus().List; !list.Confirmed {
+		t.Errorf("told by discovery, and yet %+v", list)
+	}
+
+	v.Discovery.Silence(true)
+	v.restartWith(t, old)
+	if list := v.now.tellStatus().List; list.Version != held || list.Confirmed {
+		t.Errorf("without discovery: %+v, not version %d unconfirmed", list, held)
+	}
+	for late := time.Now().Add(10 * time.Second); v.Relay.Counts().Bound < v.Site.Proxies; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("not all proxies bound within 10 s")
+		}
+	}
+	for _, server := range []*stand.Server{drains, leaves} {
+		if flows := v.Relay.Flows(server.ID); flows > 0 {
+			t.Errorf("%s gets %g flows a second", server.ID, flows)
+		}
+	}
+
+	v.Discovery.Silence(false)
+	v.Discovery.Change(drains.Entry("removed"))
+	v.awaitList(t, held+1)
+	asked := v.Discovery.AskedFrom()
+	if resumed := asked[len(asked)-1]; int64(resumed) != held || slices.Contains(asked, 0) {
+		t.Errorf("watches asked from %v, the list held was %d", asked, held)
+	}
+}
+
+func TestAListToldAtTheStartReplacesAnOlderStoredOne(t *testing.T) {
+	v := raise(t, stand.Usual(4, 8))
+	v.bound(t)
+	v.awaitList(t, int64(v.Discovery.Whole().Version))
+	told := v.Discovery.Whole()
+	told.Version += 100
+	told.Instances = told.Instances[:3]
+	v.Discovery.Silence(true)
+	v.restartWith(t, told)
+	v.awaitList(t, int64(told.Version))
+	v.restartWith(t, stand.List{Version: 1, Whole: true, Instances: []stand.Entry{}})
+	v.awaitList(t, int64(told.Version)) // the store has the one told since
+	if servers := len(v.now.known.entries); servers != 3 {
+		t.Errorf("%d servers at the start, not 3", servers)
+	}
+}
+
+// The stored list is checked as one that discovery tells; a faulty one must not keep the manager from its start.
+func TestAFaultyStoredListIsLeftOut(t *testing.T) {
+	v := raise(t, stand.Usual(4, 8))
+	told := v.Discovery.Whole()
+	if err := v.Daemon.Stop(false); err != nil {
+		t.Fatal(err)
+	}
+	kept, _, err := store.Open(v.store, 0, store.Usual(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	faulty := store.ListChange{Whole: true, Generation: 900, Entries: []store.ListEntry{{ID: "s-1", Zone: "a", Lifecycle: "confused"}}}
+	if err := kept.Save(store.Change{List: &faulty}); err != nil {
+		t.Fatal(err)
+	}
+	kept.Close()
+	v.restartWith(t, told)
+	if version := v.now.tellStatus().List.Version; version != int64(told.Version) {
+		t.Errorf("began with version %d, not %d", version, told.Version)
+	}
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -25,15 +25,25 @@
 	Ready    bool             `json:"ready"`
 	Lanes    []Lane           `json:"lanes"`
 	Waits    int              `json:"samples_waiting"`
+	List     ListStatus       `json:"list"`
 	Counters map[string]int64 `json:"counters"`
 }
 
+// ListStatus is the server list that a manager goes by, as staff see it.
+type ListStatus struct {
+	Version   int64   `json:"version"`
+	Age       float64 `json:"age_s"`     // since discovery told it or stood by it, or since the manager began with it
+	Confirmed bool    `json:"confirmed"` // by discovery, since the manager began
+}
+
 func (n *Node) tellStatus() Status {
 	s := Status{Name: n.start.Name, Uptime: roundedSeconds(time.Since(n.born)), Counters: map[string]int64{}}
 	for c, name := range counterNames {
 		s.Counters[name] = n.metrics.counts[c].Load()
 	}
 	s.Ready = n.readiness.ready()
+	held := n.watchState.held(time.Now())
+	s.List = ListStatus{Version: held.version, Age: roundedSeconds(held.age), Confirmed: held.confirmed}
 	if h := n.hub; h != nil {
 		h.mu.Lock()
 		cores, conns := h.keeper.Spread()
--- a/internal/node/subset_test.go
+++ b/internal/node/subset_test.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	g.router.take(in)
-	g.held.advance(in)
+	g.held.advance(in, time.Now())
 	return true
 }
 
--- a/internal/node/vault.go
+++ b/internal/node/vault.go
@@ -24,7 +24,8 @@
 	mu      sync.Mutex
 	waits   []*versions.Version
 	dones   []versions.Done
-	saved   tables.Digest // of the last version saved
+	lists   *store.ListChange // nil: none waits
+	saved   tables.Digest     // of the last version saved
 	drains  map[string]time.Time
 	failing bool
 }
@@ -54,6 +55,51 @@
 	signal(v.filled)
 }
 
+// list takes what discovery told of its list. What waits is folded, so that it never holds a server twice.
+func (v *vault) list(in listed) {
+	if in.stored {
+		return
+	}
+	change := store.ListChange{Whole: in.snapshot, Entries: entriesOf(in.instances)}
+	if in.complete {
+		change.Generation = in.generation
+	}
+	v.mu.Lock()
+	v.lists = foldLists(v.lists, &change)
+	v.mu.Unlock()
+	signal(v.filled)
+}
+
+// foldLists joins a later change of the list to an earlier one, either of which may be none.
+func foldLists(earlier, later *store.ListChange) *store.ListChange {
+	if earlier == nil {
+		return later
+	}
+	if later == nil {
+		return earlier
+	}
+	folded := earlier.Fold(*later)
+	return &folded
+}
+
+// entriesOf are servers in the form of the store.
+func entriesOf(instances []instance) (entries []store.ListEntry) {
+	for _, one := range instances {
+		entries = append(entries, store.ListEntry{ID: one.InstanceID, HostPort: one.HostPort, Zone: one.Zone, Lifecycle: one.Lifecycle,
+			Weight: one.Weight, StartedAtMs: one.StartedAtMs})
+	}
+	return entries
+}
+
+// instancesOf are servers in the form of discovery.
+func instancesOf(entries []store.ListEntry) (instances []instance) {
+	for _, one := range entries {
+		instances = append(instances, instance{InstanceID: one.ID, HostPort: one.HostPort, Zone: one.Zone, Lifecycle: one.Lifecycle,
+			Weight: one.Weight, StartedAtMs: one.StartedAtMs})
+	}
+	return instances
+}
+
 func (v *vault) run() {
 	defer close(v.ended)
 	for {
@@ -78,13 +124,13 @@
 // save keeps all that waits as one change; false where that failed, and all of it waits on.
 func (v *vault) save() bool {
 	v.mu.Lock()
-	waits, dones := v.waits, v.dones
-	v.waits, v.dones = nil, nil
+	waits, dones, lists := v.waits, v.dones, v.lists
+	v.waits, v.dones, v.lists = nil, nil, nil
 	v.mu.Unlock()
-	if len(waits)+len(dones) == 0 {
+	if len(waits)+len(dones) == 0 && lists == nil {
 		return true
 	}
-	c, saved := store.Change{}, v.saved
+	c, saved := store.Change{List: lists}, v.saved
 	for _, one := range waits {
 		k := store.Version{ID: one.ID, Digest: one.Digest, Parent: one.Parent, At: one.At, Cause: one.Cause, Layout: one.Layout, Key: one.Key, Ops: one.Ops}
 		if one.Parent != saved {
@@ -113,7 +159,7 @@
 			v.metrics.logger.Error().Str("event", "store_failed").Err(err).Send()
 		}
 		v.failing = true
-		v.waits, v.dones = append(waits, v.waits...), append(dones, v.dones...)
+		v.waits, v.dones, v.lists = append(waits, v.waits...), append(dones, v.dones...), foldLists(lists, v.lists)
 		if len(v.waits) > vaultMost {
 			v.waits = v.waits[len(v.waits)-1:]
 		}
--- a/internal/node/versions_rig_test.go
+++ b/internal/node/versions_rig_test.go
@@ -38,6 +38,8 @@
 type versioned struct {
 	*stand.Rig
 	socket, feed string
+	settings     string // of the operator
+	store        string // file
 	now          *ours
 }
 
@@ -64,15 +66,9 @@
 	if err := os.WriteFile(keys, []byte(hex.EncodeToString(testKey)+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	settings := fmt.Sprintf("(admin (socket %q)) (store (path %q)) (tables (listen %q) (keys %q))", v.socket, filepath.Join(dir, "v.db"), v.feed, keys)
-	r, err := stand.Raise(site, stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 1, Settings: settings}, func(start, settings string) (stand.Daemon, error) {
-		read, err := startReader(start, settings)
-		if err != nil {
-			return nil, err
-		}
-		v.now, err = beginManager(read)
-		return v.now, err
-	})
+	v.store = filepath.Join(dir, "v.db")
+	v.settings = fmt.Sprintf("(admin (socket %q)) (store (path %q)) (tables (listen %q) (keys %q))", v.socket, v.store, v.feed, keys)
+	r, err := stand.Raise(site, stand.How{Cores: 1, MemoryMB: 512, Sockets: 4096, Seed: 1, Settings: v.settings}, v.begin)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,6 +77,16 @@
 	return v
 }
 
+// begin starts the manager in this process.
+func (v *versioned) begin(start, settings string) (stand.Daemon, error) {
+	read, err := startReader(start, settings)
+	if err != nil {
+		return nil, err
+	}
+	v.now, err = beginManager(read)
+	return v.now, err
+}
+
 func freeAddress(t testing.TB) string {
 	at, err := stand.Free()
 	if err != nil {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -61,9 +61,18 @@
 	path := watchPath + strconv.FormatInt(state.resumeVersion(), 10)
 	wanted := streamRequest{address: up.address, path: path, idleTimeout: r.limits.SilentWatch, maxLength: r.limits.LineList}
 	err = stream(up.ctx, r.limits, wanted, reader.open, reader.readLine)
+	r.logListAge(state)
 	return reader.opened, err
 }
 
+// logListAge tells how old the list is that the manager goes on with, where that is more than a break of the watch.
+func (r *receiver) logListAge(state *watchState) {
+	held := state.held(time.Now())
+	if held.age > r.limits.SilentWatch {
+		r.metrics.logLimited("list_age", "version", held.version, "age", roundedSeconds(held.age), "confirmed", held.confirmed)
+	}
+}
+
 // open notes that discovery accepted the watch.
 func (w *watchReader) open() error {
 	w.opened = true
@@ -85,6 +94,7 @@
 		return errResync
 	}
 	if len(bytes.TrimSpace(line)) == 0 {
+		w.noteSignOfLife()
 		return nil
 	}
 	opening := !w.pastFirst
@@ -100,6 +110,13 @@
 	return w.takeList(list)
 }
 
+// noteSignOfLife notes that discovery stands by the list that is held, unless something of it is missing.
+func (w *watchReader) noteSignOfLife() {
+	if w.pastFirst && w.gapSince.IsZero() && w.staleSince.IsZero() {
+		w.state.noteConfirmed(time.Now())
+	}
+}
+
 // isOverdue tells whether a fault that has lasted since some time has lasted for too long.
 func (w *watchReader) isOverdue(since time.Time) bool {
 	return !since.IsZero() && time.Since(since) >= w.receiver.limits.GapMost
@@ -133,6 +150,7 @@
 // takeList hands a list on. The version held moves only where nothing before it is missing.
 func (w *watchReader) takeList(list listed) error {
 	w.staleSince = time.Time{}
+	list.complete = list.snapshot || w.gapSince.IsZero()
 	if list.snapshot || len(list.entries) > 0 { // else nothing has changed
 		w.receiver.metrics.add(listsIn, 1)
 		if !enqueue(list, w.receiver.inputs, w.up.ctx.Done()) {
@@ -143,7 +161,7 @@
 		w.gapSince = time.Time{}
 	}
 	if w.gapSince.IsZero() {
-		w.state.advance(list)
+		w.state.advance(list, time.Now())
 		w.up.clearDecodeError()
 	}
 	return nil
--- a/internal/node/watch_state.go
+++ b/internal/node/watch_state.go
@@ -1,13 +1,43 @@
 package node
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // watchState is the version of discovery's list that is held, and what is needed to tell an older one.
 type watchState struct {
 	mu           sync.Mutex
 	version      int64
-	lowestReset  int64 // of a whole list older than version, told at the opening of the last watch; or noReset
-	staleWatches int   // watches in a row that brought only what is older
+	lowestReset  int64     // of a whole list older than version, told at the opening of the last watch; or noReset
+	staleWatches int       // watches in a row that brought only what is older
+	confirmedAt  time.Time // when discovery last told the list held, or stood by it; at first, when the manager began
+	confirmed    bool      // discovery did so since the manager began
+}
+
+// heldList is the list that a manager goes by, as staff see it.
+type heldList struct {
+	version   int64
+	age       time.Duration // since discovery told it or stood by it, or since the manager began with it
+	confirmed bool          // by discovery, since the manager began
+}
+
+func newWatchState(version int64, began time.Time) *watchState {
+	return &watchState{version: version, lowestReset: noReset, confirmedAt: began}
+}
+
+func (s *watchState) held(now time.Time) heldList {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return heldList{version: s.version, age: now.Sub(s.confirmedAt), confirmed: s.confirmed}
+}
+
+// noteConfirmed notes that discovery stands by the list that is held.
+func (s *watchState) noteConfirmed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt = now
+	s.confirmed = true
 }
 
 // noReset stands for no older whole list at the opening of the last watch.
@@ -60,9 +90,11 @@
 }
 
 // advance moves the version held to that of a list that was handed on.
-func (s *watchState) advance(list listed) {
+func (s *watchState) advance(list listed, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.confirmedAt = now
+	s.confirmed = true
 	s.version = list.generation
 	s.lowestReset = noReset
 	s.staleWatches = 0
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -58,3 +58,38 @@
 		t.Errorf("second: %v %d", ids, held.version)
 	}
 }
+
+func TestTheAgeOfTheListGrowsUntilDiscoveryStandsByIt(t *testing.T) {
+	began := time.Unix(1000, 0)
+	state := newWatchState(41, began)
+	if held := state.held(began.Add(time.Hour)); held.age != time.Hour || held.confirmed || held.version != 41 {
+		t.Errorf("never confirmed: %+v", held)
+	}
+	state.noteConfirmed(began.Add(time.Minute))
+	if held := state.held(began.Add(time.Hour)); held.age != 59*time.Minute || !held.confirmed {
+		t.Errorf("confirmed: %+v", held)
+	}
+	state.advance(listed{generation: 42}, began.Add(2*time.Minute))
+	if held := state.held(began.Add(time.Hour)); held.age != 58*time.Minute || held.version != 42 {
+		t.Errorf("a change: %+v", held)
+	}
+}
+
+func TestASignOfLifeConfirmsTheListUnlessSomethingIsMissing(t *testing.T) {
+	for text, want := range map[string]bool{
+		"\n":                          false, // nothing of the list was told yet
+		entry(42, true, "s-1") + "\n": true,
+		`{"generation":41,"reset":false,"instances":[]}` + "\n\n": true,
+		"{]\n\n": false, // a change could not be read
+	} {
+		state := newWatchState(41, time.Unix(1000, 0))
+		reader := watchReader{receiver: testReceiver(make(chan struct{}), limits), up: testUpstream(t, "127.0.0.1:1"), state: state}
+		reader.up.noteDecodeError() // one unreadable line is passed over
+		for _, line := range strings.SplitAfter(text, "\n") {
+			reader.readLine([]byte(strings.TrimSuffix(line, "\n")))
+		}
+		if held := state.held(time.Now()); held.confirmed != want {
+			t.Errorf("%q: %+v", text, held)
+		}
+	}
+}
--- a/internal/stand/discovery.go
+++ b/internal/stand/discovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -40,6 +41,14 @@
 	watches map[chan []byte]bool
 	server  *http.Server
 	silent  bool
+	asked   []int // the versions that watches asked from
+}
+
+// AskedFrom are the versions that watches asked from so far, in their order.
+func (d *Discovery) AskedFrom() []int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.asked)
 }
 
 // NewDiscovery listens at an address ("127.0.0.1:0" for any port) with the list as it stands.
@@ -137,6 +146,7 @@
 		return
 	}
 	after, _ := strconv.Atoi(r.FormValue("after"))
+	d.asked = append(d.asked, after)
 	first := d.since(after)
 	lines := make(chan []byte, 4096)
 	d.watches[lines] = true
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,5 +1,5 @@
-// Package store keeps what must survive a crash: versions of the tables, drains in force and keys of commands done, in
-// one bbolt file. It owns the file, its form and its bounds; it decides nothing. What Save acknowledged is there after
+// Package store keeps what must survive a crash: versions of the tables, drains in force, keys of commands done and the
+// server list as last held, in one bbolt file. It owns the file, its form and its bounds; it decides nothing. What Save acknowledged is there after
 // a crash at any point; a mix of two states never is.
 package store
 
@@ -66,6 +66,7 @@
 	Versions []Version
 	Drains   map[string]time.Time // servers that drain or are gone, since when; all of them, nil: as before
 	Done     []Done
+	List     *ListChange // nil: as before
 }
 
 // Kept is what a store holds.
@@ -75,6 +76,7 @@
 	State    *tables.State // of the last version
 	Drains   map[string]time.Time
 	Done     []Done
+	List     List
 }
 
 var (
@@ -114,7 +116,7 @@
 	if err == nil {
 		s.epoch = max(epoch, kept.Epoch+1)
 		err = db.Update(func(tx *bbolt.Tx) error {
-			for _, name := range [][]byte{meta, versions, drains, done} {
+			for _, name := range [][]byte{meta, versions, drains, done, list} {
 				if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 					return err
 				}
@@ -168,6 +170,9 @@
 
 func place(id tables.ID) []byte { return append(number(id.Epoch), number(id.Number)...) }
 
+// digestSize is how many bytes of a value's digest are kept.
+const digestSize = 16
+
 // sealed is a value with its digest before it: bit rot within a page is found too.
 func sealed(v any) ([]byte, error) {
 	text, err := json.Marshal(v)
@@ -175,17 +180,17 @@
 		return nil, err
 	}
 	sum := blake3.Sum256(text)
-	return append(sum[:16:16], text...), nil
+	return append(sum[:digestSize:digestSize], text...), nil
 }
 
 func unseal(b []byte, v any) error {
-	if len(b) < 16 {
+	if len(b) < digestSize {
 		return fmt.Errorf("%w: a value is cut off", ErrDamaged)
 	}
-	if sum := blake3.Sum256(b[16:]); [16]byte(sum[:16]) != [16]byte(b[:16]) {
+	if sum := blake3.Sum256(b[digestSize:]); [digestSize]byte(sum[:digestSize]) != [digestSize]byte(b[:digestSize]) {
 		return fmt.Errorf("%w: a value does not fit its digest", ErrDamaged)
 	}
-	if err := json.Unmarshal(b[16:], v); err != nil { // another bucket's, by a flipped number
+	if err := json.Unmarshal(b[digestSize:], v); err != nil { // another bucket's, by a flipped number
 		return fmt.Errorf("%w: %v", ErrDamaged, err)
 	}
 	return nil
@@ -239,6 +244,9 @@
 				return err
 			}
 		}
+		if c.List != nil {
+			return saveList(tx, *c.List)
+		}
 		return nil
 	})
 	if err == nil {
@@ -329,12 +337,16 @@
 		}); err != nil {
 			return err
 		}
-		return tx.Bucket(done).ForEach(func(_, value []byte) error {
+		if err := tx.Bucket(done).ForEach(func(_, value []byte) error {
 			var d Done
 			err := unseal(value, &d)
 			kept.Done = append(kept.Done, d)
 			return err
-		})
+		}); err != nil {
+			return err
+		}
+		kept.List, err = loadList(tx)
+		return err
 	})
 	s.state, s.count = kept.State, len(kept.Versions)
 	if n := len(kept.Versions); n > 0 {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -32,7 +32,7 @@
 			t.Fatal(err)
 		}
 		v.Digest = next.Digest()
-		c := Change{Versions: []Version{v}}
+		c := Change{Versions: []Version{v}, List: listOf(v.ID.Number)}
 		if i%3 == 0 {
 			c.Drains = map[string]time.Time{fmt.Sprint("s-", i): at}
 			c.Done = []Done{{Key: fmt.Sprint("k", v.ID.Number), What: "hold", At: at, Head: v.ID}}
@@ -166,6 +166,9 @@
 			if d := kept.State.Digest(); d != was && (d != is || root == 0) {
 				t.Errorf("pages %v cut %d root %d: neither before nor after", pages, cut, root)
 			}
+			if last := kept.Versions[len(kept.Versions)-1].ID.Number; !isListOf(kept.List, last) {
+				t.Errorf("pages %v cut %d root %d: version %d beside the list %+v", pages, cut, root, last, kept.List)
+			}
 			if root == size && kept.State.Digest() != is {
 				t.Error("what was acknowledged is gone")
 			}
@@ -272,6 +275,8 @@
 		switch {
 		case err == nil && !good[kept.State.Digest()]:
 			t.Fatal("a state that never was")
+		case err == nil && kept.List.Generation > 0 && !isListOf(kept.List, uint64(kept.List.Generation)):
+			t.Fatalf("a list that never was: %+v", kept.List)
 		case err == nil:
 			found["harmless"]++
 		case errors.Is(err, ErrDamaged):
