One reader of the slopes file, whose errors name file, line and field

Need: internal/scale and internal/capacity each read and checked the same file, with other words. Change: scale.ReadReport is the one; it has all checks of both. The tests of both are one table, as strict: each case of either stands in it, now with its line (out of range, another reference and a word for a number came from the other package).

--- a/cmd/tamarindshore/capacity.go
+++ b/cmd/tamarindshore/capacity.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"tamarindshore/internal/capacity"
+	"tamarindshore/internal/scale"
 )
 
 type capacityCmd struct {
@@ -25,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	slopes, err := capacity.ReadSlopes(c.Slopes)
+	slopes, err := scale.ReadReport(c.Slopes)
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/load_test.go
+++ b/internal/capacity/load_test.go
@@ -26,7 +26,7 @@
 // madeUp are slopes whose figures were made up for these tests.
 func madeUp(t *testing.T) scale.Report {
 	t.Helper()
-	r, err := ReadSlopes("testdata/slopes.json")
+	r, err := scale.ReadReport("testdata/slopes.json")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/capacity/repository_test.go
+++ b/internal/capacity/repository_test.go
@@ -4,12 +4,14 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"tamarindshore/internal/scale"
 )
 
 // The page's tables are what the command prints from the plan and the slopes that stand in the repository:
 // tamarindshore capacity --page docs/CAPACITY.md renews them.
 func TestThePageHoldsWhatTheCommandPrints(t *testing.T) {
-	slopes, err := ReadSlopes(slopesFile)
+	slopes, err := scale.ReadReport(slopesFile)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -1,97 +1,13 @@
 package capacity
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"math"
-	"os"
-	"path/filepath"
-	"regexp"
 	"slices"
 
 	"tamarindshore/internal/scale"
 )
 
-// ReadSlopes reads and checks the report of a measurement. An error names the file, the line and the key.
-func ReadSlopes(path string) (scale.Report, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return scale.Report{}, err
-	}
-	return ParseSlopes(filepath.Base(path), text)
-}
-
-// ParseSlopes reads the report of a measurement.
-func ParseSlopes(name string, text []byte) (scale.Report, error) {
-	var r scale.Report
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	if err := decoder.Decode(&r); err != nil {
-		return r, atJSON(name, text, err)
-	}
-	fail := func(key, format string, values ...any) (scale.Report, error) {
-		return r, fmt.Errorf("%s:%d: %s: %s", name, lineOfKey(text, key), key, fmt.Sprintf(format, values...))
-	}
-	if r.Version != scale.ReportVersion {
-		return fail("version", "%d is not %d", r.Version, scale.ReportVersion)
-	}
-	if len(r.Slopes) == 0 {
-		return fail("slopes", "is missing or empty")
-	}
-	for i, s := range r.Slopes {
-		if _, told := r.Reference[s.Axis]; !told {
-			return fail("reference", "%s is missing, along which slopes[%d] was measured", s.Axis, i)
-		}
-		if slices.ContainsFunc(s.Points, func(p scale.Point) bool { return len(p.Runs) == 0 }) {
-			return fail("points", "slopes[%d], %s along %s, has a size without runs", i, s.Cost, s.Axis)
-		}
-		if s.Cost == "" || !slices.Contains([]scale.Shape{scale.Constant, scale.Linear, scale.Linearithmic, scale.Quadratic}, s.Shape) {
-			return fail("slopes", "slopes[%d], %s along %s, has no cost or no known shape", i, s.Cost, s.Axis)
-		}
-		if math.Abs(s.Base)+math.Abs(s.PerUnit) > 1e18 {
-			return fail("slopes", "slopes[%d], %s along %s, is out of range", i, s.Cost, s.Axis)
-		}
-	}
-	return r, nil
-}
-
-// atJSON adds the line, and the key where it is known, to an error of the decoder.
-func atJSON(name string, text []byte, err error) error {
-	var syntax *json.SyntaxError
-	var kind *json.UnmarshalTypeError
-	switch {
-	case errors.As(err, &kind):
-		return fmt.Errorf("%s:%d: %s: %s is no %s", name, lineAt(text, kind.Offset), kind.Field, kind.Value, kind.Type)
-	case errors.As(err, &syntax):
-		return fmt.Errorf("%s:%d: %v", name, lineAt(text, syntax.Offset), err)
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
-		return fmt.Errorf("%s:%d: %s: the file is cut short", name, lineAt(text, int64(len(text))), lastKey(text))
-	}
-	return fmt.Errorf("%s: %v", name, err)
-}
-
-var jsonKey = regexp.MustCompile(`"([A-Za-z]+)"\s*:`)
-
-// lastKey is the last key of a text that is cut short.
-func lastKey(text []byte) string {
-	if all := jsonKey.FindAllSubmatch(text, -1); len(all) > 0 {
-		return string(all[len(all)-1][1])
-	}
-	return "version"
-}
-
-func lineAt(text []byte, offset int64) int {
-	return 1 + bytes.Count(text[:min(int(offset), len(text))], []byte("\n"))
-}
-
-// lineOfKey is the line on which a key first stands, the first where it doesn't.
-func lineOfKey(text []byte, key string) int {
-	return lineAt(text, int64(max(0, bytes.Index(text, []byte(`"`+key+`"`)))))
-}
-
 // Figure is a value worked out from slopes and the plan. Where something in it was not measured it is not known, and
 // the value is what the rest comes to: the least that it can be.
 type Figure struct {
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -1,9 +1,7 @@
 package capacity
 
 import (
-	"regexp"
 	"slices"
-	"strings"
 	"testing"
 
 	"tamarindshore/internal/scale"
@@ -43,36 +41,6 @@
 	}
 }
 
-func TestFaultySlopes(t *testing.T) {
-	slopes := read(t, "testdata/slopes.json")
-	change := func(from, to string) string {
-		if !strings.Contains(slopes, from) {
-			t.Fatalf("the slopes have no %q", from)
-		}
-		return strings.Replace(slopes, from, to, 1)
-	}
-	for name, one := range map[string]struct{ text, want string }{
-		"empty":             {"", `^slopes\.json:1: version: the file is cut short$`},
-		"cut short":         {slopes[:len(slopes)/2], `^slopes\.json:1?[0-9]: [a-zA-Z]+: the file is cut short$`},
-		"another version":   {change(`"version": 1`, `"version": 2`), `^slopes\.json:2: version: 2 is not 1$`},
-		"no version":        {change(`"version": 1,`, ``), `^slopes\.json:1: version: 0 is not 1$`},
-		"a word for number": {change(`"seed": 1`, `"seed": "one"`), `^slopes\.json:3: seed: string is no uint64$`},
-		"no JSON":           {change(`"cores": 1,`, `"cores" 1,`), `^slopes\.json:4: `},
-		"no slopes":         {`{"version": 1}`, `^slopes\.json:1: slopes: is missing or empty$`},
-		"no reference":      {change(`"servers": 1000, `, ``), `^slopes\.json:6: reference: servers is missing`},
-		"no known shape":    {change(`"shape": "linear"`, `"shape": "cubic"`), `^slopes\.json:7: slopes: slopes\[0\], cpu-per-quiet-second along servers, has no cost or no known shape$`},
-		"out of range":      {change(`"base": 0.001`, `"base": 1e300`), `^slopes\.json:7: slopes: slopes\[0\], cpu-per-quiet-second along servers, is out of range$`},
-	} {
-		_, err := ParseSlopes("slopes.json", []byte(one.text))
-		if err == nil || !regexp.MustCompile(one.want).MatchString(err.Error()) {
-			t.Errorf("%s: %v, not %s", name, err, one.want)
-		}
-	}
-	if _, err := ReadSlopes("testdata/none.json"); err == nil {
-		t.Error("slopes that are not there: no error")
-	}
-}
-
 // Where no shape fits, a cost between two measured sizes lies between their medians; beyond them it is the curve's.
 func TestACostWithoutAFittingShape(t *testing.T) {
 	points := []scale.Point{{Size: 100, Runs: []float64{9, 5, 7}}, {Size: 10, Runs: []float64{1, 3}}}
--- a/internal/scale/report_test.go
+++ b/internal/scale/report_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -43,28 +44,31 @@
 		return strings.Replace(whole, old, new, 1)
 	}
 	for name, one := range map[string]struct{ text, want string }{
-		"empty":           {"", "line 1"},
-		"cut short":       {whole[:len(whole)/2], "line "},
-		"no JSON":         {"slopes\n", "line 1"},
-		"other version":   {changed(`"version": 1`, `"version": 2`), "version: 2 is not 1"},
-		"no version":      {changed(`"version": 1,`, ``), "version: is missing"},
-		"wrong type":      {changed(`"seed": 7`, `"seed": "x"`), "line 3: seed"},
-		"unknown field":   {changed(`"seed": 7`, `"sead": 7`), `"sead"`},
-		"no reference":    {changed(`"servers": 600`, ``), "reference: is missing"},
-		"no slopes":       {`{"version": 1, "reference": {"servers": 1}}`, "slopes: is missing"},
-		"shape":           {changed(`"shape": "linear"`, `"shape": "cubic"`), "slopes[0].shape"},
-		"cost":            {changed(`"cost": "heap-bytes"`, `"cost": ""`), "slopes[0].cost"},
-		"axis":            {changed(`"axis": "servers"`, `"axis": ""`), "slopes[0].axis"},
-		"base":            {changed(`"base": `, `"base": -1, "was": `), "was"},
-		"no points":       {changed(`"points": [`, `"points": [], "rest": [`), "rest"},
-		"negative size":   {changed(`"size": 100`, `"size": -100`), "slopes[0].points[1].size"},
-		"something after": {whole + "{}", "line "},
+		"empty":             {"", `:1: version: the file is cut short$`},
+		"cut short":         {whole[:len(whole)/2], `:[0-9]+: [a-zA-Z]+: the file is cut short$`},
+		"no JSON":           {"slopes\n", `:1: `},
+		"a colon less":      {changed(`"cores": 8,`, `"cores" 8,`), `:4: `},
+		"other version":     {changed(`"version": 1`, `"version": 2`), `:2: version: 2 is not 1`},
+		"no version":        {changed(`"version": 1,`, ``), `:1: version: is missing$`},
+		"a word for number": {changed(`"seed": 7`, `"seed": "x"`), `:3: seed: a string stands where uint64 is due$`},
+		"unknown field":     {changed(`"seed": 7`, `"sead": 7`), `"sead"`},
+		"no reference":      {changed(`"servers": 600`, ``), `:6: reference: is missing$`},
+		"other reference":   {changed(`"servers": 600`, `"zones": 8`), `:6: reference: servers is missing, along which slopes\[0\] was measured$`},
+		"no slopes":         {`{"version": 1, "reference": {"servers": 1}}`, `:1: slopes: is missing or empty$`},
+		"shape":             {changed(`"shape": "linear"`, `"shape": "cubic"`), `:11: slopes\[0\]\.shape: "cubic" is none of`},
+		"cost":              {changed(`"cost": "heap-bytes"`, `"cost": ""`), `:11: slopes\[0\]\.cost: is missing$`},
+		"axis":              {changed(`"axis": "servers"`, `"axis": ""`), `:11: slopes\[0\]\.axis: is missing$`},
+		"base":              {changed(`"base": `, `"base": -1, "was": `), `was`},
+		"out of range":      {changed(`"size": 100`, `"size": 1e300`), `:11: slopes\[0\]\.points\[1\]\.size: `},
+		"no points":         {changed(`"points": [`, `"points": [], "rest": [`), `rest`},
+		"negative size":     {changed(`"size": 100`, `"size": -100`), `:11: slopes\[0\]\.points\[1\]\.size: `},
+		"something after":   {whole + "{}", `:[0-9]+: `},
 	} {
 		if err := os.WriteFile(path, []byte(one.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		_, err := ReadReport(path)
-		if err == nil || !strings.Contains(err.Error(), one.want) || !strings.HasPrefix(err.Error(), path+": ") || strings.Contains(err.Error(), "\n") {
+		if err == nil || !regexp.MustCompile(one.want).MatchString(err.Error()) || !strings.HasPrefix(err.Error(), "slopes.json:") || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v, %q is due", name, err, one.want)
 		}
 	}
@@ -76,14 +80,15 @@
 func TestEachFieldOfASlopeIsChecked(t *testing.T) {
 	for field, spoil := range map[string]func(*Slope){
 		"base":           func(s *Slope) { s.Base = -1 },
+		"perUnit":        func(s *Slope) { s.PerUnit = 1e300 },
 		"points":         func(s *Slope) { s.Points = nil },
 		"points[0].runs": func(s *Slope) { s.Points[0].Runs = nil },
 		"shape":          func(s *Slope) { s.Shape = "" },
 	} {
 		report := sound()
 		spoil(&report.Slopes[0])
-		if err := report.check(); err == nil || !strings.HasPrefix(err.Error(), "slopes[0]."+field+":") {
-			t.Errorf("%s: %v", field, err)
+		if got, what := report.fault(); got != "slopes[0]."+field || what == "" {
+			t.Errorf("%s: %q %s", field, got, what)
 		}
 	}
 }
