--- a/deploy/capacity.sexp
+++ b/deploy/capacity.sexp
@@ -45,7 +45,7 @@
     (traffic-groups 3)                 ; classes of today's largest deployment
     (tries-per-request 1.05)
     (report-interval 1s)               ; `periodUs`
-    (read-interval 0s)                 ; of the operator's settings; 0s: each read is made at once
+    (read-interval 50ms)               ; of the operator's settings; 0s: each read is made at once
     (list-stored yes)                  ; each manager has a store; no: a restart takes the whole list
     (collectors-per-zone 1)
     (relays-per-zone 1)
--- a/internal/node/read_pace_test.go
+++ b/internal/node/read_pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -117,3 +118,29 @@
 		t.Errorf("a collector that fell silent: %q", got)
 	}
 }
+
+func TestSpacedReadsTakeAllThatCameBeforeAnEnd(t *testing.T) {
+	l := limits
+	l.ReadInterval = 20 * time.Millisecond
+	_, address, inputs := listening(t, l, true)
+	c := dialled(t, address, "collector site=a\r\n")
+	const reports = 5000 // more than the buffers hold
+	sent := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(c, strings.Repeat(report, reports))
+		sent <- errors.Join(err, c.Close())
+	}()
+	for n := range reports {
+		select {
+		case in := <-inputs:
+			if used := in.(usageReport); used.Proxy != 17 {
+				t.Fatalf("%+v", used)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d of %d reports within 10 s", n, reports)
+		}
+	}
+	if err := <-sent; err != nil {
+		t.Error(err)
+	}
+}
