--- a/cmd/tamarindshore/scale_test.go
+++ b/cmd/tamarindshore/scale_test.go
@@ -43,6 +43,7 @@
 		{[]string{"--axis", "servers", "--sizes", "1e8"}, " fit"},
 		{[]string{"--axis", "managers", "--sizes", "1e6"}, " fit"},
 		{[]string{"--axis", "real-processes", "--sizes", "1000"}, "300 fit"},
+		{[]string{"--axis", "connections", "--sizes", "1000"}, "240 fit"},
 	} {
 		cmd, said := scaleProgram(one.arguments...)
 		err := cmd.Run()
@@ -75,7 +76,7 @@
 // Guards against processes that go on after the one that started them was interrupted.
 func TestScaleEndsWithAllThatItStartedAtAnInterrupt(t *testing.T) {
 	for _, arguments := range [][]string{{"--axis", "servers", "--runs", "100"}, {"--axis", "opening-list-size", "--runs", "100"},
-		{"--axis", "managers", "--runs", "100"}} {
+		{"--axis", "managers", "--runs", "100"}, {"--axis", "real-processes", "--sizes", "30", "--runs", "100"}} {
 		cmd, said := scaleProgram(arguments...)
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
@@ -111,3 +112,19 @@
 		}
 	}
 }
+
+func TestScaleMeasuresTheMemoryOfConnections(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "slopes.json")
+	cmd, said := scaleProgram("--axis", "connections", "--sizes", "1,240", "--runs", "1", "--json", path)
+	if err := cmd.Run(); err != nil {
+		t.Fatalf("%v: %s", err, said)
+	}
+	report, err := scale.ReadReport(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slope, measured := report.Find(scale.ConnectionsMemory, scale.Connections)
+	if !measured || len(slope.Points) != 2 || slope.Points[1].Runs[0] < slope.Points[0].Runs[0] || slope.Points[1].Runs[0] < 240<<10 {
+		t.Errorf("%+v: under 1 KB a connection", slope.Points)
+	}
+}
--- a/cmd/tamarindshore/tables.go
+++ b/cmd/tamarindshore/tables.go
@@ -114,8 +114,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: epoch %d, %d versions, %d drains, %d commands, state %v\n", s.Path, kept.Epoch, len(kept.Versions), len(kept.Drains),
-		len(kept.Done), kept.State.Digest())
+	fmt.Printf("%s: epoch %d, %d versions, %d drains, %d commands, state %v, a list of %d servers at version %d\n", s.Path, kept.Epoch,
+		len(kept.Versions), len(kept.Drains), len(kept.Done), kept.State.Digest(), len(kept.List.Entries), kept.List.Generation)
 	return nil
 }
 
@@ -144,5 +144,5 @@
 	}
 	out := json.NewEncoder(os.Stdout)
 	out.SetIndent("", " ")
-	return out.Encode(map[string]any{"epoch": kept.Epoch, "versions": kept.Versions, "drains": kept.Drains, "done": kept.Done})
+	return out.Encode(map[string]any{"epoch": kept.Epoch, "versions": kept.Versions, "drains": kept.Drains, "done": kept.Done, "list": kept.List})
 }
--- /dev/null
+++ b/internal/scale/connections.go
@@ -0,0 +1,63 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"tamarindshore/internal/stand"
+)
+
+// connectionsMost is how many connections a manager takes that have not reported anything yet.
+const connectionsMost = 240
+
+// measureConnections measures the memory that so many connections to a real process take, on a process of its own in
+// each run: one that had them before keeps their memory.
+func measureConnections(ctx context.Context, options Options, connections int) (samples []sample, err error) {
+	for range min(options.Runs, fleetRunsMost) {
+		bytes, err := bytesOfConnections(ctx, options, connections)
+		if err != nil {
+			return nil, err
+		}
+		samples = append(samples, sample{ConnectionsMemory: bytes})
+	}
+	return samples, nil
+}
+
+func bytesOfConnections(ctx context.Context, options Options, connections int) (float64, error) {
+	f, err := raiseRealFleet(ctx, options.Program, inForceScenario(options.Seed), 1)
+	defer f.close()
+	if err != nil {
+		return 0, err
+	}
+	manager := f.managers[0]
+	before := stand.Resident(manager.daemon)
+	for range connections {
+		connection, err := pinged(manager.address)
+		if err != nil {
+			return 0, err
+		}
+		defer connection.Close()
+	}
+	return max(0, stand.Resident(manager.daemon)-before) * mib, nil
+}
+
+// pinged opens a connection and waits until it is served.
+func pinged(address string) (net.Conn, error) {
+	connection, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	connection.SetDeadline(time.Now().Add(time.Second))
+	if _, err = io.WriteString(connection, "ping\r\n"); err == nil {
+		_, err = bufio.NewReader(connection).ReadString('\n')
+	}
+	if err != nil {
+		connection.Close()
+		return nil, fmt.Errorf("a connection is not served: %w", err)
+	}
+	return connection, nil
+}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -51,6 +51,8 @@
 		measure: (*session).inForce, check: (*session).managersFit},
 	{axis: Processes, sizes: []float64{10, 30, 100, 200}, small: []float64{2, 4, 6, 8}, costs: processCosts, real: true,
 		measure: (*session).realFleet, check: (*session).processesFit},
+	{axis: Connections, sizes: []float64{30, 60, 120, 240}, small: []float64{30, 60, 120, 240}, costs: []Cost{ConnectionsMemory}, real: true,
+		measure: (*session).connections, check: (*session).connectionsFit},
 }
 
 func hollow(axis Axis, sizes, small []float64, costs []Cost) survey {
@@ -178,6 +180,18 @@
 	return measureRealFleet(ctx, r.options, max(r.writePerReader, writeLeast), int(size))
 }
 
+func (r *session) connections(ctx context.Context, size float64, _ survey) ([]sample, error) {
+	return measureConnections(ctx, r.options, int(size))
+}
+
+func (r *session) connectionsFit(size float64, s survey) error {
+	if size <= connectionsMost {
+		return nil
+	}
+	return &LimitError{What: fmt.Sprintf("%s %g", s.axis, size), Needs: fmt.Sprintf("%g connections", size),
+		Limit: fmt.Sprint(connectionsMost), Fits: fmt.Sprintf("%d fit", connectionsMost)}
+}
+
 func (r *session) processesFit(size float64, _ survey) error {
 	return allowsProcesses(r.options.Memory, int(size))
 }
--- a/internal/scale/real_fleet.go
+++ b/internal/scale/real_fleet.go
@@ -156,7 +156,7 @@
 				return
 			}
 			began := time.Now()
-			errs[i] = f.beginOne(manager, list, uint64(i))
+			errs[i] = f.beginOne(ctx, manager, list, uint64(i))
 			times[i] = time.Since(began).Seconds()
 		})
 	}
@@ -165,13 +165,15 @@
 	return times, errors.Join(errs...)
 }
 
-// beginOne starts one process, waits until it is ready, and tells it once that no flows come.
-func (f *realFleet) beginOne(m *realManager, list stand.List, seed uint64) (err error) {
+// beginOne starts one process, waits until it is ready, and tells it once that no flows come. A process that is still
+// waited for ends with the context.
+func (f *realFleet) beginOne(ctx context.Context, m *realManager, list stand.List, seed uint64) (err error) {
 	start := stand.ManagerStart{Dir: m.dir, Name: m.name, Listen: m.address, Status: m.status, Discovery: f.discovery.Address,
 		Relay: m.relay.Address, List: list, How: stand.How{Cores: realCores, MemoryMB: 512, Sockets: 512, Seed: seed + f.starts}}
 	if m.daemon, err = f.site.StartManager(start, stand.Process(f.program, filepath.Join(m.dir, "log"))); err != nil {
 		return err
 	}
+	defer context.AfterFunc(ctx, func() { m.daemon.Stop(true) })()
 	if err := stand.AwaitReady(m.daemon, m.address, fleetReadyMost); err != nil {
 		return fmt.Errorf("%s: %w", m.name, err)
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -82,7 +82,7 @@
 		if r.options.Small {
 			s.sizes = s.small
 		}
-		if len(r.options.Sizes) > 0 && (!s.real || s.axis == Processes) {
+		if len(r.options.Sizes) > 0 && (!s.real || s.axis == Processes || s.axis == Connections) {
 			s.sizes = r.options.Sizes
 		}
 		all = append(all, s)
@@ -140,5 +140,5 @@
 func (s Scenario) sizes() map[Axis]float64 {
 	return map[Axis]float64{Servers: float64(s.Servers), Proxies: float64(s.Proxies), Zones: float64(s.Zones),
 		TrafficGroups: float64(s.TrafficGroups), ListChanges: s.ListChanges, Reports: s.Reports, RestartsAtOnce: float64(s.RestartsAtOnce),
-		OpeningListSize: float64(s.Servers), Managers: 1, Processes: 1}
+		OpeningListSize: float64(s.Servers), Managers: 1, Processes: 1, Connections: 1}
 }
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -18,6 +18,7 @@
 	TrafficGroups   Axis = "traffic-groups"
 	Managers        Axis = "managers"       // that read one list
 	Processes       Axis = "real-processes" // managers as processes of their own, on loopback, that read one list
+	Connections     Axis = "connections"    // to one real process
 	ListChanges     Axis = "list-changes-per-second"
 	Reports         Axis = "reports-per-second"
 	RestartsAtOnce  Axis = "restarts-at-once"
@@ -81,6 +82,7 @@
 	ProcessReadyLast          Cost = "process-ready-last"
 	ProcessBesideOpeningsLast Cost = "process-beside-openings-last"
 	ProcessCPUPerQuietSecond  Cost = "process-cpu-per-quiet-second" // seconds of each process
+	ConnectionsMemory         Cost = "connections-memory"           // bytes that a real process takes for its connections
 	ProcessMemory             Cost = "process-memory"               // bytes, the largest resident set
 
 	ProxiesBound Cost = "proxies-bound" // proxies that have a table
--- /dev/null
+++ b/internal/search/world_fleet.go
@@ -0,0 +1,195 @@
+package search
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"tamarindshore/choice"
+)
+
+type server struct {
+	id      choice.ServerID
+	zone    int
+	up      bool
+	silent  bool
+	slow    float64 // times its service takes
+	fails   float64 // part of its flows
+	started time.Duration
+	gets    []float64 // flows a second by zone
+}
+
+type proxy struct {
+	id      choice.ProxyID
+	zone    int
+	session int // of its stream; 0 before the first
+	joined  bool
+	since   time.Duration // it joined
+	bound   bool
+	table   choice.TableID
+	lines   map[choice.ServerID]float64
+	pulled  map[choice.ServerID]bool
+	at      time.Duration // the last message reached it
+	told    time.Duration // the last was ordered
+	sent    []time.Duration
+}
+
+type told struct {
+	state choice.Condition
+	at    time.Duration // the manager was told
+	since time.Duration // of the server's start, as listed
+}
+
+// join gives a proxy a stream; it goes on with what it holds until it is told.
+func (w *World) join(p *proxy) {
+	if p.joined {
+		return
+	}
+	p.joined, p.bound, p.since, p.session, p.at, p.sent = true, false, w.now, p.session+1, w.now, nil
+	if p.lines == nil {
+		p.lines, p.pulled = map[choice.ServerID]float64{}, map[choice.ServerID]bool{}
+	}
+	w.input(func(now time.Duration) choice.Orders { return w.manager.Joined(now, p.id, w.zone(p.zone), w.sc.Rate) })
+}
+
+func (w *World) leave(p *proxy, told bool) {
+	if !p.joined {
+		return
+	}
+	p.joined, p.bound = false, false
+	if told {
+		w.input(func(now time.Duration) choice.Orders { return w.manager.Left(now, p.id) })
+	}
+}
+
+// tell lets discovery tell a server's state, late.
+func (w *World) tell(s *server, c choice.Condition) {
+	since := time.Duration(-time.Hour)
+	if s.started > 0 {
+		since = s.started
+	}
+	w.after(w.between(w.sc.ListLate)+w.late, func() {
+		if t := w.list[s.id]; since < t.since {
+			return // overtaken by a later start
+		}
+		w.say("list %s %d", s.id, c)
+		deliver := func() {}
+		gen := w.gen
+		deliver = func() {
+			if w.gen != gen {
+				return
+			}
+			if w.now < w.stalled {
+				w.at(w.stalled, deliver)
+				return
+			}
+			t := told{c, w.now, since}
+			if was := w.list[s.id]; was.state != choice.Ready && c != choice.Ready {
+				t.at = was.at
+			}
+			w.list[s.id] = t
+			w.input(func(now time.Duration) choice.Orders {
+				return w.manager.Listed(now, false, []choice.Entry{w.entry(s, t)})
+			})
+		}
+		deliver()
+	})
+}
+
+// some are a part of the servers, at least one, by a fault's own chance.
+func (w *World) some(f Fault) (all []*server) {
+	order := rand.New(rand.NewPCG(f.Seed, 1)).Perm(len(w.servers))
+	for _, i := range order[:max(1, int(f.Part*float64(len(order))))] {
+		all = append(all, w.servers[i])
+	}
+	return all
+}
+
+func (w *World) down(s *server) {
+	s.up, s.silent = false, false
+	w.tell(s, choice.Gone)
+}
+
+func (w *World) back(s *server) {
+	if !s.up {
+		s.up, s.started = true, max(w.now, 1)
+		w.tell(s, choice.Ready)
+	}
+}
+
+// befall lets a fault begin, and sets its end.
+func (w *World) befall(f Fault) {
+	w.say("fault %s for %v part %.2f", f.Kind, f.For, f.Part)
+	hold := func(n *int) {
+		*n++
+		w.after(f.For, func() { *n-- })
+	}
+	each := func(begin, end func(s *server)) {
+		for _, s := range w.some(f) {
+			begin(s)
+			w.after(f.For, func() { end(s) })
+		}
+	}
+	switch f.Kind {
+	case Crash:
+		each(w.down, w.back)
+	case Silence:
+		each(func(s *server) { s.silent = true }, func(s *server) { s.silent = false })
+	case Slow:
+		each(func(s *server) { s.slow *= 5 }, func(s *server) { s.slow /= 5 })
+	case Errors:
+		each(func(s *server) { s.fails = 0.7 }, func(s *server) { s.fails = 0 })
+	case Drain:
+		each(func(s *server) {
+			w.tell(s, choice.Draining)
+			w.after(5*time.Second, func() { w.down(s) })
+		}, func(s *server) { w.after(6*time.Second, func() { w.back(s) }) })
+	case ZoneLost:
+		for _, s := range w.servers {
+			if s.zone == int(f.Seed)%w.sc.Zones {
+				w.down(s)
+				w.after(f.For, func() { w.back(s) })
+			}
+		}
+	case ZoneCut:
+		hold(&w.cut[int(f.Seed)%w.sc.Zones])
+	case Deaf:
+		hold(&w.deaf)
+	case Unreachable:
+		hold(&w.unreachable)
+	case LostAnswers:
+		hold(&w.lost)
+	case Doubled:
+		hold(&w.doubled)
+	case SlowChannel:
+		w.sends(w.pace / 3)
+		w.after(f.For, func() { w.sends(w.pace * 3) })
+	case Restart:
+		w.begin()
+	case Stall:
+		w.stalled = max(w.stalled, w.now+min(f.For, 2*time.Second))
+	case Rejoin:
+		chance := rand.New(rand.NewPCG(f.Seed, 2))
+		for _, p := range w.proxies {
+			if chance.Float64() < f.Part*2 {
+				w.leave(p, true)
+				w.after(time.Duration(200+chance.IntN(1500))*time.Millisecond, func() { w.join(p) })
+			}
+		}
+	case WrongList:
+		each(func(s *server) { w.tell(s, choice.Gone) }, func(s *server) {
+			if s.up {
+				w.tell(s, choice.Ready)
+			}
+		})
+	case LateList:
+		w.late += 4 * time.Second
+		w.after(f.For, func() { w.late -= 4 * time.Second })
+	case RollBack:
+		if all := w.chain.Versions(); len(all) > 0 && w.now >= w.stalled {
+			_, _, err := w.chain.RollBack(w.last, all[len(all)/2].ID, fmt.Sprint(f.Seed), f.For+time.Second, sight{w.manager})
+			w.say("rollback %v", err)
+			w.pin()
+		}
+	}
+}
--- a/internal/stand/process.go
+++ b/internal/stand/process.go
@@ -76,13 +76,29 @@
 			}
 		}
 	}
-	if text, err := os.ReadFile(dir + "status"); err == nil {
-		for line := range strings.Lines(string(text)) {
-			if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-				kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-				memory = kb / 1024
-			}
+	return cpu, p.statusMB("VmHWM:")
+}
+
+// Resident is the memory in MB that a process holds now. Zero where it can't be told.
+func Resident(d Daemon) float64 {
+	p, ok := d.(*process)
+	if !ok {
+		return 0
+	}
+	return p.statusMB("VmRSS:")
+}
+
+// statusMB is a size that the kernel tells of the process; zero where it tells none.
+func (p *process) statusMB(key string) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, key); ok {
+			kilobytes, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kilobytes / 1024
 		}
 	}
-	return cpu, memory
+	return 0
 }
--- /dev/null
+++ b/internal/stand/relay_call.go
@@ -0,0 +1,131 @@
+package stand
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fault is what becomes of a call.
+type Fault int
+
+const (
+	// None: the call is carried out and answered.
+	None     Fault = iota
+	Lost           // carried out, and the connection breaks before the answer
+	Undone         // the connection breaks, and nothing was carried out
+	Mute           // carried out, and no answer ever comes
+	Garbled        // carried out, and the answer can't be read
+	Busy           // nothing was carried out, and the answer says so
+	Slow           // carried out, and the answer comes late
+	faultsOf       // how many there are
+)
+
+var faultNames = []string{"none", "lost", "undone", "mute", "garbled", "busy", "slow"}
+
+// String is the name of a fault.
+func (f Fault) String() string { return faultNames[f] }
+
+func (r *Relay) call(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, 1<<20))
+	form, bad := url.ParseQuery(string(body))
+	if err != nil || bad != nil || form.Get("Action") != "CommitChanges" || len(form.Get("orders")) > 60000 {
+		fmt.Fprint(w, `<?xml version="1.0"?><Response><error>SYNTAX</error></Response>`)
+		return
+	}
+	orders := strings.Split(form.Get("orders"), ";")
+	r.mu.Lock()
+	r.calls++
+	fault := r.Fault(r.calls)
+	if r.away {
+		fault = Undone
+	}
+	r.faults[fault]++
+	taken := 0
+	if fault != Undone && fault != Busy {
+		taken = r.carryOut(orders, fault == Lost || fault == Mute || fault == Garbled)
+	}
+	r.mu.Unlock()
+	answer := fmt.Sprintf(`<?xml version="1.0"?><Response><items><item><taken>%d</taken></item></items></Response>`, taken)
+	switch fault {
+	case Lost, Undone:
+		cutOff(w)
+		return
+	case Mute:
+		select {
+		case <-req.Context().Done():
+		case <-r.over:
+		}
+		return
+	case Garbled:
+		answer = answer[:len(answer)/2] + "\x00\x01"
+	case Busy:
+		answer = `<?xml version="1.0"?><Response><error>BUSY</error></Response>`
+	case Slow:
+		time.Sleep(r.SlowFor)
+	}
+	io.WriteString(w, answer)
+}
+
+// carryOut takes orders one after another, up to the first that it can't use, and puts what they cost each proxy into
+// the channel as one message. An order that is carried out again after a call without an answer must change nothing.
+func (r *Relay) carryOut(orders []string, unanswered bool) (taken int) {
+	now := time.Now()
+	m := &sending{at: now, of: map[int]*message{}}
+	for _, o := range orders {
+		before := r.effects
+		kind, about, ok := r.order(o, m)
+		if !ok {
+			r.refused++
+			break
+		}
+		if r.repeats[o] && kind != "mark" {
+			r.Rules.repeated(now, o, r.effects != before)
+		}
+		taken++
+		r.Ordered(now, kind, about)
+	}
+	r.taken += taken
+	clear(r.repeats)
+	if unanswered {
+		for _, o := range orders[:taken] {
+			r.repeats[o] = true
+		}
+	}
+	var ids []int
+	for id := range m.of {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		one := m.of[id]
+		one.lines += r.site.HeadLines
+		r.waiting += one.lines
+		r.queue = append(r.queue, *one)
+		one.to.sent = append(one.to.sent, now)
+		one.to.sent = slices.DeleteFunc(one.to.sent, func(at time.Time) bool { return now.Sub(at) > r.site.MessagesOver })
+		r.Rules.messages(now, id, len(one.to.sent))
+	}
+	r.Rules.waits(now, r.waiting)
+	return taken
+}
+
+// sending is what one call sends, by proxy.
+type sending struct {
+	at time.Time
+	of map[int]*message
+}
+
+func (m *sending) line(p *proxy, lines float64) *message {
+	one := m.of[p.id]
+	if one == nil {
+		one = &message{to: p, at: m.at}
+		m.of[p.id] = one
+	}
+	one.lines += lines
+	return one
+}
--- a/internal/store/list.go
+++ b/internal/store/list.go
@@ -49,8 +49,8 @@
 
 // List is the server list as it was last held, by name.
 type List struct {
-	Generation int64 // 0: none is kept
-	Entries    []ListEntry
+	Generation int64       `json:"generation"` // 0: none is kept
+	Entries    []ListEntry `json:"entries"`
 }
 
 var (
