--- a/cmd/tamarindshore/scale_test.go
+++ b/cmd/tamarindshore/scale_test.go
@@ -94,9 +94,11 @@
 	}
 }
 
-func TestScaleRaisesAFleetOfRealProcesses(t *testing.T) {
+// measured is the report of a run of the command.
+func measured(t *testing.T, arguments ...string) scale.Report {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "slopes.json")
-	cmd, said := scaleProgram("--axis", "real-processes", "--sizes", "2,5", "--runs", "1", "--json", path)
+	cmd, said := scaleProgram(append(arguments, "--json", path)...)
 	if err := cmd.Run(); err != nil {
 		t.Fatalf("%v: %s", err, said)
 	}
@@ -104,27 +106,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return report
+}
+
+func TestScaleRaisesAFleetOfRealProcesses(t *testing.T) {
+	report := measured(t, "--axis", "real-processes", "--sizes", "2,5", "--runs", "1")
 	for _, cost := range []scale.Cost{scale.ProcessInForceLast, scale.ProcessReadyLast, scale.ProcessBesideOpeningsLast, scale.ProcessMemory,
 		scale.HollowInForceLast} {
-		slope, measured := report.Find(cost, scale.Processes)
-		if !measured || len(slope.Points) != 2 || slope.Points[0].Runs[0] <= 0 || slope.Points[1].Runs[0] <= 0 {
+		slope, found := report.Find(cost, scale.Processes)
+		if !found || len(slope.Points) != 2 || slope.Points[0].Runs[0] <= 0 || slope.Points[1].Runs[0] <= 0 {
 			t.Errorf("%s: %+v", cost, slope.Points)
 		}
 	}
 }
 
 func TestScaleMeasuresTheMemoryOfConnections(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "slopes.json")
-	cmd, said := scaleProgram("--axis", "connections", "--sizes", "1,240", "--runs", "1", "--json", path)
-	if err := cmd.Run(); err != nil {
-		t.Fatalf("%v: %s", err, said)
-	}
-	report, err := scale.ReadReport(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	slope, measured := report.Find(scale.ConnectionsMemory, scale.Connections)
-	if !measured || len(slope.Points) != 2 || slope.Points[1].Runs[0] < slope.Points[0].Runs[0] || slope.Points[1].Runs[0] < 240<<10 {
+	report := measured(t, "--axis", "connections", "--sizes", "1,240", "--runs", "1")
+	slope, found := report.Find(scale.ConnectionsMemory, scale.Connections)
+	if !found || len(slope.Points) != 2 || slope.Points[1].Runs[0] < slope.Points[0].Runs[0] || slope.Points[1].Runs[0] < 240<<10 {
 		t.Errorf("%+v: under 1 KB a connection", slope.Points)
 	}
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -47,34 +47,35 @@
 	}
 }
 
+// withSettings is a start joined to the operator's settings.
+func withSettings(t *testing.T, settings string) Start {
+	t.Helper()
+	operator, err := ParseOperator("f", []byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	start, err := parse(none, []byte(told), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if start, err = start.With(operator); err != nil {
+		t.Fatal(err)
+	}
+	return start
+}
+
 func TestASubsetIsOffUnlessItIsAskedFor(t *testing.T) {
 	for text, want := range map[string]int{"(tamarindshore)": 0, "(tamarindshore (subset (spill 100)))": 100} {
-		o, err := ParseOperator("f", []byte(text))
-		if err != nil {
-			t.Fatal(err)
-		}
-		s, err := parse(none, []byte(told), false)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if s, err = s.With(o); err != nil || s.Spill != want {
-			t.Errorf("%s: %d, %v", text, s.Spill, err)
+		if s := withSettings(t, text); s.Spill != want {
+			t.Errorf("%s: %d", text, s.Spill)
 		}
 	}
 }
 
 func TestReadsAreSpacedWhereItIsAskedFor(t *testing.T) {
 	for text, want := range map[string]time.Duration{"(tamarindshore)": 0, "(tamarindshore (read-interval 50ms))": 50 * time.Millisecond} {
-		o, err := ParseOperator("f", []byte(text))
-		if err != nil {
-			t.Fatal(err)
-		}
-		s, err := parse(none, []byte(told), false)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if s, err = s.With(o); err != nil || s.Limits.ReadInterval != want {
-			t.Errorf("%s: %v, %v", text, s.Limits.ReadInterval, err)
+		if s := withSettings(t, text); s.Limits.ReadInterval != want {
+			t.Errorf("%s: %v", text, s.Limits.ReadInterval)
 		}
 	}
 	for _, text := range []string{"0s", "1us", "201ms", "-1ms", "soon"} {
