Changes of the list that wait for a disk that hangs are bounded

Cause, found on reading: what waits for the store was folded only when a save began; while a save hangs (neither fails nor returns) each change of the list was kept by itself, without end (storeWriter.add, unsaved.before). Change: past 256 waiting changes they become one, which holds a server once.

--- a/internal/node/snapshot_test.go
+++ b/internal/node/snapshot_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -114,3 +115,29 @@
 		t.Errorf("began with version %d, not %d", version, told.Version)
 	}
 }
+
+// A save that hangs takes nothing more; what comes meanwhile must not grow with time, only with the fleet.
+func TestWhatWaitsForADiskThatHangsIsBounded(t *testing.T) {
+	const servers, changes = 10, 5000
+	writer := &storeWriter{filled: make(chan struct{}, 1)}
+	for n := range changes {
+		writer.list(serverList{generation: int64(n + 1), complete: true, snapshot: n == 0,
+			instances: []instance{{InstanceID: fmt.Sprint("s-", n%servers), Zone: "a", Lifecycle: "up", StartedAtMs: int64(n)}}})
+	}
+	entries := 0
+	for _, change := range writer.waiting.lists {
+		entries += len(change.Entries)
+	}
+	if len(writer.waiting.lists) > maxWaitingLists || entries > maxWaitingLists+servers {
+		t.Errorf("%d changes with %d entries wait", len(writer.waiting.lists), entries)
+	}
+	last := folded(writer.waiting.lists)
+	if len(last) != 1 || !last[0].Whole || last[0].Generation != changes || len(last[0].Entries) != servers {
+		t.Fatalf("%+v", last)
+	}
+	for _, entry := range last[0].Entries {
+		if entry.StartedAtMs < changes-servers {
+			t.Errorf("%s is as told %d changes ago", entry.ID, changes-entry.StartedAtMs)
+		}
+	}
+}
--- a/internal/node/store_writer.go
+++ b/internal/node/store_writer.go
@@ -37,7 +37,9 @@
 
 func (u unsaved) empty() bool { return len(u.versions)+len(u.commands)+len(u.lists) == 0 }
 
-// before joins what waits to what came after it. Of too many versions only the newest is kept; it is saved whole.
+// before joins what waits to what came after it. Of too many versions only the newest is kept; it is saved whole. Too
+// many changes of the list become one, which holds a server once. Guards against a disk that hangs, behind which they
+// would gather without end.
 func (u unsaved) before(later unsaved) unsaved {
 	joined := unsaved{
 		versions: slices.Concat(u.versions, later.versions),
@@ -47,11 +49,15 @@
 	if excess := len(joined.versions) - maxWaitingVersions; excess > 0 {
 		joined.versions = joined.versions[len(joined.versions)-1:]
 	}
+	if len(joined.lists) > maxWaitingLists {
+		joined.lists = folded(joined.lists)
+	}
 	return joined
 }
 
 const (
 	maxWaitingVersions = 64 // past that only the newest is saved, whole
+	maxWaitingLists    = 256
 	storeRetry         = 5 * time.Second
 )
 
@@ -99,7 +105,7 @@
 }
 
 // folded are changes of the list as one, which holds a server once. It takes as long as there are servers in it, so it is
-// done where the store is written and not where a change comes in.
+// done where the store is written, and not where a change comes in unless very many wait.
 func folded(changes []store.ListChange) []store.ListChange {
 	if len(changes) < 2 {
 		return changes
