Review, case 1: a worker that returns after a minute stays withdrawn for good

Seen: the manager drops all state of a removed server after 60 s, the withdrawal that the relay still holds among it, and never sends a restore. The returned workers get no request, and when the others drain no proxy has a line to pick, for good.

Nothing of the project's own code is changed. The files carry a build tag, so that they are in no default build or test.

--- /dev/null
+++ b/review/standins/cases.go
@@ -0,0 +1,170 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// playJoin replaces six in ten workers within 7 s, one after the other: each gets a successor with a new id and drains. It
+// takes those first that the proxies of the first zone use.
+func playJoin(w *world, m *manager, trouble bool) {
+	m.sleep(14 * time.Second)
+	if trouble {
+		old := append([]string(nil), w.order...)
+		n := w.s.Servers * 6 / 10
+		for i := 0; i < n; i++ {
+			w.with(func() { w.replace(w.nextOld(old)) })
+			m.sleep(7 * time.Second / time.Duration(n))
+		}
+	}
+	m.sleep(16 * time.Second)
+}
+
+// nextOld returns the next worker to replace: one that the first proxy uses, or else any.
+func (w *world) nextOld(old []string) *worker {
+	used := w.proxies[0].lines(classNames[0])
+	var any *worker
+	for _, id := range old {
+		k := w.workers[id]
+		if k.state != "up" {
+			continue
+		}
+		if used[id] > 0 {
+			return k
+		}
+		if any == nil {
+			any = k
+		}
+	}
+	return any
+}
+
+// playReturn switches half of the workers off (drained, then removed), switches them on again after a while under their
+// ids, and drains the others in steps when these are warm.
+func playReturn(w *world, m *manager, trouble bool) {
+	away := 66.0
+	if text := os.Getenv("AWAY"); text != "" {
+		fmt.Sscan(text, &away)
+	}
+	m.sleep(5 * time.Second)
+	var half, rest []*worker
+	w.with(func() {
+		for i, id := range w.order {
+			if i < len(w.order)/2 {
+				half = append(half, w.workers[id])
+			} else {
+				rest = append(rest, w.workers[id])
+			}
+		}
+	})
+	setAll := func(list []*worker, state string) {
+		w.with(func() {
+			for _, k := range list {
+				k.state = state
+				k.dead = state == "removed"
+				if state == "up" {
+					k.started = time.Now()
+					k.startedMs = k.started.UnixMilli()
+				}
+			}
+			w.publish(list...)
+		})
+	}
+	if trouble {
+		setAll(half, "draining")
+		m.sleep(3 * time.Second)
+		setAll(half, "removed")
+		m.sleep(time.Duration(away * float64(time.Second)))
+		setAll(half, "up")
+		w.with(func() {
+			for _, k := range half {
+				k.sentTotal = 0
+			}
+		})
+		m.sleep(w.s.WarmAfter - 3*time.Second)
+	}
+	for i := 0; i < 5; i++ {
+		setAll(rest[i*len(rest)/5:(i+1)*len(rest)/5], "draining")
+		m.sleep(time.Second)
+	}
+	m.sleep(6 * time.Second)
+	w.with(func() {
+		total := 0
+		for _, k := range half {
+			total += k.sentTotal
+		}
+		w.logf("the first half of the workers got %d requests since it was listed as up", total)
+	})
+}
+
+// playLastDrain drains all workers while the stream of one proxy is broken; then the proxy joins again.
+func playLastDrain(w *world, m *manager, trouble bool) {
+	m.sleep(6 * time.Second)
+	if trouble {
+		w.with(func() { w.leave(w.proxies[0]) })
+	}
+	m.sleep(time.Second)
+	w.with(func() {
+		var all []*worker
+		for _, id := range w.order {
+			k := w.workers[id]
+			k.state = "draining"
+			all = append(all, k)
+		}
+		w.publish(all...)
+	})
+	m.sleep(6 * time.Second)
+	if trouble {
+		w.with(func() { w.join(w.proxies[0]) })
+	}
+	m.sleep(8 * time.Second)
+}
+
+// playRollback rolls the tables back, kills the manager when the command has been answered, and repeats the command with
+// the same key after the restart.
+func playRollback(w *world, m *manager, trouble bool) {
+	m.sleep(8 * time.Second)
+	version := ""
+	for _, l := range strings.Split(m.tables("log"), "\n") {
+		if f := strings.Fields(l); len(f) > 3 && strings.Contains(f[0], ".") {
+			version = f[0]
+		}
+	}
+	first := m.tables("rollback", "--to", version, "--id", "INCIDENT-1", "--for", "1h")
+	if trouble {
+		m.end(syscall.SIGKILL)
+		var list map[string]any
+		w.with(func() {
+			w.logf("manager killed")
+			list = w.fullList()
+			w.resetManagerState()
+			w.ready = time.Time{}
+			for _, p := range w.proxies {
+				w.leave(p)
+			}
+		})
+		m.sleep(time.Second)
+		m.start(list)
+		if !m.awaitReady(10 * time.Second) {
+			fail("the manager is not ready after its restart")
+		}
+		w.with(func() {
+			for _, p := range w.proxies {
+				w.join(p)
+			}
+		})
+		m.sleep(5 * time.Second)
+	}
+	second := m.tables("rollback", "--to", version, "--id", "INCIDENT-1", "--for", "1h")
+	w.with(func() {
+		if strings.Contains(first, "completed under key") && strings.Contains(second, "completed under key") {
+			w.violate("no effect twice", "", "the rollback was carried out twice under one key")
+		}
+	})
+	m.sleep(2 * time.Second)
+}
