--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -102,13 +102,13 @@
 	})
 }
 
-// playLastDrain drains all workers while the stream of one proxy is broken; then the proxy joins again.
+// playLastDrain drains all workers while the stream of one proxy is broken for 10 s; then the proxy joins again.
 func playLastDrain(w *world, m *manager, trouble bool) {
 	m.sleep(6 * time.Second)
 	if trouble {
 		w.with(func() { w.leave(w.proxies[0]) })
 	}
-	m.sleep(time.Second)
+	m.sleep(4 * time.Second)
 	w.with(func() {
 		var all []*worker
 		for _, id := range w.order {
@@ -122,7 +122,7 @@
 	if trouble {
 		w.with(func() { w.join(w.proxies[0]) })
 	}
-	m.sleep(8 * time.Second)
+	m.sleep(10 * time.Second)
 }
 
 // playRollback rolls the tables back, kills the manager when the command has been answered, and repeats the command with
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -89,7 +89,7 @@
 		k := w.addWorker(sc.site.Zones[i%len(sc.site.Zones)], false)
 		k.listed = true
 	}
-	for i := 0; i < sc.site.Proxies; i++ {
+	for i := 0; i < sc.site.Proxies+sc.site.Extra; i++ {
 		w.proxies = append(w.proxies, w.newProxy(i))
 	}
 	m := &manager{w: w, root: root, dir: dir, listen: freeAddress()}
@@ -117,10 +117,13 @@
 		go w.runCollector(z, m.listen)
 	}
 	w.mu.Lock()
-	for _, p := range w.proxies {
+	for _, p := range w.proxies[:sc.site.Proxies] {
 		w.join(p)
 	}
 	w.mu.Unlock()
+	if sc.site.Extra > 0 {
+		go w.runOthers()
+	}
 	sc.play(w, m, trouble)
 	if !m.crashed() && !m.awaitReady(3*time.Second) {
 		w.with(func() { w.violate("no hang", "", "the manager does not answer ping within 3 s") })
--- a/review/standins/play.go
+++ b/review/standins/play.go
@@ -378,6 +378,9 @@
 	w.sentSec[chosen]++
 	k.sentTotal++
 	k.sends = append(k.sends, now)
+	if !p.joined {
+		return
+	}
 	if w.heard[p.zone] == nil {
 		w.heard[p.zone] = map[string]*tally{}
 	}
--- a/review/standins/scenarios.go
+++ b/review/standins/scenarios.go
@@ -20,6 +20,10 @@
 	big.Servers, big.Proxies, big.ProxyRate, big.Capacity, big.Egress, big.QueueCap = 84, 120, 5.4, 14, 6800, 6800
 	cores := chc()
 	cores.Cores, cores.Operator = 4, `(tamarindshore (cores 4) (read-interval "50ms"))`
+	herdAkl, herdWlg, herdChc := akl(), wlg(), chc()
+	herdAkl.Proxies, herdAkl.Extra, herdAkl.Total, herdAkl.Managers, herdAkl.ProxyRate = 20, 40, 60, 3, 3.3
+	herdWlg.Proxies, herdWlg.Extra, herdWlg.Total, herdWlg.Managers, herdWlg.ProxyRate = 12, 12, 24, 2, 5.5
+	herdChc.Proxies, herdChc.Extra, herdChc.Total, herdChc.Managers, herdChc.ProxyRate = 25, 50, 75, 3, 3
 	hold := chc()
 	hold.Skew, hold.Operator = 0.33, `(tamarindshore (admin (socket "DIR/n1.sock")))`
 	stored := chc()
@@ -30,20 +34,23 @@
 	skewed.Proxies, skewed.Total, skewed.Managers, skewed.ProxyRate, skewed.Capacity = 25, 75, 3, 4.1, 6.3
 	skewed.Skew = 0.33
 	return map[string]scenario{
-		"mix-chc":   {skewed, playMix},
-		"mix-akl":   {akl(), playMix},
-		"mix-wlg":   {wlg(), playMix},
-		"mix-sub":   {sub, playMix},
-		"mix-big":   {big, playMix},
-		"mix-cores": {cores, playMix},
-		"mix-hold":  {hold, playMix},
-		"mix-store": {stored, playMix},
-		"mix-home":  {home, playMix},
-		"mix-drop":  {dropped(), playMix},
-		"rollback":  {stored, playRollback},
-		"join":      {skewed, playJoin},
-		"return":    {chc(), playReturn},
-		"lastdrain": {chc(), playLastDrain},
+		"mix-chc":      {skewed, playMix},
+		"mix-akl":      {akl(), playMix},
+		"mix-wlg":      {wlg(), playMix},
+		"mix-sub":      {sub, playMix},
+		"mix-big":      {big, playMix},
+		"mix-cores":    {cores, playMix},
+		"mix-herd-akl": {herdAkl, playMix},
+		"mix-herd-wlg": {herdWlg, playMix},
+		"mix-herd-chc": {herdChc, playMix},
+		"mix-hold":     {hold, playMix},
+		"mix-store":    {stored, playMix},
+		"mix-home":     {home, playMix},
+		"mix-drop":     {dropped(), playMix},
+		"rollback":     {stored, playRollback},
+		"join":         {skewed, playJoin},
+		"return":       {chc(), playReturn},
+		"lastdrain":    {chc(), playLastDrain},
 	}
 }
 
@@ -73,7 +80,7 @@
 	}
 	later := func(d time.Duration, f func()) { time.AfterFunc(d, func() { w.with(f) }) }
 	m.sleep(12 * time.Second)
-	killed := false
+	killed, herded := false, false
 	kinds := []func(){
 		func() { // crash
 			var hit []*worker
@@ -185,6 +192,17 @@
 				})
 			}
 		},
+		func() { // herd
+			if w.s.Extra == 0 || herded {
+				return
+			}
+			herded = true
+			w.logf("TROUBLE the proxies of other managers come")
+			for _, p := range w.proxies[w.s.Proxies:] {
+				p := p
+				later(span(0.1, 2.1), func() { w.join(p) })
+			}
+		},
 		func() { // streams break and return
 			w.logf("TROUBLE streams break")
 			for i := 0; i < 30; i++ {
@@ -353,6 +371,9 @@
 	n := 4
 	for i := 0; i < n; i++ {
 		k := rng.Intn(len(kinds))
+		if i == 1 && w.s.Extra > 0 {
+			k = 5
+		}
 		if i == 0 && strings.Contains(w.s.Operator, "admin") {
 			k = len(kinds) - 4
 		}
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -21,6 +21,7 @@
 	Servers      int
 	Proxies      int
 	Cores        float64 // 0: one
+	Extra        int     // further proxies, joined to other managers at first
 	Total        int     // proxies of all managers; 0: those of this one
 	Managers     int
 	ProxyRate    float64 // requests a second at each proxy, on average
@@ -603,3 +604,33 @@
 	}
 	return false
 }
+
+// runOthers plays the other managers: each 2 s they have given the proxies that are not joined here a table of all workers
+// that the list shows as ready, the cold ones with a tenth of the weight.
+func (w *world) runOthers() {
+	for {
+		w.with(func() {
+			for _, p := range w.proxies[w.s.Proxies:] {
+				if p.joined {
+					continue
+				}
+				l := lines{}
+				for id, k := range w.workers {
+					if k.listed && k.state == "up" && !k.dead {
+						l[id] = 10
+						if time.Since(k.started) < w.s.WarmAfter {
+							l[id] = 1
+						}
+					}
+				}
+				p.tables = map[int]lines{5000: l}
+				p.withdrawn = map[string]bool{}
+				p.levels = map[int]map[string]level{}
+				for _, c := range classNames {
+					p.bound[c] = 5000
+				}
+			}
+		})
+		time.Sleep(2 * time.Second)
+	}
+}
