--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -168,3 +168,39 @@
 	})
 	m.sleep(2 * time.Second)
 }
+
+// playUnanswered has the relay carry out all calls of 4 s without an answer: the connection breaks. One worker drains at
+// the beginning of that time, another a second and a half after its end.
+func playUnanswered(w *world, m *manager, trouble bool) {
+	kind := "lost" // carried out; "undone" is not carried out
+	if text := os.Getenv("CALLS"); text != "" {
+		kind = text
+	}
+	m.sleep(14 * time.Second)
+	drain := func() {
+		w.with(func() {
+			k := w.nextOld(w.order)
+			k.state = "draining"
+			w.publish(k)
+		})
+	}
+	w.with(func() {
+		if trouble {
+			w.logf("the relay does not answer")
+			w.fault = func(int) string {
+				w.exempt = time.Now().Add(500 * time.Millisecond)
+				return kind
+			}
+		}
+	})
+	m.sleep(300 * time.Millisecond)
+	drain()
+	m.sleep(3700 * time.Millisecond)
+	w.with(func() {
+		w.logf("the relay answers again")
+		w.fault = func(int) string { return "" }
+	})
+	m.sleep(1500 * time.Millisecond)
+	drain()
+	m.sleep(8 * time.Second)
+}
--- a/review/standins/scenarios.go
+++ b/review/standins/scenarios.go
@@ -24,6 +24,8 @@
 	herdAkl.Proxies, herdAkl.Extra, herdAkl.Total, herdAkl.Managers, herdAkl.ProxyRate = 20, 40, 60, 3, 3.3
 	herdWlg.Proxies, herdWlg.Extra, herdWlg.Total, herdWlg.Managers, herdWlg.ProxyRate = 12, 12, 24, 2, 5.5
 	herdChc.Proxies, herdChc.Extra, herdChc.Total, herdChc.Managers, herdChc.ProxyRate = 25, 50, 75, 3, 3
+	herdWlg2 := wlg()
+	herdWlg2.Servers, herdWlg2.Proxies, herdWlg2.Managers, herdWlg2.ProxyRate, herdWlg2.Capacity, herdWlg2.Skew = 24, 30, 2, 8.5, 20, 0.2
 	hold := chc()
 	hold.Skew, hold.Operator = 0.33, `(tamarindshore (admin (socket "DIR/n1.sock")))`
 	stored := chc()
@@ -34,23 +36,25 @@
 	skewed.Proxies, skewed.Total, skewed.Managers, skewed.ProxyRate, skewed.Capacity = 25, 75, 3, 4.1, 6.3
 	skewed.Skew = 0.33
 	return map[string]scenario{
-		"mix-chc":      {skewed, playMix},
-		"mix-akl":      {akl(), playMix},
-		"mix-wlg":      {wlg(), playMix},
-		"mix-sub":      {sub, playMix},
-		"mix-big":      {big, playMix},
-		"mix-cores":    {cores, playMix},
-		"mix-herd-akl": {herdAkl, playMix},
-		"mix-herd-wlg": {herdWlg, playMix},
-		"mix-herd-chc": {herdChc, playMix},
-		"mix-hold":     {hold, playMix},
-		"mix-store":    {stored, playMix},
-		"mix-home":     {home, playMix},
-		"mix-drop":     {dropped(), playMix},
-		"rollback":     {stored, playRollback},
-		"join":         {skewed, playJoin},
-		"return":       {chc(), playReturn},
-		"lastdrain":    {chc(), playLastDrain},
+		"mix-chc":        {skewed, playMix},
+		"mix-akl":        {akl(), playMix},
+		"mix-wlg":        {wlg(), playMix},
+		"mix-sub":        {sub, playMix},
+		"mix-big":        {big, playMix},
+		"mix-cores":      {cores, playMix},
+		"mix-herd-akl":   {herdAkl, playMix},
+		"mix-herd-wlg":   {herdWlg, playMix},
+		"mix-herd-chc":   {herdChc, playMix},
+		"mix-hold":       {hold, playMix},
+		"mix-store":      {stored, playMix},
+		"mix-home":       {home, playMix},
+		"mix-drop":       {dropped(), playMix},
+		"unanswered":     {skewed, playUnanswered},
+		"unanswered-wlg": {herdWlg2, playUnanswered},
+		"rollback":       {stored, playRollback},
+		"join":           {skewed, playJoin},
+		"return":         {chc(), playReturn},
+		"lastdrain":      {chc(), playLastDrain},
 	}
 }
 
