--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -5,8 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
-	"syscall"
 	"time"
 )
 
@@ -102,81 +100,14 @@
 	})
 }
 
-// playLastDrain drains all workers while the stream of one proxy is broken for 10 s; then the proxy joins again.
-func playLastDrain(w *world, m *manager, trouble bool) {
-	m.sleep(6 * time.Second)
-	if trouble {
-		w.with(func() { w.leave(w.proxies[0]) })
-	}
-	m.sleep(4 * time.Second)
-	w.with(func() {
-		var all []*worker
-		for _, id := range w.order {
-			k := w.workers[id]
-			k.state = "draining"
-			all = append(all, k)
-		}
-		w.publish(all...)
-	})
-	m.sleep(6 * time.Second)
-	if trouble {
-		w.with(func() { w.join(w.proxies[0]) })
-	}
-	m.sleep(10 * time.Second)
-}
-
-// playRollback rolls the tables back, kills the manager when the command has been answered, and repeats the command with
-// the same key after the restart.
-func playRollback(w *world, m *manager, trouble bool) {
-	m.sleep(8 * time.Second)
-	version := ""
-	for _, l := range strings.Split(m.tables("log"), "\n") {
-		if f := strings.Fields(l); len(f) > 3 && strings.Contains(f[0], ".") {
-			version = f[0]
-		}
-	}
-	first := m.tables("rollback", "--to", version, "--id", "INCIDENT-1", "--for", "1h")
-	if trouble {
-		m.end(syscall.SIGKILL)
-		var list map[string]any
-		w.with(func() {
-			w.logf("manager killed")
-			list = w.fullList()
-			w.resetManagerState()
-			w.ready = time.Time{}
-			for _, p := range w.proxies {
-				w.leave(p)
-			}
-		})
-		m.sleep(time.Second)
-		m.start(list)
-		if !m.awaitReady(10 * time.Second) {
-			fail("the manager is not ready after its restart")
-		}
-		w.with(func() {
-			for _, p := range w.proxies {
-				w.join(p)
-			}
-		})
-		m.sleep(5 * time.Second)
-	}
-	second := m.tables("rollback", "--to", version, "--id", "INCIDENT-1", "--for", "1h")
-	w.with(func() {
-		if strings.Contains(first, "completed under key") && strings.Contains(second, "completed under key") {
-			w.violate("no effect twice", "", "the rollback was carried out twice under one key")
-		}
-	})
-	m.sleep(2 * time.Second)
-}
-
 // playUnanswered has the relay carry out all calls of 4 s without an answer: the connection breaks. One worker drains at
-// the beginning of that time, another a second and a half after its end.
+// the beginning of that time, another half a second after its end.
 func playUnanswered(w *world, m *manager, trouble bool) {
 	kind := "lost" // carried out; "undone" is not carried out
 	if text := os.Getenv("CALLS"); text != "" {
 		kind = text
 	}
-	m.sleep(14 * time.Second)
+	m.sleep(25 * time.Second)
 	drain := func() {
 		w.with(func() {
 			k := w.nextOld(w.order)
@@ -200,7 +131,7 @@
 		w.logf("the relay answers again")
 		w.fault = func(int) string { return "" }
 	})
-	m.sleep(1500 * time.Millisecond)
+	m.sleep(500 * time.Millisecond)
 	drain()
 	m.sleep(8 * time.Second)
 }
--- a/review/standins/play.go
+++ b/review/standins/play.go
@@ -592,6 +592,9 @@
 
 func (m *manager) start(known any) {
 	m.writeConfig(known)
+	if m.w.s.TablesAddress != "" && m.starts == 1 {
+		os.WriteFile(filepath.Join(m.dir, "keys"), []byte(strings.Repeat("0a", 32)+"\n"), 0o600)
+	}
 	m.cmd = exec.Command("/bin/sh", "-c", runLine(m.root))
 	m.cmd.Dir = m.root
 	m.cmd.Env = append(os.Environ(), "PROXY_NAME=n1", "PROXY_LISTEN="+m.listen, "PROXY_DISCOVERY="+m.disc, "PROXY_CONFIG="+filepath.Join(m.dir, "config.json"),
--- a/review/standins/scenarios.go
+++ b/review/standins/scenarios.go
@@ -26,6 +26,25 @@
 	herdChc.Proxies, herdChc.Extra, herdChc.Total, herdChc.Managers, herdChc.ProxyRate = 25, 50, 75, 3, 3
 	herdWlg2 := wlg()
 	herdWlg2.Servers, herdWlg2.Proxies, herdWlg2.Managers, herdWlg2.ProxyRate, herdWlg2.Capacity, herdWlg2.Skew = 24, 30, 2, 8.5, 20, 0.2
+	waves := akl()
+	waves.Servers, waves.Proxies, waves.ProxyRate, waves.Capacity, waves.Egress, waves.QueueCap, waves.Late = 105, 145, 4.5, 11, 6400, 6400, 500*time.Millisecond
+	waves300 := akl()
+	waves300.Servers, waves300.Proxies, waves300.ProxyRate, waves300.Capacity, waves300.Egress, waves300.QueueCap, waves300.Late = 12, 300, 4, 200, 8600, 8600, 10*time.Millisecond
+	coldAkl, coldWlg := akl(), wlg()
+	coldAkl.Servers, coldAkl.Proxies, coldAkl.Capacity = 30, 24, 13.5
+	coldWlg.Servers, coldWlg.Proxies, coldWlg.Capacity = 20, 20, 17
+	coldOver := coldAkl
+	coldOver.Capacity = 8.6
+	slowAkl := akl()
+	slowAkl.Late = 500 * time.Millisecond
+	sapporo := akl()
+	sapporo.Zones = []string{"hall-a", "hall-b", "hall-c"}
+	sapporo.Servers, sapporo.Proxies, sapporo.Extra, sapporo.Total, sapporo.Managers = 30, 75, 150, 225, 3
+	sapporo.ProxyRate, sapporo.Capacity, sapporo.Egress, sapporo.QueueCap, sapporo.MessagesMost, sapporo.Late = 2, 27, 3000, 3000, 20, 200*time.Millisecond
+	sapporo.Overload, sapporo.OverloadFor, sapporo.Standing, sapporo.Skew = 4, 3*time.Second, 6, 0.18
+	keyed := chc()
+	keyed.TablesAddress = freeAddress()
+	keyed.Operator = `(tamarindshore (admin (socket "DIR/n1.sock")) (tables (listen "` + keyed.TablesAddress + `") (keys "DIR/keys")))`
 	hold := chc()
 	hold.Skew, hold.Operator = 0.33, `(tamarindshore (admin (socket "DIR/n1.sock")))`
 	stored := chc()
@@ -35,6 +54,8 @@
 	skewed := chc()
 	skewed.Proxies, skewed.Total, skewed.Managers, skewed.ProxyRate, skewed.Capacity = 25, 75, 3, 4.1, 6.3
 	skewed.Skew = 0.33
+	even := skewed
+	even.Skew = 0
 	return map[string]scenario{
 		"mix-chc":        {skewed, playMix},
 		"mix-akl":        {akl(), playMix},
@@ -49,8 +70,17 @@
 		"mix-store":      {stored, playMix},
 		"mix-home":       {home, playMix},
 		"mix-drop":       {dropped(), playMix},
-		"unanswered":     {skewed, playUnanswered},
+		"unanswered":     {even, playUnanswered},
 		"unanswered-wlg": {herdWlg2, playUnanswered},
+		"waves":          {waves, playWaves},
+		"waves300":       {waves300, playWaves},
+		"cold-akl":       {coldAkl, playCold},
+		"cold-wlg":       {coldWlg, playCold},
+		"cold-over":      {coldOver, playCold},
+		"empty":          {akl(), playEmpty},
+		"empty-slow":     {slowAkl, playEmpty},
+		"keys":           {keyed, playKeys},
+		"release":        {sapporo, playRelease},
 		"rollback":       {stored, playRollback},
 		"join":           {skewed, playJoin},
 		"return":         {chc(), playReturn},
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -17,39 +17,40 @@
 
 // site holds the figures of a deployment, under the users' names.
 type site struct {
-	Zones        []string
-	Servers      int
-	Proxies      int
-	Cores        float64 // 0: one
-	Extra        int     // further proxies, joined to other managers at first
-	Total        int     // proxies of all managers; 0: those of this one
-	Managers     int
-	ProxyRate    float64 // requests a second at each proxy, on average
-	Skew         float64 // how much more of the traffic the first zone has than its part
-	Capacity     float64 // requests a second that a warm worker can do
-	Egress       float64 // lines a second
-	QueueCap     float64
-	Envelope     float64
-	MessagesMost int
-	ReloadSpan   time.Duration
-	EmptyFor     time.Duration
-	Grace        time.Duration
-	WarmAfter    time.Duration
-	ColdFrom     float64
-	Overload     float64
-	OverloadFor  time.Duration
-	Standing     int
-	Late         time.Duration // way of a message after it has left the channel
-	HeardLate    time.Duration
-	Period       time.Duration
-	Admit        string
-	UsualHow     int
-	Dropped      bool // rules.droppedStayOpen
-	HomeOnly     []bool
-	Operator     string   // the operators' settings, as text
-	ProxyZones   []string // zones of the proxies, if not all
-	Mode         string
-	Report       string
+	Zones         []string
+	Servers       int
+	Proxies       int
+	Cores         float64 // 0: one
+	Extra         int     // further proxies, joined to other managers at first
+	Total         int     // proxies of all managers; 0: those of this one
+	Managers      int
+	ProxyRate     float64 // requests a second at each proxy, on average
+	Skew          float64 // how much more of the traffic the first zone has than its part
+	Capacity      float64 // requests a second that a warm worker can do
+	Egress        float64 // lines a second
+	QueueCap      float64
+	Envelope      float64
+	MessagesMost  int
+	ReloadSpan    time.Duration
+	EmptyFor      time.Duration
+	Grace         time.Duration
+	WarmAfter     time.Duration
+	ColdFrom      float64
+	Overload      float64
+	OverloadFor   time.Duration
+	Standing      int
+	Late          time.Duration // way of a message after it has left the channel
+	HeardLate     time.Duration
+	Period        time.Duration
+	Admit         string
+	UsualHow      int
+	Dropped       bool // rules.droppedStayOpen
+	HomeOnly      []bool
+	Operator      string // the operators' settings, as text
+	TablesAddress string
+	ProxyZones    []string // zones of the proxies, if not all
+	Mode          string
+	Report        string
 }
 
 const slack = 300 * time.Millisecond // what the protocol page adds to time limits on sockets
