Log why a drain waits: assignments, the limit on messages, or the queue

Change: event=drain_delayed, once a second while a withdrawal has waited since before the last tick, with the cause and the most messages that a proxy was sent within the window. messagesInWindow is split from withinMessageLimit for it.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -40,6 +40,54 @@
 	}
 }
 
+// drainDelayCause is the reason why a leaving server is not withdrawn yet.
+type drainDelayCause string
+
+const (
+	notDelayed            drainDelayCause = ""
+	delayedByAssignments  drainDelayCause = "assignments"   // proxies are assigned to their tables first
+	delayedByMessageLimit drainDelayCause = "message_limit" // of a proxy that uses the server
+	delayedByQueue        drainDelayCause = "queue"         // the channel has no capacity
+)
+
+// logDelayedDrain logs the server that has waited longest to be withdrawn, if it has waited since before the last tick.
+func (m *Manager) logDelayedDrain() {
+	leaving := m.currentServerSets().leaving
+	if len(leaving) == 0 || m.now-leaving[0].leavingSince < tickInterval {
+		return
+	}
+	s := leaving[0]
+	proxies := m.proxiesUsing(s)
+	cause := m.drainDelayCause(proxies)
+	if cause == notDelayed {
+		return
+	}
+	mostMessages := 0
+	for _, p := range proxies {
+		mostMessages = max(mostMessages, len(m.messagesInWindow(p)))
+	}
+	m.log(EventDrainDelayed,
+		textField("server", string(s.id)),
+		numberField("waited_seconds", (m.now-s.leavingSince).Seconds(), 1),
+		countField("waiting", len(leaving)),
+		textField("cause", string(cause)),
+		countField("messages", mostMessages))
+}
+
+// drainDelayCause returns why a server that the given proxies use cannot be withdrawn now.
+func (m *Manager) drainDelayCause(proxies []*proxy) drainDelayCause {
+	switch {
+	case m.assignsBeforeDrains():
+		return delayedByAssignments
+	case !m.withinMessageLimit(proxies, drainPriority):
+		return delayedByMessageLimit
+	case !m.fits(proxies, 1, drainPriority):
+		return delayedByQueue
+	default:
+		return notDelayed
+	}
+}
+
 // checkEmptyTables makes the publication urgent if a table, or the zone-local part of a table, has no usable endpoint.
 // The changes of such a table may use the channel limits of drains. checkEmptyTables also updates drainPending.
 func (m *Manager) checkEmptyTables() {
--- a/balancer/flow_control.go
+++ b/balancer/flow_control.go
@@ -141,13 +141,18 @@
 	return len(p.messageTimes) > 0 && p.messageTimes[len(p.messageTimes)-1] == now
 }
 
+// messagesInWindow returns the times of the messages to a proxy within messageWindow, and discards all others.
+func (m *Manager) messagesInWindow(p *proxy) []time.Duration {
+	p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at time.Duration) bool { return m.now-at > m.messageWindow })
+	return p.messageTimes
+}
+
 // withinMessageLimit reports whether each of the proxies may get another command without exceeding its message limit.
-// It also discards messageTimes outside messageWindow.
 func (m *Manager) withinMessageLimit(proxies []*proxy, priority priority) bool {
 	limit := m.messageLimits[priority]
 	for _, p := range proxies {
-		p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at time.Duration) bool { return m.now-at > m.messageWindow })
-		if limit > 0 && len(p.messageTimes) >= limit && !p.hasMessageAt(m.now) {
+		messages := len(m.messagesInWindow(p))
+		if limit > 0 && messages >= limit && !p.hasMessageAt(m.now) {
 			return false
 		}
 	}
--- a/balancer/log_record.go
+++ b/balancer/log_record.go
@@ -28,6 +28,9 @@
 	// EventZonesPartitioned has partitions and servers (both per zone) and connection_uses (mean number of requests of a
 	// proxy within the idle timeout).
 	EventZonesPartitioned LogEvent = "zones_partitioned"
+	// EventDrainDelayed has server (the one that has waited longest to be withdrawn), waited_seconds, waiting (number of
+	// such servers), cause, and messages (most messages that a proxy using the server was sent within the window).
+	EventDrainDelayed LogEvent = "drain_delayed"
 )
 
 // LogField is a named value of a log record, rounded for the log.
--- a/balancer/log_record_test.go
+++ b/balancer/log_record_test.go
@@ -15,6 +15,7 @@
 	EventZonePair:         {"from", "to", "closed", "usual_latency_seconds"},
 	EventAdmissionLimit:   {"limit", "offered", "delivered", "load", "failure_rate"},
 	EventZonesPartitioned: {"partitions", "servers", "connection_uses"},
+	EventDrainDelayed:     {"server", "waited_seconds", "waiting", "cause", "messages"},
 }
 
 // eventCases has, for each event, a decision that logs it and the expected record.
@@ -86,6 +87,16 @@
 		},
 		"event=zones_partitioned partitions=3 servers=13 connection_uses=1",
 	},
+	EventDrainDelayed: {
+		func(m *Manager) {
+			m.now = 10 * time.Second
+			m.proxies[0].messageTimes = slices.Repeat([]time.Duration{9 * time.Second}, 19)
+			m.servers[0].state = Draining
+			m.servers[0].leavingSince = 8400 * time.Millisecond
+			m.logDelayedDrain()
+		},
+		"event=drain_delayed server=a0 waited_seconds=1.6 waiting=1 cause=message_limit messages=19",
+	},
 }
 
 func TestLogRecordFieldsAndValues(t *testing.T) {
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -75,6 +75,7 @@
 	}
 	m.deleteServers(func(s *server) bool { return m.removalExpired(s) && !m.isPublished(s) })
 	m.checkEmptyTables()
+	m.logDelayedDrain()
 	m.updateSlowStart()
 	m.detectZoneOutage()
 	m.updateServerHealth()
