Retry withdrawals that found no room every 100 ms instead of at the next tick

Callers saw requests at a draining server for up to a second longer than the channel needed: checkEmptyTables clears drainPending while no withdrawal fits, and only a tick (or a change of the list, or the last assignment) sets it again. A publication that a message limit blocked did the opposite: it was computed anew at every input.

Change: one retry time for both (rules.go: retryDue, scheduleRetry), which also sets the timer, so that no input is needed. A publication makes it due at once, since waiting withdrawals may share its messages.

Tests, both red before: TestWaitingDrainsAreRetriedBeforeTheNextTick (no timer before the tick), TestPublicationBlockedByAMessageLimitWaitsForTheNextRetry.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -7,15 +7,18 @@
 // would overtake the assignment.
 func (m *Manager) nextDrain() *server {
 	for _, s := range m.currentServerSets().leaving {
-		if m.commands.Assign == nil && m.fits(m.proxiesUsing(s), 1, drainPriority) {
+		if m.commands.Assign == nil && m.drainFits(s) {
 			return s
 		}
 	}
 	return nil
 }
 
+// drainFits reports whether the withdrawal of a leaving server fits into the channel.
+func (m *Manager) drainFits(s *server) bool { return m.fits(m.proxiesUsing(s), 1, drainPriority) }
+
 func (m *Manager) drainReady() bool {
-	return m.drainPending && !m.assignsBeforeDrains() && m.nextDrain() != nil
+	return (m.drainPending || m.retryDue()) && !m.assignsBeforeDrains() && m.nextDrain() != nil
 }
 
 // assignsBeforeDrains reports whether proxies are assigned to their tables before servers are withdrawn. Proxies are
@@ -57,13 +60,12 @@
 		return
 	}
 	s := leaving[0]
-	proxies := m.proxiesUsing(s)
-	cause := m.drainDelayCause(proxies)
+	cause := m.drainDelayCause(s)
 	if cause == notDelayed {
 		return
 	}
 	mostMessages := 0
-	for _, p := range proxies {
+	for _, p := range m.proxiesUsing(s) {
 		mostMessages = max(mostMessages, len(m.messagesInWindow(p)))
 	}
 	m.log(EventDrainDelayed,
@@ -74,14 +76,14 @@
 		countField("messages", mostMessages))
 }
 
-// drainDelayCause returns why a server that the given proxies use cannot be withdrawn now.
-func (m *Manager) drainDelayCause(proxies []*proxy) drainDelayCause {
+// drainDelayCause returns why a leaving server cannot be withdrawn now.
+func (m *Manager) drainDelayCause(s *server) drainDelayCause {
 	switch {
 	case m.assignsBeforeDrains():
 		return delayedByAssignments
-	case !m.withinMessageLimit(proxies, drainPriority):
+	case !m.withinMessageLimit(m.proxiesUsing(s), drainPriority):
 		return delayedByMessageLimit
-	case !m.fits(proxies, 1, drainPriority):
+	case !m.drainFits(s):
 		return delayedByQueue
 	default:
 		return notDelayed
--- a/balancer/draining_test.go
+++ b/balancer/draining_test.go
@@ -133,3 +133,20 @@
 		t.Error("no ejected server is restored although all servers are ejected")
 	}
 }
+
+// Regression test: a withdrawal that found no room in the channel waited for the next tick.
+func TestWaitingDrainsAreRetriedBeforeTheNextTick(t *testing.T) {
+	m := newTestManager(2)
+	m.queueLimits[drainPriority] = 0
+	m.sendTimeLimits[drainPriority] = 0
+	commands := m.HandleEndpointList(time.Second, false, []Endpoint{{Server: "a0", Zone: "a", Weight: 1, State: Draining}})
+	if want := time.Second + retryInterval; len(commands.Withdraw) != 0 || commands.NextTimer != want {
+		t.Fatalf("withdrawn %v and the next timer at %v, want none and %v", commands.Withdraw, commands.NextTimer, want)
+	}
+	m.drainPending = false
+	m.queueLimits[drainPriority] = 1000
+	m.sendTimeLimits[drainPriority] = 1000
+	if commands := m.HandleTimer(commands.NextTimer); !slices.Equal(commands.Withdraw, []ServerID{"a0"}) {
+		t.Errorf("withdrawn %v at the retry, want a0", commands.Withdraw)
+	}
+}
--- a/balancer/manager.go
+++ b/balancer/manager.go
@@ -34,6 +34,7 @@
 
 	nextTick         time.Duration
 	timerAt          time.Duration // time of the last Commands.NextTimer
+	retryAt          time.Duration // when commands that are waiting for room in the channel are tried again (see retryNeeded)
 	lastReportAt     time.Duration // when the last load report arrived
 	usageReported    bool          // at least one usage report has arrived
 	inFlightReported bool          // at least one server reports its in-flight requests
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -26,22 +26,29 @@
 	listChanged    bool          // the endpoint list changed after the last distribution
 	blockedAt      time.Duration // when the publication was last blocked
 	blockedProxies int           // number of recipients of the smallest change without room; 0: not blocked by the queue
+	messageLimited bool          // blocked by the message limit of a proxy
 	emptyTable     bool          // some table has no usable endpoint
 }
 
 // markDue makes the publication due. A blocked publication is tried again.
 func (p *publication) markDue() {
 	p.due = true
+	p.clearBlocked()
+}
+
+func (p *publication) clearBlocked() {
 	p.blockedProxies = 0
+	p.messageLimited = false
 }
 
 // begin clears the due and blocked states; invariant changes that find no room during the publication block it again.
 func (p *publication) begin() {
 	p.due = false
-	p.blockedProxies = 0
+	p.clearBlocked()
 }
 
-// block keeps the publication due until the smallest change without room fits or the next tick begins.
+// block keeps the publication due until the smallest change without room fits, the next retry if a message limit blocks
+// it, or the next tick.
 func (p *publication) block(now time.Duration) {
 	p.due = true
 	p.blockedAt = now
@@ -98,6 +105,9 @@
 	if !p.due || !m.partitioned || p.blockedAt == m.now {
 		return false
 	}
+	if p.messageLimited {
+		return m.now >= m.retryAt
+	}
 	return p.blockedProxies == 0 || m.singleCommandCost(p.blockedProxies) <= m.availableCapacity(drainPriority)
 }
 
@@ -129,16 +139,16 @@
 		m.redistribution = changesUnpublished
 	}
 	m.publication.end()
+	m.retryAt = m.now // withdrawals that wait may share the messages of the publication
 }
 
 // publishRound is the state of one call of publish.
 type publishRound struct {
-	changes        []tableChange
-	recipients     [][]*proxy // proxies that get a table's changes, by table
-	movedRates     []float64  // requests per second that a table's changes move, by table
-	incomplete     bool       // some change was not published
-	blocked        bool       // some change that restores an invariant was not published
-	messageLimited bool       // some blocked change would exceed the message limit of a proxy
+	changes    []tableChange
+	recipients [][]*proxy // proxies that get a table's changes, by table
+	movedRates []float64  // requests per second that a table's changes move, by table
+	incomplete bool       // some change was not published
+	blocked    bool       // some change that restores an invariant was not published
 }
 
 // collectChanges computes the changes of all tables.
@@ -226,12 +236,9 @@
 		return false
 	}
 	round.blocked = true
-	round.messageLimited = round.messageLimited || !m.withinMessageLimit(proxies, priority)
-	if round.messageLimited {
-		m.publication.blockedProxies = 0
-	} else {
-		m.publication.blockedProxies = min(cmp.Or(m.publication.blockedProxies, len(proxies)), len(proxies))
-	}
+	p := &m.publication
+	p.messageLimited = p.messageLimited || !m.withinMessageLimit(proxies, priority)
+	p.blockedProxies = min(cmp.Or(p.blockedProxies, len(proxies)), len(proxies))
 	return false
 }
 
--- a/balancer/publishing_test.go
+++ b/balancer/publishing_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -161,3 +162,27 @@
 		t.Error("the publication is not tried again at the next tick")
 	}
 }
+
+// Regression test: a publication that a proxy's message limit blocked was tried again at every input.
+func TestPublicationBlockedByAMessageLimitWaitsForTheNextRetry(t *testing.T) {
+	m := newTestManager(2)
+	m.now = 10 * time.Second
+	m.publication.urgent = true
+	m.tables[0].targetShares = map[ServerID]float64{"a0": 0.9, "a1": 0.1}
+	clear(m.tables[0].publishedWeights)
+	m.proxies[0].messageTimes = slices.Repeat([]time.Duration{9 * time.Second}, m.messageLimits[drainPriority])
+	m.publish()
+	m.scheduleRetry()
+	m.setTimer()
+	if want := m.now + retryInterval; len(m.commands.Weights) > 0 || m.commands.NextTimer != want {
+		t.Fatalf("weights %v and the next timer at %v, want none and %v", m.commands.Weights, m.commands.NextTimer, want)
+	}
+	m.now += time.Millisecond
+	if m.publishReady() {
+		t.Error("the publication is tried again a millisecond later")
+	}
+	m.now += retryInterval
+	if !m.publishReady() {
+		t.Error("the publication is not tried again after the retry interval")
+	}
+}
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -9,6 +9,8 @@
 	tickDelayAfterReports = 10 * time.Millisecond
 	// firstTickDelay is the maximum time from the first proxy's connection to the tick after it.
 	firstTickDelay = 50 * time.Millisecond
+	// retryInterval is the time between two attempts to send commands that are waiting for room in the channel.
+	retryInterval = 100 * time.Millisecond
 )
 
 // rule is an action and the condition under which it runs.
@@ -30,6 +32,7 @@
 	{(*Manager).publishReady, (*Manager).publish},
 	{(*Manager).restoreReady, (*Manager).restore},
 	{(*Manager).assignmentReady, (*Manager).assignProxy},
+	{(*Manager).retryDue, (*Manager).scheduleRetry},
 	{(*Manager).timerUnset, (*Manager).setTimer},
 }
 
@@ -97,9 +100,25 @@
 	}
 }
 
+// retryNeeded reports whether withdrawals, or changes that a message limit blocks, are waiting for room in the channel.
+func (m *Manager) retryNeeded() bool {
+	return m.publication.messageLimited || len(m.currentServerSets().leaving) > 0
+}
+
+func (m *Manager) retryDue() bool { return m.now >= m.retryAt && m.retryNeeded() }
+
+func (m *Manager) scheduleRetry() {
+	m.retryAt = m.now + retryInterval
+	m.timerAt = 0
+}
+
 func (m *Manager) timerUnset() bool { return m.timerAt <= m.now }
 
 func (m *Manager) setTimer() {
-	m.timerAt = max(m.nextTick, m.now+time.Millisecond)
+	m.timerAt = m.nextTick
+	if m.retryNeeded() {
+		m.timerAt = min(m.timerAt, m.retryAt)
+	}
+	m.timerAt = max(m.timerAt, m.now+time.Millisecond)
 	m.commands.NextTimer = m.timerAt
 }
