Leave a message to each proxy for later drains, so that a burst uses up no limit

Cause: the limit was shared out by counts alone (60%, 80%, all but one), with no bound on how fast they are used. 16 calls with a withdrawal and four with weights took all 19 messages within 6 s; the next one was allowed when the first was 10 s old. The reviewer's second guess, the wait for the next tick, was real but is not the cause: mended alone, the case stays broken.

Each message, of any priority and also a repeated one, must leave one for each further half of the grace. A withdrawal that would use such a message waits for half a grace at most and shares the message with those that wait. Why this works: after any message a proxy can get another one half a grace later, so no withdrawal waits longer for a message; the other half is for the call and the channel. No constant of a site: the interval follows from the stated grace, limit and window.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -15,7 +15,10 @@
 }
 
 // drainFits reports whether the withdrawal of a leaving server fits into the channel.
-func (m *Manager) drainFits(s *server) bool { return m.fits(m.proxiesUsing(s), 1, drainPriority) }
+func (m *Manager) drainFits(s *server) bool {
+	proxies := m.proxiesUsing(s)
+	return m.drainWithinMessageLimit(s, proxies) && m.fitsQueue(proxies, 1, drainPriority)
+}
 
 func (m *Manager) drainReady() bool {
 	return (m.drainPending || m.retryDue()) && !m.assignsBeforeDrains() && m.nextDrain() != nil
@@ -81,7 +84,7 @@
 	switch {
 	case m.assignsBeforeDrains():
 		return delayedByAssignments
-	case !m.withinMessageLimit(m.proxiesUsing(s), drainPriority):
+	case !m.drainWithinMessageLimit(s, m.proxiesUsing(s)):
 		return delayedByMessageLimit
 	case !m.drainFits(s):
 		return delayedByQueue
--- a/balancer/flow_control.go
+++ b/balancer/flow_control.go
@@ -15,10 +15,8 @@
 	queueShareNormal = 0.5
 	queueShareUrgent = 0.75
 	queueShareDrain  = 0.9
-	// messageShareNormal and messageShareUrgent are the shares of a proxy's message limit that commands may use, by
-	// priority. Drains may use all messages but one.
-	messageShareNormal = 0.6
-	messageShareUrgent = 0.8
+	// defaultDrainGrace is the grace of a drain if the settings have none.
+	defaultDrainGrace = 2 * time.Second
 	// sendSecondsNormal and sendSecondsUrgent limit the commands that may wait to what the channel sends in this many
 	// seconds. They apply only where the queue could hold more.
 	sendSecondsNormal = 1.0
@@ -105,9 +103,11 @@
 // fits reports whether the given number of commands for each proxy fits into the queue and into the proxies' message
 // limits.
 func (m *Manager) fits(proxies []*proxy, commands float64, priority priority) bool {
-	if !m.withinMessageLimit(proxies, priority) {
-		return false
-	}
+	return m.withinMessageLimit(proxies, priority) && m.fitsQueue(proxies, commands, priority)
+}
+
+// fitsQueue reports whether the given number of commands for each proxy fits into the queue.
+func (m *Manager) fitsQueue(proxies []*proxy, commands float64, priority priority) bool {
 	cost := 0.0
 	for _, p := range proxies {
 		cost += commands
@@ -136,29 +136,6 @@
 	return float64(proxies) * (1 + m.newMessageCost())
 }
 
-// hasMessageAt reports whether a message to the proxy is already counted for this time.
-func (p *proxy) hasMessageAt(now time.Duration) bool {
-	return len(p.messageTimes) > 0 && p.messageTimes[len(p.messageTimes)-1] == now
-}
-
-// messagesInWindow returns the times of the messages to a proxy within messageWindow, and discards all others.
-func (m *Manager) messagesInWindow(p *proxy) []time.Duration {
-	p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at time.Duration) bool { return m.now-at > m.messageWindow })
-	return p.messageTimes
-}
-
-// withinMessageLimit reports whether each of the proxies may get another command without exceeding its message limit.
-func (m *Manager) withinMessageLimit(proxies []*proxy, priority priority) bool {
-	limit := m.messageLimits[priority]
-	for _, p := range proxies {
-		messages := len(m.messagesInWindow(p))
-		if limit > 0 && messages >= limit && !p.hasMessageAt(m.now) {
-			return false
-		}
-	}
-	return true
-}
-
 // reserve adds the given number of commands for each proxy to the pending batch of the current time. It also counts a
 // message for each proxy that has none at this time yet, and starts the batch with a new barrier if there is none.
 func (m *Manager) reserve(proxies []*proxy, commands float64) {
--- a/balancer/parameters.go
+++ b/balancer/parameters.go
@@ -26,6 +26,8 @@
 	drainGraceCommands float64                // commands that the channel sends within the grace of a drain
 	messageLimits      [priorityCount]int     // messages to one proxy within messageWindow; 0: no limit
 	messageWindow      time.Duration
+	messageInterval    time.Duration // for each of these, a message to each proxy is left for drains; 0: none is left
+	drainDelay         time.Duration // for which a withdrawal may wait to share a message with others
 
 	pollsEndpoints    bool
 	healthChecks      bool
@@ -82,9 +84,9 @@
 
 func (p *parameters) setChannelLimits(s Settings) {
 	p.messageOverhead = s.MessageOverhead
-	p.messageWindow = s.MessageWindow
 	p.assumedSendRate = s.CommandsPerSecond / slowChannelFactor
-	p.drainGraceCommands = s.CommandsPerSecond * cmp.Or(s.DrainGrace.Seconds(), sendSecondsUrgent)
+	drainGrace := cmp.Or(s.DrainGrace, defaultDrainGrace)
+	p.drainGraceCommands = s.CommandsPerSecond * drainGrace.Seconds()
 	p.queueLimits = [priorityCount]float64{
 		normalPriority: queueShareNormal * s.QueueCapacity,
 		urgentPriority: queueShareUrgent * s.QueueCapacity,
@@ -95,13 +97,7 @@
 		urgentPriority: sendSecondsUrgent * s.CommandsPerSecond,
 		drainPriority:  p.queueLimits[drainPriority],
 	}
-	if limit := float64(s.MaxMessages); limit > 1 {
-		p.messageLimits = [priorityCount]int{
-			normalPriority: int(max(1, messageShareNormal*limit)),
-			urgentPriority: int(max(1, messageShareUrgent*limit)),
-			drainPriority:  int(limit - 1),
-		}
-	}
+	p.setMessageLimits(s.MaxMessages, s.MessageWindow, drainGrace)
 }
 
 // mask returns the bit mask that contains only this class.
