Split checkEmptyTables, reserveChange and releaseUnsent, which did several things

Change: updateDrainPending, publication.noteBlocked and releaseMessages (message_limit.go) are functions of their own.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -40,6 +40,7 @@
 	m.commands.Withdraw = append(m.commands.Withdraw, s.id)
 	m.setWithdrawn(s, true)
 	m.reserve(m.proxiesUsing(s), 1)
+	m.updateDrainPending()
 	m.checkEmptyTables()
 	if slices.ContainsFunc(s.tables, m.overloadsWarmingServers) {
 		m.publication.urgent = true
@@ -93,11 +94,13 @@
 	}
 }
 
+// updateDrainPending sets drainPending by whether some server can be withdrawn now.
+func (m *Manager) updateDrainPending() { m.drainPending = m.nextDrain() != nil }
+
 // checkEmptyTables makes the publication urgent if a table, or the zone-local part of a table, has no usable endpoint.
-// The changes of such a table may use the channel limits of drains. checkEmptyTables also updates drainPending.
+// The changes of such a table may use the channel limits of drains.
 func (m *Manager) checkEmptyTables() {
 	m.publication.emptyTable = slices.ContainsFunc(m.tables, m.isEmptyTable)
-	m.drainPending = m.nextDrain() != nil
 	if m.publication.emptyTable || slices.ContainsFunc(m.tables, m.hasNoLocalEndpoint) {
 		m.publication.urgent = true
 	}
--- a/balancer/flow_control.go
+++ b/balancer/flow_control.go
@@ -214,11 +214,8 @@
 	}
 	m.markSent(index)
 	for _, batch := range c.pending {
-		if batch.sent {
-			continue
-		}
-		for _, p := range m.proxies {
-			p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at time.Duration) bool { return at == batch.at })
+		if !batch.sent {
+			m.releaseMessages(batch.at)
 		}
 	}
 	c.pending = slices.DeleteFunc(c.pending, func(b pendingBatch) bool { return !b.sent })
--- a/balancer/message_limit.go
+++ b/balancer/message_limit.go
@@ -88,6 +88,13 @@
 	return p.messageTimes
 }
 
+// releaseMessages no longer counts the messages of a time, which were not sent.
+func (m *Manager) releaseMessages(decidedAt time.Duration) {
+	for _, p := range m.proxies {
+		p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at time.Duration) bool { return at == decidedAt })
+	}
+}
+
 // hasMessageAt reports whether a message to the proxy is already counted for this time.
 func (p *proxy) hasMessageAt(now time.Duration) bool {
 	return len(p.messageTimes) > 0 && p.messageTimes[len(p.messageTimes)-1] == now
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -232,16 +232,19 @@
 		return true
 	}
 	round.incomplete = true
-	if priority != drainPriority {
-		return false
+	if priority == drainPriority {
+		round.blocked = true
+		m.publication.noteBlocked(len(proxies), !m.withinMessageLimit(proxies, priority))
 	}
-	round.blocked = true
-	p := &m.publication
-	p.messageLimited = p.messageLimited || !m.withinMessageLimit(proxies, priority)
-	p.blockedProxies = min(cmp.Or(p.blockedProxies, len(proxies)), len(proxies))
 	return false
 }
 
+// noteBlocked records the number of recipients of a change that found no room, and whether a message limit is the cause.
+func (p *publication) noteBlocked(recipients int, messageLimited bool) {
+	p.messageLimited = p.messageLimited || messageLimited
+	p.blockedProxies = min(cmp.Or(p.blockedProxies, recipients), recipients)
+}
+
 // weightChanges returns the changes of a table's weights, scaled to match its published weights. It never empties a
 // table: a table without target shares stays as it is.
 func (m *Manager) weightChanges(id TableID) []tableChange {
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -77,6 +77,7 @@
 		m.partitionZones()
 	}
 	m.deleteServers(func(s *server) bool { return m.removalExpired(s) && !m.isPublished(s) })
+	m.updateDrainPending()
 	m.checkEmptyTables()
 	m.logDelayedDrain()
 	m.updateSlowStart()
