Keep a limit of one message to a proxy, which was taken for no limit

Change: the limit applies from 1 on; drains may use all messages but one, at least one. Test, red before (three messages within 10 s, limit 1): TestALimitOfOneMessageIsKept.

--- a/balancer/message_limit.go
+++ b/balancer/message_limit.go
@@ -19,14 +19,14 @@
 func (p *parameters) setMessageLimits(maxMessages int, window, drainGrace time.Duration) {
 	p.messageWindow = window
 	p.drainDelay = time.Duration(drainDelayShare * float64(drainGrace))
-	if maxMessages <= 1 {
+	if maxMessages == 0 {
 		return
 	}
 	limit := float64(maxMessages)
 	p.messageLimits = [priorityCount]int{
 		normalPriority: int(max(1, messageShareNormal*limit)),
 		urgentPriority: int(max(1, messageShareUrgent*limit)),
-		drainPriority:  maxMessages - 1,
+		drainPriority:  max(1, maxMessages-1),
 	}
 	// A message at the start and at the end of a window are both within it.
 	intervals := max(1, p.messageLimits[drainPriority]-1)
--- a/balancer/message_limit_test.go
+++ b/balancer/message_limit_test.go
@@ -248,6 +248,21 @@
 	r.check(t, "one drain with 4 messages in 10 s", settings, settings.DrainGrace)
 }
 
+// Regression test: a limit of one message was taken for no limit.
+func TestALimitOfOneMessageIsKept(t *testing.T) {
+	settings := settingsWithGrace(2 * time.Second)
+	settings.MaxMessages = 1
+	r := newDrainRun(4, settings)
+	for _, id := range []ServerID{"a0", "a1", "a2"} {
+		r.playUntil(r.now + 4*time.Second)
+		r.drain(id)
+	}
+	r.playUntil(r.now + 4*time.Second)
+	if most := r.mostMessages(settings.MessageWindow); most != settings.MaxMessages {
+		t.Errorf("a proxy got %d messages within %v, want %d", most, settings.MessageWindow, settings.MaxMessages)
+	}
+}
+
 // Under any limit that leaves a message for each half of the grace, no order of drains and publications makes a drain wait
 // for longer than that, and the time until the next retry.
 func TestAnySuccessionOfDrainsKeepsTheGrace(t *testing.T) {
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -109,7 +109,7 @@
 	CommandsPerSecond  float64       // number of commands that the channel sends per second
 	CommandPrice       float64       // price of sending at CommandsPerSecond all day, as a multiple of the price of the service
 	MessageOverhead    float64       // cost of a message in addition to its commands, as a number of commands
-	MaxMessages        int           // messages to one proxy within MessageWindow; 0 or 1: no limit
+	MaxMessages        int           // messages to one proxy within MessageWindow; 0: no limit
 	MessageWindow      time.Duration
 }
 
