Count repeated withdrawals for tables whose change of weight is not executed yet

Cause: Resend counts a withdrawal for the proxies whose table names the server by the manager's state. Where the same commands still hold the weight 0 that takes the server out of a table, the relay's table names it, so the withdrawal reaches proxies that it was not counted for.

Change: proxiesMayUse adds the proxies of tables whose weight of the server is among the commands that are sent again.

Test, red before: TestRepeatedWithdrawalsCountForTablesThatMayStillNameTheServer.

--- a/balancer/flow_control.go
+++ b/balancer/flow_control.go
@@ -260,7 +260,7 @@
 // commands it costs for each of them.
 func (m *Manager) recipients(c Commands, n int) (proxies []*proxy, commands float64) {
 	if n < len(c.Withdraw) {
-		return m.proxiesUsingID(c.Withdraw[n]), 1
+		return m.proxiesMayUse(c.Withdraw[n], c.Weights), 1
 	}
 	n -= len(c.Withdraw)
 	if n < len(c.Weights) {
@@ -272,7 +272,7 @@
 	}
 	n -= len(c.AdmissionLevels)
 	if n < len(c.Restore) {
-		return m.proxiesUsingID(c.Restore[n]), 1
+		return m.proxiesMayUse(c.Restore[n], c.Weights), 1
 	}
 	n -= len(c.Restore)
 	assignment := c.Assign[n]
@@ -282,12 +282,20 @@
 	return proxies, m.assignmentCost(m.tables[assignment.Table&^ZoneLocalTables])
 }
 
-// proxiesUsingID returns the result of proxiesUsing for a server id, or nil if the server is unknown.
-func (m *Manager) proxiesUsingID(id ServerID) []*proxy {
+// proxiesMayUse returns the proxies that may use a server while some weights are not executed yet: those whose table names
+// the server now, and those whose table is only about to change its weight.
+func (m *Manager) proxiesMayUse(id ServerID, unexecuted []EndpointWeight) []*proxy {
+	var proxies []*proxy
 	if s := m.server(id); s != nil {
-		return m.proxiesUsing(s)
+		proxies = m.proxiesUsing(s)
 	}
-	return nil
+	for _, weight := range unexecuted {
+		if weight.Server == id {
+			proxies = append(proxies, m.tableProxies(weight.Table&^ZoneLocalTables)...)
+		}
+	}
+	slices.SortFunc(proxies, compareProxyIDs)
+	return slices.Compact(proxies)
 }
 
 // assignmentCost returns the number of commands that a proxy gets when it is put on a table: the assignment, the
--- a/balancer/message_limit_test.go
+++ b/balancer/message_limit_test.go
@@ -288,3 +288,20 @@
 			settings, settings.DrainGrace/2+retryInterval)
 	}
 }
+
+// Regression test: a withdrawal that was repeated together with the change that removes its server from a table did not
+// count as a message to the table's proxies, which may still use the server, and exceeded the message limit.
+func TestRepeatedWithdrawalsCountForTablesThatMayStillNameTheServer(t *testing.T) {
+	m := newTestManager(2)
+	m.now = 10 * time.Second
+	m.proxies[0].messageTimes = slices.Repeat([]time.Duration{9 * time.Second}, m.messageLimits[drainPriority])
+	delete(m.tables[0].publishedWeights, "a0")
+	for _, unexecuted := range []Commands{
+		{Withdraw: []ServerID{"a0"}, Weights: []EndpointWeight{{0, "a0", 0}}},
+		{Weights: []EndpointWeight{{1, "a0", 0}, {0, "a0", 0}}, Restore: []ServerID{"a0"}},
+	} {
+		if n, _ := m.Resend(m.now, 0, true, unexecuted); n > len(unexecuted.Weights)-1 {
+			t.Errorf("%d of %v are resent although a proxy may get no further message", n, unexecuted)
+		}
+	}
+}
