--- a/internal/faultsim/scenario.go
+++ b/internal/faultsim/scenario.go
@@ -127,6 +127,7 @@
 		QueueCapacity:      s.QueueCapacity,
 		CommandsPerSecond:  s.CommandsPerSecond,
 		CommandPrice:       0.05,
+		DrainGrace:         s.DrainGracePeriod,
 		MessageOverhead:    messageOverhead - 1,
 		MaxMessages:        s.MaxMessages,
 		MessageWindow:      messageWindow,
--- /dev/null
+++ b/internal/faultsim/testdata/many-drains.sexp
@@ -0,0 +1,6 @@
+(scenario (zones 3) (servers 30) (proxies 25) (rate 4) (capacity 14)
+  (lines-per-s 7000) (queue-lines 10500) (messages 20) (drain-grace 2s)
+  (faults (least 6) (most 16))
+  (weights (drain 20) (lost-answers 6) (slow-channel 2) (rejoin 2) (late-list 2)
+    (crash 0) (silence 0) (slow 0) (errors 0) (zone-lost 0) (zone-cut 0) (deaf 0) (unreachable 0) (restart 0) (stall 0) (wrong-list 0)
+    (doubled 0) (rollback 0)))
