Restore servers after a hold together with their first weights, not before

Cause: when a pin ends, nextRestore restored the servers that had returned meanwhile at once; their weights came at the next tick. A restore goes only to proxies whose table names the server, so those of the zone kept the withdrawals. Evidence: the relay's record, ten restores at 52.133, the weights at 53.121, no request to these servers after it.

Change: nextRestore also waits while a pin's change is not distributed. Without pins nothing changes (pinChanged is set by HandlePin alone).

Test, red before: TestServersAreRestoredAfterAPinWithTheirFirstWeight.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -107,9 +107,11 @@
 }
 
 // nextRestore returns the next withdrawn server that may get requests again, or nil if there is none. A server whose
-// weight must first be lowered in some table has to wait, because it would get requests by its old weight.
+// weight must first be lowered in some table has to wait, because it would get requests by its old weight. All servers wait
+// while the tables are outdated, because only proxies whose table names a server get its restore.
 func (m *Manager) nextRestore() *server {
-	if m.publication.due || m.publication.listChanged || m.pinned != nil && !m.publication.emptyTable {
+	tablesOutdated := m.publication.due || m.publication.listChanged || m.redistribution == pinChanged
+	if tablesOutdated || m.pinned != nil && !m.publication.emptyTable {
 		return nil
 	}
 	priority := urgentPriority
--- a/balancer/pinning_test.go
+++ b/balancer/pinning_test.go
@@ -82,3 +82,25 @@
 		t.Errorf("the share of a warming server is %.2f, want at most 0.2; target of its table: %v", share, m.tables[0].targetShares)
 	}
 }
+
+// Regression test: when a pin ended, servers that had returned meanwhile were restored before their tables named them
+// again. The proxies of these tables did not get the restore, and had no endpoint once the weights arrived.
+func TestServersAreRestoredAfterAPinWithTheirFirstWeight(t *testing.T) {
+	m := newTestManager(2)
+	m.now = 4 * time.Second
+	m.pinAt(0, 100)
+	m.servers[0].withdrawn = true
+	m.serverSetsValid = false
+	delete(m.tables[0].publishedWeights, "a0")
+	m.tableIndexValid = false
+	m.publication.due = false
+	if commands := m.HandlePin(5*time.Second, nil, nil); len(commands.Restore) != 0 {
+		t.Errorf("restored %v at the end of the pin, want none before the publication", commands.Restore)
+	}
+	m.nextTick = 6 * time.Second
+	commands := m.HandleTimer(6 * time.Second)
+	named := slices.ContainsFunc(commands.Weights, func(w EndpointWeight) bool { return w.Table == 0 && w.Server == "a0" && w.Weight > 0 })
+	if !named || !slices.Equal(commands.Restore, []ServerID{"a0"}) {
+		t.Errorf("at the tick after the pin: weights %v and restored %v, want a weight of a0 and its restore", commands.Weights, commands.Restore)
+	}
+}
