Restore servers after a reset of the tables with their first weights, too

Besides, the reason "pin changed" is lost where another one, such as an ejection, comes before the tick.

Change: publication.listChanged becomes publication.outdated and is set by all three: the list, the pin, the contents of the tables. It is cleared by the distribution, whatever its reason.

Tests, red before: TestServersAreRestoredAfterATablesResetWithTheirFirstWeight, and the ejection in TestServersAreRestoredAfterAPinWithTheirFirstWeight.

--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -52,7 +52,7 @@
 func (m *Manager) redistribute() {
 	m.redistribution = upToDate
 	m.publication.markDue()
-	m.publication.listChanged = false
+	m.publication.outdated = false
 	m.distributedRates = m.demandByPartition()
 	m.endDistributionWait()
 	anyUsable := m.anyUsable()
--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -110,8 +110,7 @@
 // weight must first be lowered in some table has to wait, because it would get requests by its old weight. All servers wait
 // while the tables are outdated, because only proxies whose table names a server get its restore.
 func (m *Manager) nextRestore() *server {
-	tablesOutdated := m.publication.due || m.publication.listChanged || m.redistribution == pinChanged
-	if tablesOutdated || m.pinned != nil && !m.publication.emptyTable {
+	if m.publication.due || m.publication.outdated || m.pinned != nil && !m.publication.emptyTable {
 		return nil
 	}
 	priority := urgentPriority
--- a/balancer/inputs.go
+++ b/balancer/inputs.go
@@ -23,7 +23,7 @@
 		}
 	}
 	m.listReceived = true
-	m.publication.listChanged = true
+	m.publication.outdated = true
 	m.redistribution = endpointsChanged
 	m.serverSetsValid = false
 	if len(m.unassigned) > 0 && len(m.currentServerSets().leaving) > 0 {
--- a/balancer/pinning.go
+++ b/balancer/pinning.go
@@ -21,6 +21,7 @@
 func (m *Manager) HandlePin(now time.Duration, weights map[TableID]map[ServerID]float64, levels map[TableID]map[uint]AdmissionLevel) Commands {
 	m.now = now
 	m.redistribution = pinChanged
+	m.publication.outdated = true
 	m.pinned = nil
 	if weights != nil {
 		m.pinned = &pinnedTables{weights, levels}
@@ -48,6 +49,7 @@
 	m.serverSetsValid = false
 	m.drainPending = true
 	m.redistribution = tablesReset
+	m.publication.outdated = true
 }
 
 // applyPinnedWeights makes a table's target shares proportional to the pinned weights of the servers that may get
--- a/balancer/pinning_test.go
+++ b/balancer/pinning_test.go
@@ -97,6 +97,10 @@
 	if commands := m.HandlePin(5*time.Second, nil, nil); len(commands.Restore) != 0 {
 		t.Errorf("restored %v at the end of the pin, want none before the publication", commands.Restore)
 	}
+	m.eject(m.server("b1"), serverUnresponsive) // another reason to distribute
+	if commands := m.HandleTimer(5*time.Second + time.Millisecond); len(commands.Restore) != 0 {
+		t.Errorf("restored %v after an ejection, want none before the publication", commands.Restore)
+	}
 	m.nextTick = 6 * time.Second
 	commands := m.HandleTimer(6 * time.Second)
 	named := slices.ContainsFunc(commands.Weights, func(w EndpointWeight) bool { return w.Table == 0 && w.Server == "a0" && w.Weight > 0 })
@@ -104,3 +108,17 @@
 		t.Errorf("at the tick after the pin: weights %v and restored %v, want a weight of a0 and its restore", commands.Weights, commands.Restore)
 	}
 }
+
+// Regression test: as after a pin, servers were restored before the weights that replace those held back.
+func TestServersAreRestoredAfterATablesResetWithTheirFirstWeight(t *testing.T) {
+	m := newTestManager(2)
+	weights := map[TableID]map[ServerID]float64{0: {"a1": 100}, 1: {"b0": 100, "b1": 100}}
+	m.HandleTablesReset(5*time.Second, weights, nil, func(id ServerID) bool { return id == "a0" })
+	if commands := m.HandleTimer(5*time.Second + time.Millisecond); len(commands.Restore) != 0 {
+		t.Errorf("restored %v after the reset, want none before the publication", commands.Restore)
+	}
+	m.nextTick = 6 * time.Second
+	if commands := m.HandleTimer(6 * time.Second); !slices.Equal(commands.Restore, []ServerID{"a0"}) {
+		t.Errorf("restored %v at the next tick, want a0", commands.Restore)
+	}
+}
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -23,7 +23,7 @@
 type publication struct {
 	due            bool
 	urgent         bool          // must not wait until the next tick
-	listChanged    bool          // the endpoint list changed after the last distribution
+	outdated       bool          // the endpoint list, the pin or the contents of the tables changed after the last distribution
 	blockedAt      time.Duration // when the publication was last blocked
 	blockedProxies int           // number of recipients of the smallest change without room; 0: not blocked by the queue
 	messageLimited bool          // blocked by the message limit of a proxy
