Treat a negative limit on messages as no limit

Cause: since limits apply from 1 on, a negative one from a program that embeds the decisions would have meant 1; the platform's file allows 0 and more.

Change: setMessageLimits sets none up to 0.

--- a/balancer/message_limit.go
+++ b/balancer/message_limit.go
@@ -19,7 +19,7 @@
 func (p *parameters) setMessageLimits(maxMessages int, window, drainGrace time.Duration) {
 	p.messageWindow = window
 	p.drainDelay = time.Duration(drainDelayShare * float64(drainGrace))
-	if maxMessages == 0 {
+	if maxMessages <= 0 {
 		return
 	}
 	limit := float64(maxMessages)
