Test the interval that is left for drains under several limits

Cause: with the guards of message_limit.go taken out one at a time, two were found by no test: the floor of the interval where the limit is short, and that nothing is left where it allows less than a message a grace.

Change: TestMessagesLeftForDrainsFollowTheLimit.

--- a/balancer/message_limit_test.go
+++ b/balancer/message_limit_test.go
@@ -248,6 +248,36 @@
 	r.check(t, "one drain with 4 messages in 10 s", settings, settings.DrainGrace)
 }
 
+// A limit that leaves no message for each half of the grace leaves one in the shortest interval that it can serve, and none
+// if that is longer than the grace.
+func TestMessagesLeftForDrainsFollowTheLimit(t *testing.T) {
+	const grace = 2 * time.Second
+	for _, test := range []struct {
+		maxMessages int
+		interval    time.Duration
+		burst       int // messages in immediate succession: all but one, less one for each interval that ends within the window
+	}{
+		{maxMessages: 20, interval: time.Second, burst: 19 - 9},
+		{maxMessages: 12, interval: time.Second, burst: 11 - 9},
+		{maxMessages: 10, interval: 1250 * time.Millisecond, burst: 9 - 7},
+		{maxMessages: 4, interval: 0, burst: 3},
+	} {
+		settings := settingsWithGrace(grace)
+		settings.MaxMessages = test.maxMessages
+		m := newTestManager(2)
+		m.parameters = newParameters(settings)
+		burst := 0
+		for m.now = 10 * time.Second; m.fits(m.proxies, 1, drainPriority); m.now += time.Millisecond {
+			m.reserve(m.proxies, 1)
+			burst++
+		}
+		if m.messageInterval != test.interval || burst != test.burst {
+			t.Errorf("%d messages: got an interval of %v and a burst of %d messages, want %v and %d",
+				test.maxMessages, m.messageInterval, burst, test.interval, test.burst)
+		}
+	}
+}
+
 // Regression test: a limit of one message was taken for no limit.
 func TestALimitOfOneMessageIsKept(t *testing.T) {
 	settings := settingsWithGrace(2 * time.Second)
