--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,6 +17,7 @@
 // scenario is a case: its deployment, the rule that it judges, and what happens.
 type scenario struct {
 	site site
+	feed bool // the manager serves replicas of its tables
 	rule string
 	play func(w *world, trouble troubles) error
 }
@@ -30,7 +31,11 @@
 	number := flag.Int("case", 0, "number of the case")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and seen")
 	which := flag.String("trouble", "1", "0: no disruption, 1: all, 2: only the second one, where a case has two")
+	replica := flag.String("replica", "", "run as a replica that follows the tables at this address")
 	flag.Parse()
+	if *replica != "" {
+		return runReplica(*replica)
+	}
 	s, known := scenarios[*number]
 	if !known {
 		fmt.Fprintf(os.Stderr, "there is no case %d\n", *number)
@@ -47,7 +52,7 @@
 		return 2
 	}
 	defer rec.close()
-	w, err := newWorld(rec, root, s.site)
+	w, err := newWorld(rec, root, s.site, s.feed)
 	defer w.close()
 	if err != nil {
 		rec.say("the case couldn't run: %v", err)
@@ -82,7 +87,7 @@
 	}
 	close(stop)
 	helpers.Wait()
-	for _, rule := range []string{ruleEmpty, ruleDrain, ruleQueue} {
+	for _, rule := range []string{ruleEmpty, ruleDrain, ruleQueue, ruleRedial} {
 		rec.say("rule %q: worst %.2f, checks over the limit: %d", rule, w.worst[rule], w.broken[rule])
 	}
 	if code == 0 && w.broken[s.rule] > 0 {
--- a/review/standins-2/relay.go
+++ b/review/standins-2/relay.go
@@ -37,6 +37,7 @@
 	withdrawn map[string]bool
 
 	lastArrival time.Time // messages arrive in order
+	rejoined    bool
 	emptySince  map[string]time.Time
 }
 
@@ -109,7 +110,11 @@
 }
 
 func joined(p *proxy) string {
-	return fmt.Sprintf("event: joined\ndata: id=%d&site=%s&rps=%.1f&new=1\n\n", p.id, p.zone, requestsPerProxy)
+	fresh := 1
+	if p.rejoined {
+		fresh = 0
+	}
+	return fmt.Sprintf("event: joined\ndata: id=%d&site=%s&rps=%.1f&new=%d\n\n", p.id, p.zone, requestsPerProxy, fresh)
 }
 
 // publish sends news to all that have asked for it. The caller holds the lock.
@@ -397,3 +402,34 @@
 		r.mu.Unlock()
 	}
 }
+
+// managerDied forgets what the manager has ordered. The proxies keep what they hold, and are no longer joined.
+func (r *relay) managerDied() (left []*proxy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tables = map[int]*table{}
+	r.withdrawn = map[string]bool{}
+	r.queue = nil
+	r.queued = 0
+	for id := range r.site.proxies() {
+		if p := r.proxies[id]; p != nil {
+			left = append(left, p)
+			delete(r.proxies, id)
+		}
+	}
+	return left
+}
+
+// rejoin joins a proxy that has dialled again, with what it holds.
+func (r *relay) rejoin(old *proxy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &proxy{id: old.id, zone: old.zone, joinedAt: time.Now(), rejoined: true, bound: map[string]int{}, holds: old.holds,
+		holdsFrom: map[string]int{}, withdrawn: old.withdrawn, emptySince: map[string]time.Time{}}
+	for _, c := range r.site.classes {
+		p.bound[c.name] = noTable
+		p.holdsFrom[c.name] = noTable
+	}
+	r.proxies[p.id] = p
+	r.publish(joined(p))
+}
--- a/review/standins-2/scenarios.go
+++ b/review/standins-2/scenarios.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -28,13 +32,13 @@
 		rule: ruleEmpty, play: replacedAndLost,
 	},
 	5: {
-		site: dispatch(false, zone{servers: 4, proxies: 2}, zone{servers: 7, proxies: 5}, zone{servers: 7, proxies: 5}),
-		rule: ruleEmpty, play: switchedOff,
-	},
-	6: {
 		site: dispatch(true, zone{servers: 5, proxies: 3}, zone{servers: 5, proxies: 3}, zone{servers: 5, proxies: 3}),
 		rule: ruleEmpty, play: zoneLostUnderRollback,
 	},
+	6: {
+		site: dispatch(false, zone{servers: 5, proxies: 3}, zone{servers: 5, proxies: 3}, zone{servers: 5, proxies: 3}),
+		feed: true, rule: ruleRedial, play: managerVanishes,
+	},
 }
 
 // listDelay is how long after a new server's start discovery lists it.
@@ -93,37 +97,6 @@
 	return fresh, nil
 }
 
-// switchedOff has three servers of a zone switched off for over a minute and on again. Once they are warm, the fourth server
-// of the zone dies.
-func switchedOff(w *world, trouble troubles) error {
-	time.Sleep(6 * time.Second)
-	extra := []string{"s-akl-east1", "s-akl-east2", "s-akl-east3"}
-	if trouble.first {
-		w.change(draining, extra...)
-		time.Sleep(3 * time.Second)
-		w.kill(extra...)
-		w.change(removed, extra...)
-	}
-	time.Sleep(64 * time.Second)
-	if trouble.first {
-		if err := w.start(extra...); err != nil {
-			return err
-		}
-		time.Sleep(time.Second)
-		w.change(up, extra...)
-	}
-	time.Sleep(18 * time.Second)
-	if trouble.second {
-		w.kill("s-akl-east4")
-	}
-	time.Sleep(time.Second)
-	if trouble.second {
-		w.change(removed, "s-akl-east4")
-	}
-	time.Sleep(7 * time.Second)
-	return nil
-}
-
 // zoneLostUnderRollback has all servers of a zone lost for 12 s while an operator's rollback is in force.
 func zoneLostUnderRollback(w *world, trouble troubles) error {
 	time.Sleep(8 * time.Second)
@@ -155,6 +128,125 @@
 	return err
 }
 
+// redialLimit is the time within which a relay joins again: it notices a broken stream after 3 s at most, and dials again
+// within 2.1 s of that.
+const redialLimit = 5100 * time.Millisecond
+
+// managerVanishes has the manager's machine vanish and come back 5 s later, while a replica follows its tables. The second
+// disruption alone kills the manager in a way that the replica sees: its connection is reset.
+func managerVanishes(w *world, trouble troubles) error {
+	path, err := newLink(w.feed)
+	if err != nil {
+		return err
+	}
+	first, err := w.startReplica("first", path.address)
+	if err != nil {
+		return err
+	}
+	defer first.stop()
+	time.Sleep(10 * time.Second)
+	if trouble.first {
+		w.rec.say("the manager's machine vanishes: open connections stay open and silent")
+		path.vanish()
+	}
+	if trouble.second {
+		left := w.killManager()
+		time.Sleep(5 * time.Second)
+		if err := w.restartManager(left); err != nil {
+			return err
+		}
+	}
+	path.back()
+	back := time.Now()
+	time.Sleep(4 * time.Second)
+	second, err := w.startReplica("second", path.address)
+	if err != nil {
+		return err
+	}
+	defer second.stop()
+	time.Sleep(6 * time.Second)
+	const drained = "s-akl-east1"
+	w.change(draining, drained)
+	told := time.Now()
+	const limit = drainGrace + socketSlack
+	time.Sleep(limit + 100*time.Millisecond) // the replica's lines are read a little later than they are printed
+	before := [2]int{first.count("picks " + drained), second.count("picks " + drained)}
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if trouble.first && first.count("dials") == 1 { // not since the start of the run
+			w.noteLocked(ruleRedial, time.Since(back).Seconds(), redialLimit.Seconds(), "first replica", "s after the manager is back, not dialled again")
+		}
+		if late := first.count("picks "+drained) - before[0]; late > 0 {
+			w.noteLocked(ruleDrain, time.Since(told).Seconds(), limit.Seconds(), "first replica, server "+drained, "s after the manager was told, picked again")
+		}
+	}
+	w.rec.say("picks of %s later than the grace after its drain: first replica %d, second replica %d", drained,
+		first.count("picks "+drained)-before[0], second.count("picks "+drained)-before[1])
+	w.rec.say("versions applied: first replica %d, second replica %d", first.count("applies"), second.count("applies"))
+	if second.count("picks "+drained) > before[1] || second.count("applies") == 0 {
+		return errors.New("the second replica doesn't follow the manager either")
+	}
+	return nil
+}
+
+// replica is a process that follows the manager's tables.
+type replica struct {
+	command *exec.Cmd
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// startReplica starts a process that follows the tables at an address, and records what it prints.
+func (w *world) startReplica(name, address string) (*replica, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{command: exec.Command(program, "-replica", address)}
+	output, err := r.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.command.Start(); err != nil {
+		return nil, err
+	}
+	w.rec.say("%s replica started", name)
+	go func() {
+		lines := bufio.NewScanner(output)
+		for lines.Scan() {
+			w.rec.write("%s replica %s", name, lines.Text())
+			r.mu.Lock()
+			r.lines = append(r.lines, lines.Text())
+			r.mu.Unlock()
+		}
+	}()
+	return r, nil
+}
+
+// count returns how many lines with a prefix the replica has printed.
+func (r *replica) count(prefix string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, line := range r.lines {
+		if strings.HasPrefix(line, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *replica) stop() {
+	r.command.Process.Kill()
+	r.command.Wait()
+}
+
+// noteLocked is note for callers that don't hold the lock.
+func (w *world) noteLocked(rule string, value, limit float64, subject, text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note(rule, value, limit, subject, text)
+}
+
 // operate gives an operator's command to the manager, by the project's own program.
 func (w *world) operate(words ...string) (string, error) {
 	command := exec.Command(filepath.Join(w.root, "bin/tamarindshore"), append([]string{"tables", words[0], "--socket", w.socket}, words[1:]...)...)
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -30,6 +30,7 @@
 	manager   *exec.Cmd
 	listen    string
 	socket    string // of the manager's admin socket
+	feed      string // address of the manager's tables for replicas; empty: none
 	exited    chan error
 	crashed   chan error // gets the error of a manager that ended though nobody asked for it
 	answered  time.Time  // when the manager first answered
@@ -48,9 +49,11 @@
 	ruleEmpty = "Nobody left without a server"
 	ruleDrain = "Safe drain"
 	ruleQueue = "A short queue"
+
+	ruleRedial = "A relay whose stream breaks dials again"
 )
 
-func newWorld(rec *record, root string, s site) (*world, error) {
+func newWorld(rec *record, root string, s site, withFeed bool) (*world, error) {
 	w := &world{rec: rec, root: root, site: s, servers: map[string]*server{}, list: map[string]endpoint{},
 		leaving: map[string]time.Time{}, broken: map[string]int{}, worst: map[string]float64{}, reported: map[string]bool{}, crashed: make(chan error, 1)}
 	var err error
@@ -79,6 +82,14 @@
 		return w, err
 	}
 	w.discovery.onTold = w.told
+	if withFeed {
+		free, err := listenOwn(managerNetwork)
+		if err != nil {
+			return w, err
+		}
+		w.feed = free.Addr().String()
+		free.Close()
+	}
 	return w, w.startManager()
 }
 
@@ -88,12 +99,14 @@
 	if err != nil {
 		return err
 	}
-	free, err := listenOwn(managerNetwork)
-	if err != nil {
-		return err
+	if w.listen == "" {
+		free, err := listenOwn(managerNetwork)
+		if err != nil {
+			return err
+		}
+		w.listen = free.Addr().String()
+		free.Close()
 	}
-	w.listen = free.Addr().String()
-	free.Close()
 	config := filepath.Join(w.dir, "config.json")
 	text := w.site.configuration(w.listen, w.discovery.address, w.relay.address, w.discovery.whole(), "8c1f30d27a5be964")
 	if err := os.WriteFile(config, text, 0o600); err != nil {
@@ -102,10 +115,17 @@
 	w.socket = filepath.Join(w.dir, "admin.sock")
 	operator := filepath.Join(w.dir, "operator.sexp")
 	operatorSettings := fmt.Sprintf("(tamarindshore (admin (socket %q)))\n", w.socket)
+	if w.feed != "" {
+		keys := filepath.Join(w.dir, "keys")
+		if err := os.WriteFile(keys, []byte(replicaKey+"\n"), 0o600); err != nil {
+			return err
+		}
+		operatorSettings = fmt.Sprintf("(tamarindshore (tables (listen %q) (keys %q)))\n", w.feed, keys)
+	}
 	if err := os.WriteFile(operator, []byte(operatorSettings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(w.dir, "manager.log"))
+	log, err := os.OpenFile(filepath.Join(w.dir, "manager.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -154,6 +174,33 @@
 	exited <- err
 }
 
+// killManager kills the manager: it is gone with all that it has ordered. It returns the proxies, whose streams have broken.
+func (w *world) killManager() []*proxy {
+	w.mu.Lock()
+	w.down = true
+	w.mu.Unlock()
+	w.manager.Process.Kill()
+	err := <-w.exited
+	w.exited <- err
+	w.rec.say("the manager is killed")
+	return w.relay.managerDied()
+}
+
+// restartManager starts the manager again; the proxies dial again within 0.3 to 2.1 s.
+func (w *world) restartManager(left []*proxy) error {
+	if err := w.startManager(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.down = false
+	w.mu.Unlock()
+	for i, p := range left {
+		wait := 300*time.Millisecond + time.Duration(i)*1800*time.Millisecond/time.Duration(len(left))
+		time.AfterFunc(wait, func() { w.relay.rejoin(p) })
+	}
+	return nil
+}
+
 // listenOwn listens on any free port of a loopback address of this process.
 func listenOwn(network int) (net.Listener, error) {
 	id := os.Getpid()
@@ -277,7 +324,7 @@
 	w.relay.mu.Lock()
 	defer w.relay.mu.Unlock()
 	begin := w.answered.Add(firstAnswerSlack)
-	if now.Before(begin) {
+	if now.Before(begin) || w.down {
 		return
 	}
 	for id := range w.site.proxies() {
