Log tables whose proxies have no endpoint, with what holds the endpoints up

Change: event=empty_table once a second for each such table, or its zone-local part, with the cause, the number of servers that should get its requests and of those in their warm-up. checkEmptyTables moves to empty_tables.go, which policy names.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -97,15 +97,6 @@
 // updateDrainPending sets drainPending by whether some server can be withdrawn now.
 func (m *Manager) updateDrainPending() { m.drainPending = m.nextDrain() != nil }
 
-// checkEmptyTables makes the publication urgent if a table, or the zone-local part of a table, has no usable endpoint.
-// The changes of such a table may use the channel limits of drains.
-func (m *Manager) checkEmptyTables() {
-	m.publication.emptyTable = slices.ContainsFunc(m.tables, m.isEmptyTable)
-	if m.publication.emptyTable || slices.ContainsFunc(m.tables, m.hasNoLocalEndpoint) {
-		m.publication.urgent = true
-	}
-}
-
 // nextRestore returns the next withdrawn server that may get requests again, or nil if there is none. A server whose
 // weight must first be lowered in some table has to wait, because it would get requests by its old weight. All servers wait
 // while the tables are outdated, because only proxies whose table names a server get its restore.
--- /dev/null
+++ b/balancer/empty_tables.go
@@ -0,0 +1,86 @@
+package balancer
+
+import (
+	"cmp"
+	"slices"
+)
+
+// checkEmptyTables makes the publication urgent if a table, or the zone-local part of a table, has no usable endpoint.
+// The changes of such a table may use the channel limits of drains.
+func (m *Manager) checkEmptyTables() {
+	m.publication.emptyTable = slices.ContainsFunc(m.tables, m.isEmptyTable)
+	if slices.ContainsFunc(m.tables, m.needsEndpoint) {
+		m.publication.urgent = true
+	}
+}
+
+// emptyTableCause is the reason why a table that needs an endpoint has none.
+type emptyTableCause string
+
+const (
+	emptyWithoutTargets   emptyTableCause = "no_server"     // no server gets requests of the table
+	emptyUntilRestore     emptyTableCause = "restore"       // the table names such servers, but they are withdrawn
+	emptyByMessageLimit   emptyTableCause = "message_limit" // of a proxy that uses the table
+	emptyByQueue          emptyTableCause = "queue"         // the channel has no capacity
+	emptyUntilServersWarm emptyTableCause = "warm_up"       // all such servers are in their warm-up
+	emptyUntilPublished   emptyTableCause = "publication"   // the changes are not published for another reason
+)
+
+// logEmptyTables logs each table whose proxies have had no endpoint since before the last tick, in the whole table or in
+// its zone-local part.
+func (m *Manager) logEmptyTables() {
+	m.updateTableIndex()
+	for _, t := range m.tables {
+		if len(t.proxies) == 0 || !m.needsEndpoint(t) {
+			t.emptySince = 0
+			continue
+		}
+		if t.emptySince > 0 {
+			m.logEmptyTable(t)
+		}
+		t.emptySince = cmp.Or(t.emptySince, m.now)
+	}
+}
+
+func (m *Manager) logEmptyTable(t *table) {
+	targets := m.endpointTargets(t)
+	m.log(EventEmptyTable,
+		countField("table", int(t.id)),
+		boolField("zone_local", !m.isEmptyTable(t)),
+		numberField("waited_seconds", (m.now-t.emptySince).Seconds(), 1),
+		textField("cause", string(m.emptyTableCause(t, targets))),
+		countField("targets", len(targets)),
+		countField("warming_up", count(targets, m.isWarmingUp)))
+}
+
+// endpointTargets returns the servers that should get requests of a table without a usable endpoint. If only the table's
+// zone-local part has none, it returns those of the zone-local part.
+func (m *Manager) endpointTargets(t *table) []*server {
+	wholeTable := m.isEmptyTable(t)
+	var targets []*server
+	for _, s := range m.tableServers(t) {
+		if t.targetShares[s.id] > 0 && (wholeTable || m.isZoneLocal(t.id, s)) {
+			targets = append(targets, s)
+		}
+	}
+	return targets
+}
+
+// emptyTableCause returns why a table, or its zone-local part, has no usable endpoint.
+func (m *Manager) emptyTableCause(t *table, targets []*server) emptyTableCause {
+	published := func(s *server) bool { return t.publishedWeights[s.id] > 0 }
+	switch {
+	case len(targets) == 0:
+		return emptyWithoutTargets
+	case slices.ContainsFunc(targets, published):
+		return emptyUntilRestore
+	case m.publication.messageLimited:
+		return emptyByMessageLimit
+	case m.publication.blockedProxies > 0:
+		return emptyByQueue
+	case count(targets, m.isWarmingUp) == len(targets):
+		return emptyUntilServersWarm
+	default:
+		return emptyUntilPublished
+	}
+}
--- a/balancer/log_record_test.go
+++ b/balancer/log_record_test.go
@@ -16,6 +16,7 @@
 	EventAdmissionLimit:   {"limit", "offered", "delivered", "load", "failure_rate"},
 	EventZonesPartitioned: {"partitions", "servers", "connection_uses"},
 	EventDrainDelayed:     {"server", "waited_seconds", "waiting", "cause", "messages"},
+	EventEmptyTable:       {"table", "zone_local", "waited_seconds", "cause", "targets", "warming_up"},
 }
 
 // eventCases has, for each event, a decision that logs it and the expected record.
@@ -97,6 +98,19 @@
 		},
 		"event=drain_delayed server=a0 waited_seconds=1.6 waiting=1 cause=message_limit messages=19",
 	},
+	EventEmptyTable: {
+		func(m *Manager) {
+			m.now = 10 * time.Second
+			clear(m.tables[0].publishedWeights)
+			for _, s := range m.servers {
+				s.warmingUp = true
+			}
+			m.logEmptyTables()
+			m.now += tickInterval
+			m.logEmptyTables()
+		},
+		"event=empty_table table=0 zone_local=false waited_seconds=1.0 cause=warm_up targets=3 warming_up=3",
+	},
 }
 
 func TestLogRecordFieldsAndValues(t *testing.T) {
@@ -121,3 +135,24 @@
 		})
 	}
 }
+
+func TestEmptyTablesAreLoggedWithTheirCause(t *testing.T) {
+	for want, empty := range map[emptyTableCause]func(m *Manager){
+		emptyWithoutTargets:   func(m *Manager) { clear(m.tables[0].targetShares) },
+		emptyUntilRestore:     func(m *Manager) { m.tables[0].publishedWeights["a0"] = 100 },
+		emptyByMessageLimit:   func(m *Manager) { m.publication.noteBlocked(1, true) },
+		emptyByQueue:          func(m *Manager) { m.publication.noteBlocked(1, false) },
+		emptyUntilServersWarm: func(m *Manager) { m.server("a0").warmingUp = true; m.server("a1").warmingUp = true },
+		emptyUntilPublished:   func(m *Manager) {},
+	} {
+		t.Run(string(want), func(t *testing.T) {
+			m := newTestManager(2)
+			m.server("a0").withdrawn = true
+			clear(m.tables[0].publishedWeights)
+			empty(m)
+			if got := m.emptyTableCause(m.tables[0], m.endpointTargets(m.tables[0])); got != want {
+				t.Errorf("got cause %q, want %q", got, want)
+			}
+		})
+	}
+}
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -254,7 +254,7 @@
 	}
 	var changes []tableChange
 	scale := t.scale()
-	restoresInvariant := m.isEmptyTable(t) || m.hasNoLocalEndpoint(t) || m.overloadsWarmingServers(id)
+	restoresInvariant := m.needsEndpoint(t) || m.overloadsWarmingServers(id)
 	for _, s := range m.tableServers(t) {
 		if s.withdrawn && !m.mayServe(s) && !m.removalExpired(s) {
 			continue // the weight of a withdrawn server has no effect
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -80,6 +80,7 @@
 	m.updateDrainPending()
 	m.checkEmptyTables()
 	m.logDelayedDrain()
+	m.logEmptyTables()
 	m.updateSlowStart()
 	m.detectZoneOutage()
 	m.updateServerHealth()
--- a/balancer/table_figures.go
+++ b/balancer/table_figures.go
@@ -64,6 +64,9 @@
 	return true
 }
 
+// needsEndpoint reports whether a table, or its zone-local part, has no usable endpoint.
+func (m *Manager) needsEndpoint(t *table) bool { return m.isEmptyTable(t) || m.hasNoLocalEndpoint(t) }
+
 // otherUsableWeight returns the total weight of a table's usable endpoints, not counting one server.
 func (m *Manager) otherUsableWeight(t *table, excluded *server) float64 {
 	total := 0.0
