Publish weights of warming servers together where each would wait for the others

Cause: a weight that alone brings a warming server more than twice its share of a table is deferred, then dropped (isPremature). In a table without a usable endpoint the first weight has a share of 1, so where all servers warm up none goes first. The same holds back all others in a table that names one warming server with a small weight, which then gets all of its requests.

Change: such weights go together, in one message to each proxy: as many as the channel has room for, at least so many that no server gets more than twice its share. Into an empty table they go once the warming servers can take all requests (the bound that the distribution has already), or once some server is warm by its listed start, from which on the rule counts. A blocked change remembers its commands, so that the joint weights are not tried again at every input.

Why it works: the shares that the guard bounds are those of the state that proxies get with the message, not of one that they never see.

--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -104,6 +104,7 @@
 		// Without this limit, a healthy server would take over the requests of all its degraded peers.
 		targets[i].rate = min(targets[i].rate, maxListedShareFactor*totalRate*max(s.weight, minServerWeight)/listedWeight)
 	}
+	m.warmingCapacitySuffices = warmWeight != 0 || m.usableWeight() >= listedWeight/maxWarmingShareFactor
 	m.fleetWarmingShare = 1
 	if warmWeight != 0 {
 		m.fleetWarmingShare = warmingRate / totalRate
--- a/balancer/empty_tables.go
+++ b/balancer/empty_tables.go
@@ -76,7 +76,7 @@
 		return emptyUntilRestore
 	case m.publication.messageLimited:
 		return emptyByMessageLimit
-	case m.publication.blockedProxies > 0:
+	case m.publication.smallestBlocked.proxies > 0:
 		return emptyByQueue
 	case count(targets, m.isWarmingUp) == len(targets):
 		return emptyUntilServersWarm
--- a/balancer/flow_control.go
+++ b/balancer/flow_control.go
@@ -131,9 +131,9 @@
 	return m.messageCost()
 }
 
-// singleCommandCost returns the minimum cost of sending one command to each of the given number of proxies.
-func (m *Manager) singleCommandCost(proxies int) float64 {
-	return float64(proxies) * (1 + m.newMessageCost())
+// minCost returns the minimum cost of sending a number of commands to each of the given number of proxies.
+func (m *Manager) minCost(proxies int, commands float64) float64 {
+	return float64(proxies) * (commands + m.newMessageCost())
 }
 
 // reserve adds the given number of commands for each proxy to the pending batch of the current time. It also counts a
--- /dev/null
+++ b/balancer/joint_weights_test.go
@@ -0,0 +1,158 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+)
+
+// newWarmingManager returns a test manager whose zone a has lost its n servers, and whose servers in zone b are all in
+// their warm-up, which began at 0.
+func newWarmingManager(n int, now time.Duration) *Manager {
+	m := newTestManager(n)
+	m.now = now
+	for _, s := range m.servers {
+		if s.zone == 0 {
+			s.state = Removed
+			s.withdrawn = true
+		} else {
+			s.warmingUp = true
+		}
+	}
+	m.redistribution = endpointsChanged
+	m.publication.markDue()
+	m.redistribute()
+	return m
+}
+
+// setRoom gives the channel room for a message with the given number of commands to one proxy.
+func (m *Manager) setRoom(commands float64) {
+	for priority := range priorityCount {
+		m.sendTimeLimits[priority] = commands + m.messageCost()
+		m.queueLimits[priority] = commands + m.messageCost()
+	}
+}
+
+// publishedIn returns the published weights above 0 in a table of servers that are not withdrawn.
+func (m *Manager) publishedIn(id TableID) int {
+	return count(m.servers, func(s *server) bool { return !s.withdrawn && m.tables[id].publishedWeights[s.id] > 0 })
+}
+
+// Regression test: where all servers that could serve a table without endpoints were in their warm-up, each waited for
+// the others, and the table's proxies had no server until one of them was warm.
+func TestATableIsNotLeftEmptyWhileAllServersWarmUp(t *testing.T) {
+	m := newTestManager(3)
+	for _, s := range m.servers[3:] {
+		s.warmingUp = true
+	}
+	commands := m.HandleEndpointList(12*time.Second, true, []Endpoint{{Server: "b0", Zone: "b"}, {Server: "b1", Zone: "b"}, {Server: "b2", Zone: "b"}})
+	if got := m.publishedIn(0); len(commands.Withdraw) != 3 || got != 3 {
+		t.Errorf("withdrawn %v, want three servers; table 0 has %d usable endpoints, want 3", commands.Withdraw, got)
+	}
+}
+
+// A first endpoint alone would get all requests of its table, so the warming servers must be published together.
+func TestFirstEndpointsAreNotPublishedOneByOne(t *testing.T) {
+	for room, want := range map[float64]int{1: 0, 2: 2, 3: 3, 4: 4, 9: 4} {
+		m := newWarmingManager(4, 12*time.Second)
+		m.reserve(m.tableProxies(1), 1) // other commands wait, so the weights may find room later
+		m.setRoom(room + m.queuedCommands())
+		m.publish()
+		if got := m.publishedIn(0); got != want {
+			t.Errorf("with room for %v weights: table 0 has %d usable endpoints, want %d", room, got, want)
+		}
+		if m.publication.due != (want == 0) || (m.redistribution == changesUnpublished) != (want > 0 && want < 4) {
+			t.Errorf("with room for %v weights: publication due %v, redistribution reason %v", room, m.publication.due, m.redistribution)
+		}
+		m.now++
+		if m.publishReady() {
+			t.Errorf("with room for %v weights: the publication is tried again at every input", room)
+		}
+	}
+}
+
+// A table must not stay empty for good because even an empty queue has no room for the endpoints that it needs.
+func TestFirstEndpointsThatExceedTheQueueArePublishedInPart(t *testing.T) {
+	m := newWarmingManager(4, 12*time.Second)
+	m.setRoom(1)
+	m.publish()
+	if got := m.publishedIn(0); got != 1 {
+		t.Errorf("table 0 has %d usable endpoints, want 1", got)
+	}
+}
+
+// Servers that have just started must not get the requests of a lost zone before they can take them, unless one is warm
+// according to the list: then rules demand an endpoint.
+func TestFirstEndpointsWaitUntilWarmingServersCanTakeAllRequests(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		now         time.Duration
+		listedStart time.Duration
+		want        int
+	}{
+		{"just started", 2 * time.Second, 0, 0},
+		{"just below the needed progress", 10 * time.Second, 0, 0},
+		{"far enough", 10300 * time.Millisecond, 0, 3},
+		{"just started by the list, which has no start", 2 * time.Second, startUnknown, 0},
+		{"reported late, warm by the listed start", 2 * time.Second, -14 * time.Second, 3},
+	} {
+		m := newWarmingManager(3, test.now)
+		for _, s := range m.servers {
+			s.listedStart = startUnknown
+		}
+		m.server("b2").listedStart = test.listedStart
+		m.server("a2").listedStart = -time.Minute // is not used, since the server was removed
+		m.publish()
+		if got := m.publishedIn(0); got != test.want {
+			t.Errorf("%s: table 0 has %d usable endpoints, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+// A single warming server that was left with a small weight gets all requests of its table, so the others must not wait
+// for each other.
+func TestASmallWeightDoesNotKeepOtherWarmingServersOut(t *testing.T) {
+	m := newWarmingManager(6, 2*time.Second)
+	m.tables[0].publishedWeights["b0"] = 1
+	m.publish()
+	if got := m.publishedIn(0); got != 6 {
+		t.Errorf("table 0 has %d usable endpoints, want 6: %v", got, m.tables[0].publishedWeights)
+	}
+}
+
+// The weight that a server already has must not count twice towards the total that its new weight needs.
+func TestJointWeightsReplaceThePublishedOnes(t *testing.T) {
+	m := newWarmingManager(5, 12*time.Second)
+	m.tables[0].publishedWeights["b0"] = 90
+	m.tables[0].targetShares = map[ServerID]float64{"b0": 0.2, "b1": 0.2, "b2": 0.2, "b3": 0.2, "b4": 0.2}
+	joint := jointWeights{table: m.tables[0]}
+	for _, id := range []ServerID{"b0", "b1", "b2", "b3", "b4"} {
+		joint.weights = append(joint.weights, EndpointWeight{0, id, 100})
+	}
+	if n, found := m.minJointWeights(joint); n != 3 || !found {
+		t.Errorf("got %d weights (found: %v), want 3, with which each has at most twice its target share", n, found)
+	}
+}
+
+// While some server is warm, the distribution gives it what exceeds the shares of warming servers.
+func TestFirstEndpointsDoNotWaitWhileAnyServerIsWarm(t *testing.T) {
+	m := newWarmingManager(3, time.Second)
+	if m.warmingServersMayServeAll() {
+		t.Error("servers that have just started count as able to serve all requests")
+	}
+	m.server("b0").warmingUp = false
+	m.redistribute()
+	if !m.warmingServersMayServeAll() {
+		t.Error("the warming servers have to wait although one server is warm")
+	}
+}
+
+// First endpoints may use the channel limits of drains.
+func TestFirstEndpointsUseTheChannelLimitsOfDrains(t *testing.T) {
+	m := newWarmingManager(3, 12*time.Second)
+	m.sendTimeLimits[normalPriority] = 0
+	m.queueLimits[normalPriority] = 0
+	m.publish()
+	if got := m.publishedIn(0); got != 3 {
+		t.Errorf("table 0 has %d usable endpoints, want 3", got)
+	}
+}
--- a/balancer/log_record_test.go
+++ b/balancer/log_record_test.go
@@ -140,8 +140,8 @@
 	for want, empty := range map[emptyTableCause]func(m *Manager){
 		emptyWithoutTargets:   func(m *Manager) { clear(m.tables[0].targetShares) },
 		emptyUntilRestore:     func(m *Manager) { m.tables[0].publishedWeights["a0"] = 100 },
-		emptyByMessageLimit:   func(m *Manager) { m.publication.noteBlocked(1, true) },
-		emptyByQueue:          func(m *Manager) { m.publication.noteBlocked(1, false) },
+		emptyByMessageLimit:   func(m *Manager) { m.publication.noteBlocked(blockedChange{1, 1}, true) },
+		emptyByQueue:          func(m *Manager) { m.publication.noteBlocked(blockedChange{1, 1}, false) },
 		emptyUntilServersWarm: func(m *Manager) { m.server("a0").warmingUp = true; m.server("a1").warmingUp = true },
 		emptyUntilPublished:   func(m *Manager) {},
 	} {
--- a/balancer/manager.go
+++ b/balancer/manager.go
@@ -47,7 +47,12 @@
 	distributedRates  []float64 // requests per second by table, from the last distribution
 	fleetWarmingShare float64   // share of all requests that the last distribution gave to servers in their warm-up
 	publication       publication
-	pinned            *pinnedTables // nil if the tables are not pinned
+
+	// warmingCapacitySuffices reports whether the last distribution gives no warming server more than
+	// maxWarmingShareFactor allows. It may do so only while no server is warm.
+	warmingCapacitySuffices bool
+
+	pinned *pinnedTables // nil if the tables are not pinned
 
 	drainPending  bool            // some server may have to be withdrawn
 	newProxyTable *table          // table of a proxy that has just connected; nil: none
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -21,15 +21,23 @@
 // publication is the state of publishing the tables: idle, due, or blocked. A blocked publication is due, but the
 // channel has no room for changes that restore an invariant (see invariantChange).
 type publication struct {
-	due            bool
-	urgent         bool          // must not wait until the next tick
-	outdated       bool          // the endpoint list, the pin or the contents of the tables changed after the last distribution
-	blockedAt      time.Duration // when the publication was last blocked
-	blockedProxies int           // number of recipients of the smallest change without room; 0: not blocked by the queue
-	messageLimited bool          // blocked by the message limit of a proxy
-	emptyTable     bool          // some table has no usable endpoint
+	due             bool
+	urgent          bool          // must not wait until the next tick
+	outdated        bool          // the endpoint list, the pin or the contents of the tables changed after the last distribution
+	blockedAt       time.Duration // when the publication was last blocked
+	smallestBlocked blockedChange // smallest change without room; no proxies: not blocked by the queue
+	messageLimited  bool          // blocked by the message limit of a proxy
+	emptyTable      bool          // some table has no usable endpoint
 }
 
+// blockedChange is the size of a change that restores an invariant and found no room in the channel.
+type blockedChange struct {
+	proxies  int     // number of recipients
+	commands float64 // number of commands for each of them
+}
+
+func (c blockedChange) total() float64 { return float64(c.proxies) * c.commands }
+
 // markDue makes the publication due. A blocked publication is tried again.
 func (p *publication) markDue() {
 	p.due = true
@@ -37,7 +45,7 @@
 }
 
 func (p *publication) clearBlocked() {
-	p.blockedProxies = 0
+	p.smallestBlocked = blockedChange{}
 	p.messageLimited = false
 }
 
@@ -108,7 +116,8 @@
 	if p.messageLimited {
 		return m.now >= m.retryAt
 	}
-	return p.blockedProxies == 0 || m.singleCommandCost(p.blockedProxies) <= m.availableCapacity(drainPriority)
+	blocked := p.smallestBlocked
+	return blocked.proxies == 0 || m.minCost(blocked.proxies, blocked.commands) <= m.availableCapacity(drainPriority)
 }
 
 // publish sends the changes of all tables as far as the channel has room: first the changes that restore an invariant,
@@ -133,6 +142,7 @@
 			m.publishWeight(round, change, s)
 		}
 	}
+	m.publishJointWeights(round)
 	if round.blocked {
 		m.publication.block(m.now)
 	} else if round.incomplete {
@@ -145,10 +155,11 @@
 // publishRound is the state of one call of publish.
 type publishRound struct {
 	changes    []tableChange
-	recipients [][]*proxy // proxies that get a table's changes, by table
-	movedRates []float64  // requests per second that a table's changes move, by table
-	incomplete bool       // some change was not published
-	blocked    bool       // some change that restores an invariant was not published
+	recipients [][]*proxy       // proxies that get a table's changes, by table
+	movedRates []float64        // requests per second that a table's changes move, by table
+	joint      []EndpointWeight // weights of warming servers that would overload them if published one by one
+	incomplete bool             // some change was not published
+	blocked    bool             // some change that restores an invariant was not published
 }
 
 // collectChanges computes the changes of all tables.
@@ -190,22 +201,22 @@
 
 func (m *Manager) publishWeight(round *publishRound, change tableChange, s *server) {
 	t := m.tables[change.Table]
-	commands := 1.0
-	if m.isZoneLocal(change.Table, s) {
-		commands = 2 // the zone-local part of the table gets the weight too
-	}
+	commands := m.weightCommands(t, s)
 	priority := normalPriority
 	if change.priority == invariantChange {
 		priority = drainPriority
 	}
-	premature := m.isPremature(t, s, change.Weight)
+	emptiesTable := m.emptiesTable(t, s, change.Weight)
+	overloads := m.overloadsWarmingServer(t, s, change.Weight, m.otherUsableWeight(t, s))
 	switch {
-	case premature && !change.deferred:
+	case (emptiesTable || overloads) && !change.deferred:
 		deferredChange := change
 		deferredChange.priority = ordinaryChange
 		deferredChange.deferred = true
 		round.changes = append(round.changes, deferredChange)
-	case premature || !m.reserveChange(round, change.Table, commands, priority):
+	case overloads:
+		round.joint = append(round.joint, change.EndpointWeight)
+	case emptiesTable || !m.reserveChange(round, change.Table, commands, priority):
 		round.incomplete = true
 		s.decreasePending = s.decreasePending || change.Weight < t.publishedWeights[s.id]
 	default:
@@ -213,14 +224,26 @@
 	}
 }
 
-// isPremature reports whether a weight must wait for the table's other changes, because before them it would leave the
-// table without an endpoint or overload a warming server.
-func (m *Manager) isPremature(t *table, s *server, weight float64) bool {
-	others := m.otherUsableWeight(t, s)
-	emptiesTable := weight == 0 && !s.withdrawn && (others == 0 || m.isLastZoneLocal(t, s))
+// weightCommands returns the number of commands that set a server's weight in a table. The zone-local part of the table
+// gets the weight too.
+func (m *Manager) weightCommands(t *table, s *server) float64 {
+	if m.isZoneLocal(t.id, s) {
+		return 2
+	}
+	return 1
+}
+
+// emptiesTable reports whether a weight would leave a table, or its zone-local part, without a usable endpoint, so that it
+// must wait for the table's other changes.
+func (m *Manager) emptiesTable(t *table, s *server, weight float64) bool {
+	return weight == 0 && !s.withdrawn && (m.otherUsableWeight(t, s) == 0 || m.isLastZoneLocal(t, s))
+}
+
+// overloadsWarmingServer reports whether a higher weight would overload a warming server, given the total weight of the
+// table's other usable endpoints.
+func (m *Manager) overloadsWarmingServer(t *table, s *server, weight, others float64) bool {
 	raised := weight > t.publishedWeights[s.id]
-	overloads := s.warmingUp && raised && weight > maxWarmingShareIncrease*t.targetShares[s.id]*(others+weight)
-	return emptiesTable || overloads
+	return s.warmingUp && raised && weight > maxWarmingShareIncrease*t.targetShares[s.id]*(others+weight)
 }
 
 // reserveChange reserves room in the channel for a change's commands and reports whether there was enough. If not, the
@@ -231,18 +254,26 @@
 		m.reserve(proxies, commands)
 		return true
 	}
+	m.noteNoRoom(round, proxies, commands, priority)
+	return false
+}
+
+// noteNoRoom records that a change found no room in the channel, or in the message limit of a proxy.
+func (m *Manager) noteNoRoom(round *publishRound, proxies []*proxy, commands float64, priority priority) {
 	round.incomplete = true
 	if priority == drainPriority {
 		round.blocked = true
-		m.publication.noteBlocked(len(proxies), !m.withinMessageLimit(proxies, priority))
+		change := blockedChange{len(proxies), commands}
+		m.publication.noteBlocked(change, !m.withinMessageLimit(proxies, priority))
 	}
-	return false
 }
 
-// noteBlocked records the number of recipients of a change that found no room, and whether a message limit is the cause.
-func (p *publication) noteBlocked(recipients int, messageLimited bool) {
+// noteBlocked records a change that found no room, and whether a message limit is the cause.
+func (p *publication) noteBlocked(change blockedChange, messageLimited bool) {
 	p.messageLimited = p.messageLimited || messageLimited
-	p.blockedProxies = min(cmp.Or(p.blockedProxies, recipients), recipients)
+	if p.smallestBlocked.proxies == 0 || change.total() < p.smallestBlocked.total() {
+		p.smallestBlocked = change
+	}
 }
 
 // weightChanges returns the changes of a table's weights, scaled to match its published weights. It never empties a
--- a/balancer/publishing_test.go
+++ b/balancer/publishing_test.go
@@ -163,6 +163,16 @@
 	}
 }
 
+func TestTheSmallestBlockedChangeIsRemembered(t *testing.T) {
+	var p publication
+	for _, change := range []blockedChange{{5, 2}, {2, 3}, {9, 1}} {
+		p.noteBlocked(change, false)
+	}
+	if want := (blockedChange{2, 3}); p.smallestBlocked != want {
+		t.Errorf("got %v, want %v", p.smallestBlocked, want)
+	}
+}
+
 // Regression test: a publication that a proxy's message limit blocked was tried again at every input.
 func TestPublicationBlockedByAMessageLimitWaitsForTheNextRetry(t *testing.T) {
 	m := newTestManager(2)
--- a/balancer/table_figures.go
+++ b/balancer/table_figures.go
@@ -93,6 +93,12 @@
 	return warming, all
 }
 
+// hasWarmEndpoint reports whether some usable endpoint of a table is not in its warm-up.
+func (m *Manager) hasWarmEndpoint(t *table) bool {
+	warming, all := m.warmingAndTotalWeight(t)
+	return warming < all
+}
+
 // tableWarmingShare returns the share of a table's requests that goes to servers in their warm-up.
 func (m *Manager) tableWarmingShare(t *table) float64 {
 	warming, all := m.warmingAndTotalWeight(t)
--- /dev/null
+++ b/internal/faultsim/empty_tables_test.go
@@ -0,0 +1,39 @@
+package faultsim
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+// coldFleetScenario returns a scenario in which zones are lost while servers are replaced, so that all servers that are
+// left may have started within seconds.
+func coldFleetScenario(t *testing.T) Scenario {
+	t.Helper()
+	s, err := ReadScenario(filepath.Join("testdata", "cold-fleet.sexp"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Regression test: where all servers that could serve a table were warming up, each waited for the others. The table stayed
+// empty, or one server that it already named got all of its requests.
+func TestWarmingServersDoNotWaitForEachOther(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		scenario Scenario
+		seeds    []uint64
+	}{
+		{"empty table, drains", manyDrainsScenario(t, 20), []uint64{922, 1347}},
+		{"empty table, lost zone", coldFleetScenario(t), []uint64{2164}},
+		{"overloaded server, lost zone", coldFleetScenario(t), []uint64{701, 735, 1433, 2000, 2474, 2564, 2659, 2688, 2956}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, seed := range test.seeds {
+				if violation, _ := Run(test.scenario, GenerateScript(test.scenario, seed), func(string) {}); violation != nil {
+					t.Errorf("seed %d: got violation %v", seed, violation)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/faultsim/testdata/cold-fleet.sexp
@@ -0,0 +1,5 @@
+(scenario (zones 3) (servers 15) (proxies 9) (rate 4) (capacity 6)
+  (faults (least 2) (most 5))
+  (weights (drain 10) (zone-lost 10) (restart 4) (rejoin 2) (late-list 2) (slow-channel 2)
+    (crash 0) (silence 0) (slow 0) (errors 0) (zone-cut 0) (deaf 0) (unreachable 0) (lost-answers 0) (stall 0) (wrong-list 0)
+    (doubled 0) (rollback 0)))
