--- a/balancer/joint_weights_test.go
+++ b/balancer/joint_weights_test.go
@@ -156,3 +156,31 @@
 		t.Errorf("table 0 has %d usable endpoints, want 3", got)
 	}
 }
+
+// Joint weights must not replace the weights of warm servers that are about to be published or raised.
+func TestJointWeightsWaitForWarmServers(t *testing.T) {
+	for name, prepare := range map[string]func(m *Manager){
+		"the table names a warm server with a small weight": func(m *Manager) {
+			m.server("b0").warmingUp = false
+			m.tables[0].publishedWeights["b0"] = 1
+		},
+		"most requests are for other servers": func(m *Manager) {
+			for _, s := range m.servers {
+				m.tables[0].targetShares[s.id] *= 0.4
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newWarmingManager(6, 12*time.Second)
+			prepare(m)
+			round := &publishRound{recipients: make([][]*proxy, 2)}
+			for _, id := range []ServerID{"b1", "b2", "b3", "b4", "b5"} {
+				round.joint = append(round.joint, EndpointWeight{0, id, 100 * m.tables[0].targetShares[id]})
+			}
+			m.publishJointWeights(round)
+			if len(m.commands.Weights) > 0 || !round.incomplete {
+				t.Errorf("published %v, incomplete %v; want none, and an incomplete round", m.commands.Weights, round.incomplete)
+			}
+		})
+	}
+}
