Restore a lost zone's servers for its own classes under a hold

Cause: nextRestore set a pin aside only while some whole table had no endpoint. The zone-local part of a table was looked at for the urgency of the publication alone, and before the distribution that gives it targets.

Change: checkEmptyTables records both per table and runs after each distribution; a server that is a target of a table or part without an endpoint is restored despite a pin, with the channel limits of drains.

Why it works: what lifts the pin is now what the rule asks for, an endpoint for each class, and only for the servers that give one.

--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -66,6 +66,7 @@
 		m.applyPinnedWeights(t, anyUsable)
 		m.keepZoneLocalServers(t)
 	}
+	m.checkEmptyTables() // a zone-local part needs an endpoint only if it has a target share
 }
 
 // serverTargets returns the servers that get requests and the target of each. Ejected servers are left out unless no
--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -97,26 +97,34 @@
 // updateDrainPending sets drainPending by whether some server can be withdrawn now.
 func (m *Manager) updateDrainPending() { m.drainPending = m.nextDrain() != nil }
 
-// nextRestore returns the next withdrawn server that may get requests again, or nil if there is none. A server whose
-// weight must first be lowered in some table has to wait, because it would get requests by its old weight. All servers wait
+// nextRestore returns the next withdrawn server that may get requests again, or nil if there is none. All servers wait
 // while the tables are outdated, because only proxies whose table names a server get its restore.
 func (m *Manager) nextRestore() *server {
-	if m.publication.due || m.publication.outdated || m.pinned != nil && !m.publication.emptyTable {
+	if m.publication.due || m.publication.outdated {
 		return nil
 	}
-	priority := urgentPriority
-	if m.publication.emptyTable {
-		priority = drainPriority
-	}
+	m.updateTableIndex()
 	for _, s := range m.currentServerSets().returning {
-		mustWait := s.decreasePending || m.slowStartPaused(s) || s.ejected && m.anyUsable()
-		if !mustWait && m.fits(m.proxiesUsing(s), 1, priority) {
+		priority := urgentPriority
+		needed := m.restoresEndpoint(s)
+		if needed {
+			priority = drainPriority
+		}
+		if m.mayRestore(s, needed) && m.fits(m.proxiesUsing(s), 1, priority) {
 			return s
 		}
 	}
 	return nil
 }
 
+// mayRestore reports whether a withdrawn server may get requests again. A server whose weight must first be lowered in some
+// table has to wait, because it would get requests by its old weight. A pin does not hold back a server that is needed
+// because a table has no endpoint.
+func (m *Manager) mayRestore(s *server, needed bool) bool {
+	mustWait := s.decreasePending || m.slowStartPaused(s) || s.ejected && m.anyUsable()
+	return !mustWait && (m.pinned == nil || needed)
+}
+
 func (m *Manager) restoreReady() bool { return m.nextRestore() != nil }
 
 // restore resumes requests to a withdrawn server in all tables that name it.
--- a/balancer/empty_tables.go
+++ b/balancer/empty_tables.go
@@ -5,15 +5,28 @@
 	"slices"
 )
 
-// checkEmptyTables makes the publication urgent if a table, or the zone-local part of a table, has no usable endpoint.
-// The changes of such a table may use the channel limits of drains.
+// checkEmptyTables records which tables, and zone-local parts of tables, have no usable endpoint, and makes the publication
+// urgent if there are any. The changes of such a table may use the channel limits of drains.
 func (m *Manager) checkEmptyTables() {
-	m.publication.emptyTable = slices.ContainsFunc(m.tables, m.isEmptyTable)
-	if slices.ContainsFunc(m.tables, m.needsEndpoint) {
-		m.publication.urgent = true
+	for _, t := range m.tables {
+		t.lacksEndpoint = m.isEmptyTable(t)
+		t.lacksLocalEndpoint = m.hasNoLocalEndpoint(t)
+		if t.lacksEndpoint || t.lacksLocalEndpoint {
+			m.publication.urgent = true
+		}
 	}
 }
 
+// restoresEndpoint reports whether a withdrawn server should get requests of a table that has no usable endpoint, or of a
+// zone-local part that has none.
+func (m *Manager) restoresEndpoint(s *server) bool {
+	return slices.ContainsFunc(s.tables, func(id TableID) bool {
+		t := m.tables[id]
+		lacksEndpoint := t.lacksEndpoint || t.lacksLocalEndpoint && m.isZoneLocal(id, s)
+		return lacksEndpoint && t.targetShares[s.id] > 0
+	})
+}
+
 // emptyTableCause is the reason why a table that needs an endpoint has none.
 type emptyTableCause string
 
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -27,7 +27,6 @@
 	blockedAt       time.Duration // when the publication was last blocked
 	smallestBlocked blockedChange // smallest change without room; no proxies: not blocked by the queue
 	messageLimited  bool          // blocked by the message limit of a proxy
-	emptyTable      bool          // some table has no usable endpoint
 }
 
 // blockedChange is the size of a change that restores an invariant and found no room in the channel.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -92,7 +92,9 @@
 	pinnedWeight     float64 // total weight of the endpoints of a pinned table; 0: not pinned
 	assignCost       float64 // cached number of commands needed to put a proxy on the table; 0: not computed
 
-	emptySince time.Duration // first tick at which it, or its zone-local part, had no usable endpoint for its proxies; 0: it has one
+	lacksEndpoint      bool          // it had no usable endpoint when checkEmptyTables last ran
+	lacksLocalEndpoint bool          // the same for its zone-local part
+	emptySince         time.Duration // first tick at which it, or its zone-local part, had no usable endpoint for its proxies; 0: it has one
 
 	proxies            []*proxy // proxies of the partition, assigned or not, ordered by number
 	announcedRate      float64  // requests per second that these proxies announced
