Restore servers that a zone-local part needs while slow start is paused

Callers see (test; not seen on sockets): a lost zone returns while the other servers fail most requests: a class that keeps to the zone has no server, for as long as slow start is paused.

Cause: nextRestore waits for the pause, keepZoneLocalServers gives such servers their small targets despite it, so new servers get weights and returned ones stay withdrawn.

Change: a server that is a target of a table or part without an endpoint is restored despite a pause.

--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -118,11 +118,12 @@
 }
 
 // mayRestore reports whether a withdrawn server may get requests again. A server whose weight must first be lowered in some
-// table has to wait, because it would get requests by its old weight. A pin does not hold back a server that is needed
-// because a table has no endpoint.
+// table has to wait, because it would get requests by its old weight. A pin and a pause of slow start do not hold back a
+// server that is needed because a table has no endpoint.
 func (m *Manager) mayRestore(s *server, needed bool) bool {
-	mustWait := s.decreasePending || m.slowStartPaused(s) || s.ejected && m.anyUsable()
-	return !mustWait && (m.pinned == nil || needed)
+	mustWait := s.decreasePending || s.ejected && m.anyUsable()
+	held := m.pinned != nil || m.slowStartPaused(s)
+	return !mustWait && (needed || !held)
 }
 
 func (m *Manager) restoreReady() bool { return m.nextRestore() != nil }
