Let ejected servers serve the classes of their zone if no other server of it is left

Cause: keepZoneLocalServers and weightChanges take an ejected server only while a published table names it, nextRestore only while no server of the whole fleet is usable, and the checks of versions hold back weights and restores of each server that does not answer. So a zone whose servers are all ejected keeps an endpoint only if the ejection is not published yet.

Change: where all servers of a zone that may serve are ejected, they are the last resort of classes that keep to it: they share the small part of a lost zone, and weights and restores for them pass the checks. What they get of other classes, and what a hold counts as available, is as before.

--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -129,14 +129,15 @@
 
 // keepZoneLocalServers adds the servers of the table's own zone with a small share if the table would give them less
 // than minWeightShare in total. Requests of zone-local classes then have an endpoint as long as the zone has a listed
-// server, even during a zone outage. An ejected server is added only if the published table already names it.
+// server, even during a zone outage. An ejected server is added only if the published table already names it, or if all
+// servers of the zone are ejected.
 func (m *Manager) keepZoneLocalServers(t *table) {
 	if !m.hasZoneLocalClasses() || m.zoneLocalShare(t) >= minWeightShare {
 		return
 	}
 	var local []*server
 	for _, s := range m.servers {
-		if m.isZoneLocal(t.id, s) && m.mayServe(s) && (!s.ejected || t.publishedWeights[s.id] > 0) {
+		if m.isZoneLocal(t.id, s) && m.mayServe(s) && (!s.ejected || t.publishedWeights[s.id] > 0 || m.isLastResort(s)) {
 			local = append(local, s)
 		}
 	}
--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -121,7 +121,7 @@
 // table has to wait, because it would get requests by its old weight. A pin and a pause of slow start do not hold back a
 // server that is needed because a table has no endpoint.
 func (m *Manager) mayRestore(s *server, needed bool) bool {
-	mustWait := s.decreasePending || s.ejected && m.anyUsable()
+	mustWait := s.decreasePending || s.ejected && m.anyUsable() && !m.isLastResort(s)
 	held := m.pinned != nil || m.slowStartPaused(s)
 	return !mustWait && (needed || !held)
 }
--- a/balancer/empty_tables_test.go
+++ b/balancer/empty_tables_test.go
@@ -67,3 +67,109 @@
 		t.Errorf("the paused servers get %v of their table, want hardly any of the other requests", share)
 	}
 }
+
+// Regression test: an ejected server was not given requests that keep to its zone when no other server of the zone was left.
+func TestAnEjectedServerServesItsZoneIfNoOtherIsLeft(t *testing.T) {
+	m := newZoneLocalManager(3)
+	m.now = time.Second
+	m.eject(m.server("a0"), serverUnresponsive)
+	m.nextTick = 2 * time.Second
+	m.HandleTimer(2 * time.Second)
+	if weight := m.tables[0].publishedWeights["a0"]; weight > 0 {
+		t.Fatalf("the ejected server a0 still has weight %v in table 0", weight)
+	}
+	commands := m.HandleEndpointList(3*time.Second, false, []Endpoint{{Server: "a1", Zone: "a", State: Removed}, {Server: "a2", Zone: "a", State: Removed}})
+	if len(commands.Withdraw) != 2 || m.hasNoLocalEndpoint(m.tables[0]) || m.tables[0].publishedWeights["a0"] == 0 {
+		t.Errorf("withdrawn %v, want a1 and a2; published weights %v, want some of a0", commands.Withdraw, m.tables[0].publishedWeights)
+	}
+	if share := m.zoneLocalShare(m.tables[0]); share > 2*minWeightShare {
+		t.Errorf("the ejected server gets %v of its table, want hardly any of the other requests", share)
+	}
+	if !m.IsLastResort("a0") || m.IsLastResort("a1") || m.IsLastResort("b0") || m.IsLastResort("none") {
+		t.Error("a0 alone must be the last resort of its zone")
+	}
+}
+
+// A withdrawn server that came back without an answer to its health check is restored only where no other server can take
+// the requests that keep to its zone.
+func TestEjectedServersAreRestoredOnlyAsTheLastResort(t *testing.T) {
+	for name, want := range map[string][]ServerID{"none": {"a0", "a1", "a2"}, "a2": {"a2"}} {
+		m := newZoneLocalManager(3)
+		m.now = time.Second
+		m.loseZoneA(t, 2*time.Second, 3*time.Second)
+		for _, s := range m.servers[:3] {
+			if string(s.id) != name {
+				m.eject(s, serverUnresponsive)
+			}
+		}
+		m.nextTick = 4 * time.Second
+		if commands := m.HandleTimer(4 * time.Second); !slices.Equal(commands.Restore, want) {
+			t.Errorf("responsive: %s: restored %v, want %v", name, commands.Restore, want)
+		}
+	}
+}
+
+func TestAZoneAddedByAProxyHasNoUsableServer(t *testing.T) {
+	m := newZoneLocalManager(1)
+	m.currentServerSets()
+	m.zoneIndex("c")
+	m.servers = append(m.servers, &server{id: "c0", zone: 2, ejected: true})
+	if !m.IsLastResort("c0") {
+		t.Error("the only server of a new zone is not its last resort")
+	}
+	m.endEjection(m.servers[2])
+	if m.IsLastResort("c0") {
+		t.Error("a server counts as the last resort after its ejection ended")
+	}
+}
+
+func TestThereIsNoLastResortWithoutZoneLocalClasses(t *testing.T) {
+	m := newTestManager(1)
+	m.eject(m.server("a0"), serverUnresponsive)
+	if m.IsLastResort("a0") {
+		t.Error("a server is the last resort of its zone although all classes may leave the zone")
+	}
+}
+
+// A pin is set aside only for servers that should get requests of a table without an endpoint, and of those of its
+// zone-local part only for servers of the zone.
+func TestOnlyTargetsOfATableRestoreItsEndpoint(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		lacks, isLocal  bool
+		server          ServerID
+		share           float64
+		restoreEndpoint bool
+	}{
+		{"target of an empty table", true, false, "b0", 0.1, true},
+		{"no target of an empty table", true, false, "b0", 0, false},
+		{"target in the zone of an empty zone-local part", false, true, "a0", 0.1, true},
+		{"no target in the zone of an empty zone-local part", false, true, "a0", 0, false},
+		{"target outside the zone of an empty zone-local part", false, true, "b0", 0.1, false},
+		{"target of a table that lacks nothing", false, false, "a0", 0.1, false},
+	} {
+		m := newZoneLocalManager(1)
+		s := m.server(test.server)
+		s.tables = []TableID{0}
+		table := m.tables[0]
+		table.lacksEndpoint = test.lacks
+		table.lacksLocalEndpoint = test.isLocal
+		table.targetShares[s.id] = test.share
+		if got := m.restoresEndpoint(s); got != test.restoreEndpoint {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.restoreEndpoint)
+		}
+	}
+}
+
+// Regression test: the servers of a lost zone that came back waited for channel capacity that only drains may use, while the
+// classes that keep to the zone had no server.
+func TestAnEmptyZoneLocalPartIsRestoredWithTheChannelLimitsOfDrains(t *testing.T) {
+	m := newZoneLocalManager(3)
+	m.now = time.Second
+	m.loseZoneA(t, 2*time.Second, 3*time.Second)
+	m.queueLimits[urgentPriority] = 0
+	m.nextTick = 4 * time.Second
+	if commands := m.HandleTimer(4 * time.Second); len(commands.Restore) != 3 {
+		t.Errorf("restored %v, want the three servers of zone a", commands.Restore)
+	}
+}
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -83,6 +83,7 @@
 // eject excludes a server from the distribution until it passes a health check.
 func (m *Manager) eject(s *server, reason ejectReason) {
 	s.ejected = true
+	m.serverSetsValid = false
 	s.health = restoredHealth
 	m.redistribution = serverEjected
 	m.log(EventServerEjected,
@@ -94,6 +95,7 @@
 // endEjection returns a server that passed a health check to the distribution.
 func (m *Manager) endEjection(s *server) {
 	s.ejected = false
+	m.serverSetsValid = false
 	s.lastSeen = m.now
 	m.redistribution = ejectionEnded
 	if !s.warmingUp {
@@ -103,7 +105,6 @@
 		// This may be a new process that is not on the endpoint list yet.
 		s.warmingUp = true
 		s.warmUpFrom = m.now
-		m.serverSetsValid = false
 	}
 	m.log(EventServerRestored, textField("server", string(s.id)))
 }
--- a/balancer/indexes.go
+++ b/balancer/indexes.go
@@ -26,6 +26,7 @@
 	returning         []*server // withdrawn servers that may serve, ordered by id
 	warmingUp         int       // number of servers in their warm-up that may serve
 	withdrawnUnusable int       // number of withdrawn servers that may not serve
+	usableByZone      []int     // numbers of servers that may serve and are not ejected
 }
 
 // currentServerSets returns the server sets, which it recomputes if they are out of date.
@@ -34,7 +35,7 @@
 		return &m.serverSets
 	}
 	m.serverSetsValid = true
-	sets := serverSets{leaving: m.serverSets.leaving[:0], returning: m.serverSets.returning[:0]}
+	sets := serverSets{leaving: m.serverSets.leaving[:0], returning: m.serverSets.returning[:0], usableByZone: make([]int, len(m.zones))}
 	for _, s := range m.servers {
 		mayServe := m.mayServe(s)
 		leaves := s.state == Draining || s.state == Removed && !m.removedMayServe
@@ -49,6 +50,9 @@
 		if m.isWarmingUp(s) {
 			sets.warmingUp++
 		}
+		if mayServe && !s.ejected {
+			sets.usableByZone[s.zone]++
+		}
 	}
 	slices.SortStableFunc(sets.leaving, func(a, b *server) int { return cmp.Compare(a.leavingSince, b.leavingSince) })
 	m.serverSets = sets
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -291,7 +291,7 @@
 		}
 		published := t.publishedWeights[s.id]
 		weight := math.Round(t.targetShares[s.id]*scale*weightSteps) / weightSteps
-		if m.hasZoneLocalClasses() && s.ejected && weight > published && m.anyUsable() {
+		if m.hasZoneLocalClasses() && s.ejected && weight > published && m.anyUsable() && !(published == 0 && m.isLastResort(s)) {
 			continue // an ejected server kept by keepZoneLocalServers gets no more than its published weight
 		}
 		if !m.weightDiffers(t, published, weight) {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -130,6 +130,7 @@
 		return zone
 	}
 	m.zones = append(m.zones, id)
+	m.serverSetsValid = false
 	m.zoneCheckedAt = append(m.zoneCheckedAt, longAgo)
 	m.addTables()
 	m.zonePairs = make([][]zonePair, len(m.zones))
--- a/balancer/statistics.go
+++ b/balancer/statistics.go
@@ -222,6 +222,12 @@
 	return slices.ContainsFunc(m.servers, func(s *server) bool { return m.mayServe(s) && !s.ejected })
 }
 
+// isLastResort reports whether requests that keep to a server's zone may be sent to it although it is ejected, because all
+// servers of the zone are.
+func (m *Manager) isLastResort(s *server) bool {
+	return m.mayServe(s) && m.hasZoneLocalClasses() && m.currentServerSets().usableByZone[s.zone] == 0
+}
+
 // listedWeight returns the total listed weight of the servers that may serve.
 func (m *Manager) listedWeight() float64 {
 	total := 0.0
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -17,6 +17,13 @@
 	return true, m.mayServe(s) && !(s.ejected && m.anyUsable()), m.warmUpProgress(s)
 }
 
+// IsLastResort reports whether a server is ejected but may get requests that keep to its zone, because all servers of the
+// zone are ejected.
+func (m *Manager) IsLastResort(id ServerID) bool {
+	s := m.server(id)
+	return s != nil && m.isLastResort(s)
+}
+
 // RequestRate returns the requests per second of a table's proxies that the last distribution was based on.
 func (m *Manager) RequestRate(id TableID) float64 {
 	if int(id) < len(m.distributedRates) {
--- a/internal/faultsim/manager.go
+++ b/internal/faultsim/manager.go
@@ -205,7 +205,7 @@
 // ServerStatus implements versions.FleetView.
 func (v fleetView) ServerStatus(id balancer.ServerID) versions.ServerStatus {
 	known, available, warmFraction := v.balancer.ServerStatus(id)
-	return versions.ServerStatus{Known: known, Available: available, WarmFraction: warmFraction}
+	return versions.ServerStatus{Known: known, Available: available, LastResort: v.balancer.IsLastResort(id), WarmFraction: warmFraction}
 }
 
 // RequestRate implements versions.FleetView.
--- a/internal/node/router_versions.go
+++ b/internal/node/router_versions.go
@@ -89,7 +89,7 @@
 func (f fleetView) ServerStatus(id balancer.ServerID) versions.ServerStatus {
 	known, usable, warmFraction := f.manager.ServerStatus(id)
 	available := usable || !known && f.restored[id]
-	return versions.ServerStatus{Known: known, Available: available, WarmFraction: warmFraction}
+	return versions.ServerStatus{Known: known, Available: available, LastResort: f.manager.IsLastResort(id), WarmFraction: warmFraction}
 }
 
 // RequestRate implements versions.FleetView.
--- a/internal/versions/checks.go
+++ b/internal/versions/checks.go
@@ -48,7 +48,7 @@
 	if lowers && (!status.Available || status.WarmFraction < 1) {
 		return true
 	}
-	return status.Available && status.Known && !p.hasUsableServer(p.current, uint32(weight.Table))
+	return status.mayGetRequests() && status.Known && !p.hasUsableServer(p.current, uint32(weight.Table))
 }
 
 // hasUsableServer reports whether a table has a usable server with a positive weight.
@@ -98,13 +98,13 @@
 func (c *Chain) findUnavailableServer(p *proposal) *violation {
 	for _, weight := range p.commands.Weights {
 		current := p.currentWeight(weight)
-		if weight.Weight > current && !p.view.ServerStatus(weight.Server).Available {
+		if weight.Weight > current && !p.view.ServerStatus(weight.Server).mayGetRequests() {
 			return serverViolation(weight.Server,
 				logField("table", weight.Table), logField("weight", weight.Weight), logField("current_weight", current))
 		}
 	}
 	for _, server := range p.commands.Restore {
-		if !p.view.ServerStatus(server).Available {
+		if !p.view.ServerStatus(server).mayGetRequests() {
 			return serverViolation(server, logField("restored", true))
 		}
 	}
--- a/internal/versions/propose_test.go
+++ b/internal/versions/propose_test.go
@@ -98,6 +98,30 @@
 	}
 }
 
+// Regression test: a check held back what an unresponsive server got as the last one of its zone.
+func TestTheLastResortOfAZoneIsRestoredAndGetsAWeight(t *testing.T) {
+	chain := newTestChain(t)
+	chain.Propose(2*time.Second, balancer.Commands{Withdraw: []balancer.ServerID{"a0"}}, "list", allReady)
+	commands := weights(weight(0, "a2", 1))
+	commands.Restore = []balancer.ServerID{"a0"}
+	lastResort := ServerStatus{Known: true, LastResort: true, WarmFraction: 1}
+	result := chain.Propose(3*time.Second, commands, "health", fakeFleet{"a0": lastResort, "a2": lastResort})
+	if result.Modified || chain.State().IsWithdrawn("a0") {
+		t.Errorf("commands for servers that are the last resort are held back: %+v", result.Commands)
+	}
+	expectWeight(t, chain, 0, "a2", 1)
+}
+
+// An invalid number holds back all commands but urgent ones.
+func TestTheLastResortOfAnEmptyTableIsUrgent(t *testing.T) {
+	chain := newTestChain(t)
+	commands := weights(weight(0, "a2", 1), weight(1, "b1", math.NaN()))
+	commands.Withdraw = []balancer.ServerID{"a0", "a1"}
+	lastResort := ServerStatus{Known: true, LastResort: true, WarmFraction: 1}
+	chain.Propose(2*time.Second, commands, "list", fakeFleet{"a0": unavailable, "a1": unavailable, "a2": lastResort})
+	expectWeight(t, chain, 0, "a2", 1)
+}
+
 func TestDrainIsSentDespiteUnrelatedViolation(t *testing.T) {
 	chain := newTestChain(t)
 	commands := weights(weight(0, "a0", 1), weight(1, "b0", math.Inf(1)))
--- a/internal/versions/types.go
+++ b/internal/versions/types.go
@@ -58,9 +58,13 @@
 type ServerStatus struct {
 	Known        bool    // whether the manager knows the server
 	Available    bool    // whether the server may get requests: it is listed, not draining and responsive
+	LastResort   bool    // whether it may get requests that keep to its zone although it is unresponsive, as all servers there are
 	WarmFraction float64 // progress of the slow start, from 0 to 1; 1 means warm
 }
 
+// mayGetRequests reports whether some requests may be sent to the server.
+func (s ServerStatus) mayGetRequests() bool { return s.Available || s.LastResort }
+
 // FleetView provides the manager's current view of the fleet.
 type FleetView interface {
 	// ServerStatus returns the status of a server.
