Let the simulated proxies follow their admission levels

The rule on cold servers speaks of what is sent.

Change: relay and proxies hold the levels of their table, and a proxy sends the admitted fraction. Bounds and the check are as they were.

--- a/internal/faultsim/search_test.go
+++ b/internal/faultsim/search_test.go
@@ -1,10 +1,13 @@
 package faultsim
 
 import (
+	"math"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
+
+	"tamarindshore/balancer"
 )
 
 func TestSameSeedGivesSameRun(t *testing.T) {
@@ -106,3 +109,18 @@
 		Run(s, GenerateScript(s, uint64(i)), nil)
 	}
 }
+
+// A proxy sends only the requests that its admission levels let in.
+func TestAdmissionLevelsLimitTheRequestsOfAProxy(t *testing.T) {
+	first, second := balancer.AdmissionLevel{Classes: 1, Amount: 0.5}, balancer.AdmissionLevel{Classes: 2, Amount: 0}
+	for want, levels := range map[float64]admissionLevels{
+		1:   {},
+		0.6: admissionLevels{}.with(first),
+		0.8: admissionLevels{}.with(second),
+		0.4: admissionLevels{}.with(first).with(second),
+	} {
+		if got := levels.admittedFraction(); math.Abs(got-want) > 1e-9 {
+			t.Errorf("levels %v admit %v of the requests, want %v", levels, got, want)
+		}
+	}
+}
--- a/internal/faultsim/traffic.go
+++ b/internal/faultsim/traffic.go
@@ -28,14 +28,38 @@
 				totalWeight += p.weights[server.id]
 			}
 		}
+		admittedRate := s.scenario.RequestRate * p.levels.admittedFraction()
 		for _, server := range s.servers {
 			if weight := p.weights[server.id]; weight > 0 && !p.withdrawn[server.id] {
-				server.rateByZone[p.zone] += s.scenario.RequestRate * weight / totalWeight
+				server.rateByZone[p.zone] += admittedRate * weight / totalWeight
 			}
 		}
 	}
 }
 
+// admissionLevels holds, for each traffic class with an admission level, the share of its requests that a proxy does not
+// admit. Its zero value admits all requests.
+type admissionLevels [len(fleetmodel.ClassFractions)]float64
+
+// with returns the levels after a command that sets the level of some classes.
+func (l admissionLevels) with(level balancer.AdmissionLevel) admissionLevels {
+	for class := range l {
+		if level.Classes&(1<<class) != 0 {
+			l[class] = 1 - min(1, level.Amount)
+		}
+	}
+	return l
+}
+
+// admittedFraction returns the fraction of all requests that a proxy admits.
+func (l admissionLevels) admittedFraction() float64 {
+	admitted := 0.0
+	for class, fraction := range fleetmodel.ClassFractions {
+		admitted += fraction * (1 - l[class])
+	}
+	return admitted
+}
+
 // capacity returns how many requests per second a server can serve. It grows linearly while the server warms up.
 func (s *Simulation) capacity(server *server) float64 {
 	sinceStart := (s.now - server.startedAt).Seconds()
