Admit what warming servers can take while none is warm, and bound the first restores

Cause: the first endpoint of an empty table was bound, or not (restores), without regard to how much the table lets in.

Change: while no server is warm, the admission limit is at most what the servers can take, at twice what their warm-up allows; the levels of a table without endpoints have the channel limits of drains. Restores go together too, if the channel has room for all of them or nothing waits.

Why it works: what bounds a cold server's load is what the proxies send, so the table is filled at once and filled no more than the servers bear.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -228,7 +228,7 @@
 	}
 	var changes []tableChange
 	total := max(sum(demand), 1e-9)
-	remaining := m.admission.limit
+	remaining := m.admittedRate(total)
 	localShare := m.zoneLocalAdmissionShare(id, demand, total)
 	for _, class := range m.classesByPriority {
 		share := min(1, remaining/max(demand[class], 1e-9))
@@ -244,12 +244,33 @@
 		admitsAllAgain := share == 1 && level.Amount != published.Amount
 		if changed > levelTolerance || level.Retry != published.Retry || admitsAllAgain {
 			rate := m.distributedRates[id] * demand[class] / total * max(changed, levelTolerance)
-			changes = append(changes, levelChange(level, rate))
+			changes = append(changes, levelChange(level, m.levelPriority(id), rate))
 		}
 	}
 	return changes
 }
 
+// levelPriority returns the priority of a table's admission levels. Warming servers must not be the first endpoints of a
+// table before its levels are published.
+func (m *Manager) levelPriority(id TableID) changePriority {
+	if m.warmingCapacityShare < 1 && m.tables[id].lacksEndpoint {
+		return invariantChange
+	}
+	return ordinaryChange
+}
+
+// limitsAdmission reports whether admission levels follow the manager's decisions.
+func (m *Manager) limitsAdmission() bool { return m.admissionUnit != AdmitNone && m.pinned == nil }
+
+// admittedRate returns how many of the offered requests per second are admitted: as many as the admission limit allows and,
+// while no server is warm, no more than the servers can take.
+func (m *Manager) admittedRate(offered float64) float64 {
+	if m.warmingCapacityShare < 1 && m.limitsAdmission() {
+		return min(m.admission.limit, m.warmingCapacityShare*offered)
+	}
+	return m.admission.limit
+}
+
 // currentRetryPolicy returns the current retry policy of a class. It allows no retries while requests are limited,
 // because under overload each retry takes the place of a first attempt.
 func (m *Manager) currentRetryPolicy(class ClassID) RetryPolicy {
--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -105,7 +105,10 @@
 		// Without this limit, a healthy server would take over the requests of all its degraded peers.
 		targets[i].rate = min(targets[i].rate, maxListedShareFactor*totalRate*max(s.weight, minServerWeight)/listedWeight)
 	}
-	m.warmingCapacitySuffices = warmWeight != 0 || m.usableWeight() >= listedWeight/maxWarmingShareFactor
+	m.warmingCapacityShare = 1
+	if warmWeight == 0 && listedWeight > 0 {
+		m.warmingCapacityShare = min(1, maxWarmingShareIncrease*m.usableWeight()/listedWeight)
+	}
 	m.fleetWarmingShare = 1
 	if warmWeight != 0 {
 		m.fleetWarmingShare = warmingRate / totalRate
--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -104,13 +104,21 @@
 		return nil
 	}
 	m.updateTableIndex()
-	for _, s := range m.currentServerSets().returning {
+	returning := m.currentServerSets().returning
+	for _, s := range returning {
 		priority := urgentPriority
 		needed := m.restoresEndpoint(s)
 		if needed {
 			priority = drainPriority
 		}
-		if m.mayRestore(s, needed) && m.fits(m.proxiesUsing(s), 1, priority) {
+		if !m.mayRestore(s, needed) {
+			continue
+		}
+		commands := 1.0
+		if m.isFirstEndpoint(s) && m.queuedCommands() > 0 {
+			commands = float64(len(returning)) // alone, the server would get all requests of the table
+		}
+		if m.fits(m.proxiesUsing(s), commands, priority) {
 			return s
 		}
 	}
@@ -121,7 +129,7 @@
 // table has to wait, because it would get requests by its old weight. A pin and a pause of slow start do not hold back a
 // server that is needed because a table has no endpoint.
 func (m *Manager) mayRestore(s *server, needed bool) bool {
-	mustWait := s.decreasePending || s.ejected && m.anyUsable() && !m.isLastResort(s)
+	mustWait := s.decreasePending || m.isTooCold(s) || s.ejected && m.anyUsable() && !m.isLastResort(s)
 	held := m.pinned != nil || m.slowStartPaused(s)
 	return !mustWait && (needed || !held)
 }
--- a/balancer/empty_tables.go
+++ b/balancer/empty_tables.go
@@ -27,6 +27,19 @@
 	})
 }
 
+// isFirstEndpoint reports whether a withdrawn server is in its warm-up and named in a table that has no usable endpoint.
+func (m *Manager) isFirstEndpoint(s *server) bool {
+	return s.warmingUp && slices.ContainsFunc(s.tables, func(id TableID) bool { return m.tables[id].lacksEndpoint })
+}
+
+// isTooCold reports whether a server would be the first endpoint of a table that may not send its requests to warming
+// servers.
+func (m *Manager) isTooCold(s *server) bool {
+	return slices.ContainsFunc(s.tables, func(id TableID) bool {
+		return m.tables[id].lacksEndpoint && !m.mayServeFirst(m.tables[id])
+	})
+}
+
 // emptyTableCause is the reason why a table that needs an endpoint has none.
 type emptyTableCause string
 
--- a/balancer/joint_weights.go
+++ b/balancer/joint_weights.go
@@ -44,7 +44,7 @@
 // would overload one of their servers.
 func (m *Manager) publishTogether(round *publishRound, j jointWeights) {
 	needed, found := m.minJointWeights(j)
-	if !found || m.hasWarmEndpoint(j.table) || m.isEmptyTable(j.table) && !m.warmingServersMayServeAll() {
+	if !found || m.hasWarmEndpoint(j.table) || m.isEmptyTable(j.table) && !m.mayServeFirst(j.table) {
 		round.incomplete = true
 		return
 	}
@@ -98,11 +98,13 @@
 	return commands
 }
 
-// warmingServersMayServeAll reports whether a table without a usable endpoint may send its requests to servers that are
-// all in their warm-up: together they can take all requests of the fleet, other servers take what exceeds their share, or
+// mayServeFirst reports whether a table without a usable endpoint may send its requests to servers that are all in their
+// warm-up: they can take all requests of the fleet, or the table's admission levels let in no more than they can take, or
 // some server is warm according to its listed start. In the last case the proxies must have an endpoint.
-func (m *Manager) warmingServersMayServeAll() bool {
-	return m.warmingCapacitySuffices || slices.ContainsFunc(m.servers, m.isWarmByListedStart)
+func (m *Manager) mayServeFirst(t *table) bool {
+	return m.warmingCapacityShare == 1 ||
+		m.limitsAdmission() && t.levelsPublished ||
+		slices.ContainsFunc(m.servers, m.isWarmByListedStart)
 }
 
 // isWarmByListedStart reports whether a server's warm-up has ended if it began at the listed start. The server's own
--- a/balancer/manager.go
+++ b/balancer/manager.go
@@ -48,9 +48,10 @@
 	fleetWarmingShare float64   // share of all requests that the last distribution gave to servers in their warm-up
 	publication       publication
 
-	// warmingCapacitySuffices reports whether the last distribution gives no warming server more than
-	// maxWarmingShareFactor allows. It may do so only while no server is warm.
-	warmingCapacitySuffices bool
+	// warmingCapacityShare is the share of all requests that the servers can take while all of them are in their warm-up,
+	// with maxWarmingShareIncrease times what their warm-up allows. It is 1 while any server is warm, or before the first
+	// distribution.
+	warmingCapacityShare float64
 
 	pinned *pinnedTables // nil if the tables are not pinned
 
@@ -80,9 +81,11 @@
 		rngState:       seed,
 		suspectedZone:  noZone,
 		slowStartPause: pauseUntilReported,
-		admission:      newAdmissionControl(),
-		publication:    publication{blockedAt: unsetTime},
-		channel:        channel{barrierAt: unsetTime},
+
+		warmingCapacityShare: 1,
+		admission:            newAdmissionControl(),
+		publication:          publication{blockedAt: unsetTime},
+		channel:              channel{barrierAt: unsetTime},
 	}
 	m.nextTick = time.Duration(m.random() * float64(tickInterval))
 	m.layOutTables(1, settings.Zones)
--- a/balancer/pinning.go
+++ b/balancer/pinning.go
@@ -107,7 +107,7 @@
 	for _, classes := range slices.Sorted(maps.Keys(m.pinned.levels[id])) {
 		level := m.pinned.levels[id][classes]
 		if m.tables[id].publishedLevels[classes] != level {
-			change := levelChange(level, 0)
+			change := levelChange(level, ordinaryChange, 0)
 			change.Table = id
 			changes = append(changes, change)
 		}
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -90,8 +90,8 @@
 	return tableChange{EndpointWeight: weight, priority: priority, rate: rate}
 }
 
-func levelChange(level AdmissionLevel, rate float64) tableChange {
-	return tableChange{EndpointWeight: EndpointWeight{Table: level.Table}, level: level, rate: rate}
+func levelChange(level AdmissionLevel, priority changePriority, rate float64) tableChange {
+	return tableChange{EndpointWeight: EndpointWeight{Table: level.Table}, level: level, priority: priority, rate: rate}
 }
 
 // sortKey returns the value by which changes are sorted in descending order: the request rate that an ordinary change
@@ -168,6 +168,7 @@
 		id := TableID(i)
 		round.recipients[id] = m.tableProxies(id)
 		changes := append(m.weightChanges(id), m.levelChanges(id, demand)...)
+		m.tables[id].levelsPublished = true
 		for _, change := range changes {
 			round.movedRates[id] += min(change.sortKey(), m.distributedRates[id])
 		}
@@ -193,9 +194,15 @@
 }
 
 func (m *Manager) publishLevel(round *publishRound, change tableChange) {
-	if m.reserveChange(round, change.Table, 1, normalPriority) {
-		m.recordLevel(m.tables[change.Table], change.level)
+	priority := normalPriority
+	if change.priority == invariantChange {
+		priority = drainPriority
+	}
+	if !m.reserveChange(round, change.Table, 1, priority) {
+		m.tables[change.Table].levelsPublished = false
+		return
 	}
+	m.recordLevel(m.tables[change.Table], change.level)
 }
 
 func (m *Manager) publishWeight(round *publishRound, change tableChange, s *server) {
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -94,6 +94,7 @@
 
 	lacksEndpoint      bool          // it had no usable endpoint when checkEmptyTables last ran
 	lacksLocalEndpoint bool          // the same for its zone-local part
+	levelsPublished    bool          // the last publication left no change of its admission levels out
 	emptySince         time.Duration // first tick at which it, or its zone-local part, had no usable endpoint for its proxies; 0: it has one
 
 	proxies            []*proxy // proxies of the partition, assigned or not, ordered by number
--- a/internal/faultsim/empty_tables_test.go
+++ b/internal/faultsim/empty_tables_test.go
@@ -37,6 +37,7 @@
 		{"empty table, drains", manyDrainsScenario(t, 20), []uint64{922, 1347}},
 		{"empty table, lost zone", coldFleetScenario(t), []uint64{2164}},
 		{"overloaded server, lost zone", coldFleetScenario(t), []uint64{701, 735, 1433, 2000, 2474, 2564, 2659, 2688, 2956}},
+		{"overloaded server, with admission levels", coldFleetScenario(t), []uint64{469, 1414, 2070}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for _, seed := range test.seeds {
