--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -73,47 +73,64 @@
 // server is usable.
 func (m *Manager) serverTargets(anyUsable bool) ([]*server, []serverTarget) {
 	var servers []*server
-	var targets []serverTarget
+	for _, s := range m.servers {
+		if m.mayServe(s) && !(s.ejected && anyUsable) && !m.slowStartPaused(s) {
+			servers = append(servers, s)
+		}
+	}
 	totalRate := sum(m.distributedRates)
 	listedWeight := m.listedWeight()
-	usableWeight := max(m.usableWeight(), listedWeight/maxWarmingShareFactor)
-	warmWeight := 0.0  // of the servers that are not warming up
-	warmingRate := 0.0 // requests per second for the servers that are warming up
-	for _, s := range m.servers {
-		if !m.mayServe(s) || s.ejected && anyUsable || m.slowStartPaused(s) {
-			continue
+	targets, totals := m.unscaledTargets(servers, totalRate, listedWeight)
+	for i, s := range servers {
+		if !s.warmingUp {
+			targets[i].rate *= (totalRate - totals.warmingRate) / totals.warmWeight
+		} else if totals.warmWeight == 0 {
+			targets[i].rate *= totalRate / totals.warmingRate
 		}
+		// Without this limit, a healthy server would take over the requests of all its degraded peers.
+		targets[i].rate = min(targets[i].rate, maxListedShareFactor*totalRate*max(s.weight, minServerWeight)/listedWeight)
+	}
+	m.recordWarmingShares(totals, totalRate, listedWeight)
+	return servers, targets
+}
+
+// targetTotals holds sums over the targets of all servers.
+type targetTotals struct {
+	warmWeight  float64 // listed weight, scaled by health, of the servers that are not warming up
+	warmingRate float64 // requests per second for the servers that are warming up
+}
+
+// unscaledTargets returns targets in requests per second for the servers that are warming up, and in units of listed weight
+// for the others.
+func (m *Manager) unscaledTargets(servers []*server, totalRate, listedWeight float64) (targets []serverTarget, totals targetTotals) {
+	usableWeight := max(m.usableWeight(), listedWeight/maxWarmingShareFactor)
+	for _, s := range servers {
 		target := m.serverTarget(s)
 		if s.warmingUp {
 			// A warming server gets its warm-up progress times its share of the usable weight. The lower bound of
 			// usableWeight limits that share to maxWarmingShareFactor times the server's share in a healthy fleet, so that
 			// the server is not overloaded when others fail.
 			target.rate *= m.warmUpProgress(s) * totalRate / usableWeight
-			warmingRate += target.rate
+			totals.warmingRate += target.rate
 		} else {
-			warmWeight += target.rate
+			totals.warmWeight += target.rate
 		}
-		servers = append(servers, s)
 		targets = append(targets, target)
 	}
-	for i, s := range servers {
-		if !s.warmingUp {
-			targets[i].rate *= (totalRate - warmingRate) / warmWeight
-		} else if warmWeight == 0 {
-			targets[i].rate *= totalRate / warmingRate
-		}
-		// Without this limit, a healthy server would take over the requests of all its degraded peers.
-		targets[i].rate = min(targets[i].rate, maxListedShareFactor*totalRate*max(s.weight, minServerWeight)/listedWeight)
-	}
+	return targets, totals
+}
+
+// recordWarmingShares records which share of all requests the targets give to warming servers, and which share these can
+// take.
+func (m *Manager) recordWarmingShares(totals targetTotals, totalRate, listedWeight float64) {
+	m.fleetWarmingShare = 1
 	m.warmingCapacityShare = 1
-	if warmWeight == 0 && listedWeight > 0 {
+	switch {
+	case totals.warmWeight != 0:
+		m.fleetWarmingShare = totals.warmingRate / totalRate
+	case listedWeight > 0:
 		m.warmingCapacityShare = min(1, maxWarmingShareIncrease*m.usableWeight()/listedWeight)
 	}
-	m.fleetWarmingShare = 1
-	if warmWeight != 0 {
-		m.fleetWarmingShare = warmingRate / totalRate
-	}
-	return servers, targets
 }
 
 // serverTarget returns a server's target in units of listed weight, which serverTargets scales to requests per second,
