Keep the channel limits of drains for weights that waited for others of their table

Callers see (test; not seen on sockets): a table and its zone-local part are empty, the zone's servers warm up: endpoints of other zones are published, those of the zone wait for the room of ordinary changes (0.6 of the messages, half of the queue), so a class that keeps to the zone has no server.

Cause: a change that is deferred became an ordinary one. That is right where it would empty the table, and its replacement goes first; a weight that would overload a warming server before the others may still be what a zone-local part lacks.

Change: only a change that would empty a table becomes ordinary.

Test: TestDeferredWeightsOfAnEmptyZoneLocalPartKeepTheChannelLimitsOfDrains, red before (endpoints of b0 and b1 alone).

--- a/balancer/empty_tables_test.go
+++ b/balancer/empty_tables_test.go
@@ -173,3 +173,21 @@
 		t.Errorf("restored %v, want the three servers of zone a", commands.Restore)
 	}
 }
+
+// Regression test: the weights of warming servers that waited for the table's other weights lost the channel limits of
+// drains, although the zone-local part of the table still had no endpoint.
+func TestDeferredWeightsOfAnEmptyZoneLocalPartKeepTheChannelLimitsOfDrains(t *testing.T) {
+	m := newZoneLocalManager(3)
+	m.now = 12 * time.Second
+	for _, s := range m.servers[:3] {
+		s.warmingUp = true
+	}
+	clear(m.tables[0].publishedWeights)
+	m.tables[0].targetShares = map[ServerID]float64{"a0": 0.1, "a1": 0.1, "a2": 0.1, "b0": 0.35, "b1": 0.35}
+	m.checkEmptyTables()
+	m.queueLimits[normalPriority] = 0
+	m.publish()
+	if m.hasNoLocalEndpoint(m.tables[0]) {
+		t.Errorf("the zone-local part of table 0 has no endpoint: published weights %v", m.tables[0].publishedWeights)
+	}
+}
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -217,8 +217,10 @@
 	switch {
 	case (emptiesTable || overloads) && !change.deferred:
 		deferredChange := change
-		deferredChange.priority = ordinaryChange
 		deferredChange.deferred = true
+		if emptiesTable {
+			deferredChange.priority = ordinaryChange
+		}
 		round.changes = append(round.changes, deferredChange)
 	case overloads:
 		round.joint = append(round.joint, change.EndpointWeight)
