Lower weights that hold back a needed restore with the channel limits of drains

Callers see (test; not seen on sockets): a zone returns whose servers other zones' tables still name: they are restored only when their weights there are lowered, and that waits for the room of ordinary changes, while the classes that keep to the zone have no server.

Cause: decreasePending holds the restore back, and nothing gives the decrease the priority of what waits for it.

Change: the decrease of a weight of a server that a table without an endpoint needs has the channel limits of drains.

Test: TestWeightsThatHoldBackANeededRestoreUseTheChannelLimitsOfDrains, red before (restored []).

--- a/balancer/empty_tables_test.go
+++ b/balancer/empty_tables_test.go
@@ -191,3 +191,19 @@
 		t.Errorf("the zone-local part of table 0 has no endpoint: published weights %v", m.tables[0].publishedWeights)
 	}
 }
+
+// Regression test: a server that had to be restored because its zone had no other waited for room to lower its weight in the
+// tables of other zones.
+func TestWeightsThatHoldBackANeededRestoreUseTheChannelLimitsOfDrains(t *testing.T) {
+	m := newZoneLocalManager(3)
+	m.now = time.Second
+	for _, s := range m.servers[:3] {
+		m.tables[1].publishedWeights[s.id] = 50
+	}
+	m.loseZoneA(t, 2*time.Second, 3*time.Second)
+	m.queueLimits[normalPriority] = 0
+	m.nextTick = 4 * time.Second
+	if commands := m.HandleTimer(4 * time.Second); len(commands.Restore) != 3 {
+		t.Errorf("restored %v, want the three servers of zone a; weights %v", commands.Restore, commands.Weights)
+	}
+}
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -331,10 +331,11 @@
 
 func (m *Manager) weightPriority(s *server, published, weight float64) changePriority {
 	overloaded := s.warmingUp && weight < published/maxWarmingShareIncrease
+	holdsBackRestore := weight < published && m.restoresEndpoint(s)         // see mayRestore
 	leaving := weight == 0 && s.leavingSince > 0 && m.assignsBeforeDrains() // must leave the table before proxies are assigned to it
 	reduced := weight < published && (s.warmingUp || weight == 0)
 	switch {
-	case overloaded || leaving:
+	case overloaded || leaving || holdsBackRestore:
 		return invariantChange
 	case reduced:
 		return reductionChange
