Send the levels of an empty zone-local part with the channel limits of its endpoints

Callers see (test; not seen on sockets): a lost zone returns cold while the channel is full: its servers get all requests of the classes that keep to the zone, since the level that limits them to what the zone can take waits for the room of ordinary changes.

Cause: the first endpoints of a zone-local part have the channel limits of drains, its levels do not.

Change: the levels of a table whose zone-local part has no endpoint have the same limits.

Test: TestLevelsOfAnEmptyZoneLocalPartUseTheChannelLimitsOfDrains, red before (endpoints without a level).

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -251,9 +251,9 @@
 }
 
 // levelPriority returns the priority of a table's admission levels. Warming servers must not be the first endpoints of a
-// table before its levels are published.
+// table, or of its zone-local part, before its levels are published.
 func (m *Manager) levelPriority(id TableID) changePriority {
-	if m.warmingCapacityShare < 1 && m.tables[id].lacksEndpoint {
+	if m.warmingCapacityShare < 1 && m.tables[id].lacksEndpoint || m.tables[id].lacksLocalEndpoint {
 		return invariantChange
 	}
 	return ordinaryChange
--- a/balancer/empty_tables_test.go
+++ b/balancer/empty_tables_test.go
@@ -207,3 +207,27 @@
 		t.Errorf("restored %v, want the three servers of zone a; weights %v", commands.Restore, commands.Weights)
 	}
 }
+
+// Regression test: the first endpoints of a zone-local part were published with the channel limits of drains, the levels
+// that keep requests from them with those of ordinary changes.
+func TestLevelsOfAnEmptyZoneLocalPartUseTheChannelLimitsOfDrains(t *testing.T) {
+	m := newZoneLocalManager(3)
+	m.now = 2 * time.Second
+	for _, s := range m.servers[:3] {
+		s.warmingUp = true
+		m.tables[0].publishedWeights[s.id] = 0
+	}
+	m.tables[0].targetShares = map[ServerID]float64{"a0": 0.01, "a1": 0.01, "a2": 0.01, "b0": 0.3, "b1": 0.3}
+	m.tables[0].publishedWeights["b0"] = 100
+	m.tables[0].publishedWeights["b1"] = 100
+	m.checkEmptyTables()
+	m.queueLimits[normalPriority] = 0
+	m.publish()
+	limited := slices.ContainsFunc(m.commands.AdmissionLevels, func(level AdmissionLevel) bool {
+		return level.Table == ZoneLocalTables && level.Amount < 1
+	})
+	if m.hasNoLocalEndpoint(m.tables[0]) || !limited {
+		t.Errorf("published weights %v and levels %v, want endpoints of zone a together with a level below 1",
+			m.tables[0].publishedWeights, m.commands.AdmissionLevels)
+	}
+}
