--- a/client/follow/follower.go
+++ b/client/follow/follower.go
@@ -29,6 +29,10 @@
 	MaxBackoff     time.Duration
 
 	IOTimeout time.Duration // for the handshake and for each write; defaults to 5 s
+
+	// SilenceTimeout is the time without any frame after which a connection ends, if its manager sends heartbeats. It
+	// defaults to 3 s.
+	SilenceTimeout time.Duration
 }
 
 // Defaults for the fields of a Follower.
@@ -36,6 +40,7 @@
 	defaultInitialBackoff = 100 * time.Millisecond
 	defaultMaxBackoff     = 5 * time.Second
 	defaultIOTimeout      = 5 * time.Second
+	defaultSilenceTimeout = 3 * HeartbeatInterval
 )
 
 func (f *Follower) backoff() tables.RetrySettings {
@@ -52,6 +57,13 @@
 	return f.IOTimeout
 }
 
+func (f *Follower) silenceTimeout() time.Duration {
+	if f.SilenceTimeout <= 0 {
+		return defaultSilenceTimeout
+	}
+	return f.SilenceTimeout
+}
+
 // Run follows a manager until the context is done and returns the context's error. When a connection ends, it dials again
 // after a backoff; meanwhile the replica keeps its last valid version.
 func (f *Follower) Run(ctx context.Context) error {
@@ -104,6 +116,7 @@
 	conn      net.Conn
 	startedAt time.Time // when Run started; the replica's times are relative to it
 	timeout   time.Duration
+	silentAt  time.Time // when the connection ends unless a frame arrives; zero until the first heartbeat
 }
 
 // handshake reads the manager's nonce and replies with a hello.
@@ -125,22 +138,48 @@
 	return WriteFrame(s.conn, FrameHello, hello)
 }
 
-// receive waits for one frame and replies to it. If a snapshot request becomes due first, it sends that request instead.
+// receive waits for one frame and replies to it. If a snapshot request becomes due first, it sends that request instead. It
+// fails if the manager stops sending heartbeats.
 func (s *session) receive() error {
-	s.conn.SetReadDeadline(s.nextRequestTime())
+	s.conn.SetReadDeadline(s.readDeadline())
 	kind, body, err := ReadFrame(s.conn, tables.MaxDeltaBytes)
 	if isTimeout(err) {
+		if s.isSilent() {
+			return ErrSilent
+		}
 		return s.requestSnapshot()
 	}
 	if err != nil {
 		return err
 	}
+	err = s.handleFrame(kind, body)
+	if kind == FrameHeartbeat || !s.silentAt.IsZero() {
+		s.silentAt = time.Now().Add(s.follower.silenceTimeout())
+	}
+	return err
+}
+
+// handleFrame handles a delta, and ignores heartbeats and frame kinds of later releases.
+func (s *session) handleFrame(kind byte, body []byte) error {
 	if kind != FrameDelta {
-		return nil // ignore frame kinds of later releases
+		return nil
 	}
 	return s.handleDelta(body)
 }
 
+// readDeadline returns when the next snapshot request is due, or when the connection counts as silent if that is earlier.
+func (s *session) readDeadline() time.Time {
+	requestAt := s.nextRequestTime()
+	if s.silentAt.IsZero() || !requestAt.IsZero() && requestAt.Before(s.silentAt) {
+		return requestAt
+	}
+	return s.silentAt
+}
+
+// isSilent reports whether the manager has sent nothing for too long. A manager of an earlier release sends no heartbeats
+// and is never silent.
+func (s *session) isSilent() bool { return !s.silentAt.IsZero() && !time.Now().Before(s.silentAt) }
+
 // nextRequestTime returns when the next snapshot request is due, or the zero time if none is scheduled.
 func (s *session) nextRequestTime() time.Time {
 	at, scheduled := s.follower.Replica.NextSnapshotRequest()
--- a/client/follow/follower_test.go
+++ b/client/follow/follower_test.go
@@ -58,6 +58,7 @@
 		OnRejected:     func(outcome tables.Outcome, _ error) { f.rejected <- outcome },
 		InitialBackoff: time.Millisecond,
 		MaxBackoff:     time.Millisecond,
+		SilenceTimeout: 50 * time.Millisecond,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -187,6 +188,56 @@
 	conn.expect("hello-empty")
 }
 
+// Regression test: a follower never dialed again if its manager's machine vanished, since the connection stayed open and
+// silent.
+func TestFollowerRedialsAfterHeartbeatsStop(t *testing.T) {
+	follower := startFollower(t, 0)
+	first := follower.connect()
+	first.send("nonce")
+	first.expect("hello-empty")
+	first.sendFrame(FrameHeartbeat, "")
+	first.send("snapshot")
+	first.expect("ack-snapshot")
+	second := follower.connect() // the first one is neither used nor closed by the manager
+	second.send("nonce")
+	second.expect("hello-snapshot")
+	first.expectClosed()
+}
+
+// A snapshot that was requested in vain must not keep a silent connection open.
+func TestSnapshotRequestsDoNotKeepASilentConnection(t *testing.T) {
+	follower := startFollower(t, 0)
+	first := follower.connect()
+	first.send("nonce")
+	first.expect("hello-empty")
+	first.sendFrame(FrameHeartbeat, "")
+	first.send("unreadable")
+	go io.Copy(io.Discard, first.conn) // the rejection and the requests
+	second := follower.connect()
+	second.send("nonce")
+}
+
+func TestDeadlineIsTheEarlierOfRequestAndSilence(t *testing.T) {
+	now := time.Now()
+	replica := tables.NewReplica(testKeys(t), tables.RetrySettings{InitialInterval: time.Minute, MaxInterval: time.Minute}, 1)
+	s := &session{follower: &Follower{Replica: replica}, startedAt: now}
+	if got := s.readDeadline(); !got.IsZero() || s.isSilent() {
+		t.Errorf("a manager without heartbeats: deadline %v, silent %v; want none, false", got, s.isSilent())
+	}
+	s.silentAt = now.Add(time.Hour)
+	if got := s.readDeadline(); !got.Equal(s.silentAt) || s.isSilent() {
+		t.Errorf("no request due: deadline %v, silent %v; want %v, false", got, s.isSilent(), s.silentAt)
+	}
+	replica.Receive(0, []byte("malformed"))
+	if got, at := s.readDeadline(), s.nextRequestTime(); at.IsZero() || !got.Equal(at) {
+		t.Errorf("request due first: deadline %v, want %v", got, at)
+	}
+	s.silentAt = now.Add(-time.Second)
+	if got := s.readDeadline(); !got.Equal(s.silentAt) || !s.isSilent() {
+		t.Errorf("silent first: deadline %v, silent %v; want %v, true", got, s.isSilent(), s.silentAt)
+	}
+}
+
 func TestFollowerIgnoresFramesOfLaterRelease(t *testing.T) {
 	follower := startFollower(t, 0)
 	conn := follower.connect()
@@ -217,6 +268,9 @@
 	if got := (&Follower{}).ioTimeout(); got != defaultIOTimeout {
 		t.Errorf("I/O timeout %v, want %v", got, defaultIOTimeout)
 	}
+	if got := (&Follower{}).silenceTimeout(); got != defaultSilenceTimeout {
+		t.Errorf("silence timeout %v, want %v", got, defaultSilenceTimeout)
+	}
 	if got := (&Follower{IOTimeout: time.Second}).ioTimeout(); got != time.Second {
 		t.Errorf("I/O timeout %v, want 1s", got)
 	}
--- a/client/follow/frames.go
+++ b/client/follow/frames.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/zeebo/blake3"
 
@@ -18,11 +19,16 @@
 	FrameNonce           = 'N' // from the manager: random bytes that the signature of the hello must cover
 	FrameHello           = 'H' // from the replica: its name and version, signed
 	FrameDelta           = 'D' // from the manager: an encoded delta
+	FrameHeartbeat       = 'B' // from the manager, every HeartbeatInterval: empty
 	FrameAck             = 'A' // from the replica: it applied a delta; contains its new version
 	FrameRejection       = 'R' // from the replica: it rejected a delta; contains the outcome and its version
 	FrameSnapshotRequest = 'W' // from the replica: it needs a snapshot; contains its version
 )
 
+// HeartbeatInterval is the time between two heartbeats of a manager, by which a replica tells an idle connection from one
+// whose manager vanished.
+const HeartbeatInterval = time.Second
+
 const (
 	frameHeaderLen    = 1 + 4 // kind and length of the body
 	nonceLen          = 16
@@ -41,6 +47,7 @@
 	ErrTooLong    = errors.New("frame too long")
 	ErrMalformed  = errors.New("malformed frame")
 	ErrUnexpected = errors.New("unexpected frame")
+	ErrSilent     = errors.New("the manager stopped sending heartbeats")
 )
 
 // WriteFrame writes one frame with a single call of Write.
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarindshore/client/follow"
 	"tamarindshore/client/tables"
 	"tamarindshore/internal/versions"
 )
@@ -19,8 +20,11 @@
 	startedAt   time.Time
 	maxReplicas int
 	retry       versions.RetrySettings
-	keys        atomic.Pointer[tables.Keys] // a reload replaces them
-	replicas    atomic.Int64                // number of open connections
+
+	heartbeatInterval time.Duration
+
+	keys     atomic.Pointer[tables.Keys] // a reload replaces them
+	replicas atomic.Int64                // number of open connections
 
 	mu      sync.Mutex // guards the fields below
 	view    versions.View
@@ -44,8 +48,11 @@
 		startedAt:   time.Now(),
 		maxReplicas: maxReplicas,
 		retry:       versions.DefaultRetrySettings(),
-		changed:     make(chan struct{}),
-		encoded:     map[deltaKey][]byte{},
+
+		heartbeatInterval: follow.HeartbeatInterval,
+
+		changed: make(chan struct{}),
+		encoded: map[deltaKey][]byte{},
 	}
 	f.keys.Store(&keys)
 	return f
--- a/internal/node/replica_conn.go
+++ b/internal/node/replica_conn.go
@@ -27,6 +27,8 @@
 	name   string // as reported by the replica
 	peer   *versions.Peer
 	frames <-chan replicaFrame // closed when no more frames can be read
+
+	heartbeatAt time.Time // when the next heartbeat is due
 }
 
 // replicaFrame is a frame received from a replica.
@@ -93,8 +95,8 @@
 	return frames
 }
 
-// sendOrWait sends the delta that is due. If there is none, it waits for a frame, a new view or the next attempt. It
-// returns false if the connection must end.
+// sendOrWait sends the delta that is due. If there is none, it waits for a frame, a new view, the next attempt or the next
+// heartbeat. It returns false if the connection must end.
 func (c *replicaConn) sendOrWait(stop <-chan struct{}) bool {
 	view, changed := c.feed.current()
 	delta, nextAttempt := c.peer.NextDelta(time.Since(c.feed.startedAt), view)
@@ -110,12 +112,21 @@
 		return open && c.handleFrame(frame)
 	case <-changed:
 	case <-timer:
+	case <-time.After(time.Until(c.heartbeatAt)):
+		return c.sendHeartbeat()
 	case <-stop:
 		return false
 	}
 	return true
 }
 
+// sendHeartbeat shows the replica that the manager is alive while there is no new version.
+func (c *replicaConn) sendHeartbeat() bool {
+	c.heartbeatAt = time.Now().Add(c.feed.heartbeatInterval)
+	c.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+	return follow.WriteFrame(c.conn, follow.FrameHeartbeat, nil) == nil
+}
+
 func (c *replicaConn) send(delta *tables.Delta) bool {
 	encoded, err := c.feed.encode(delta)
 	if err != nil {
