Restore servers that return after their state was deleted

Cause: a removed server's state is deleted after 60 s, that it is withdrawn among it; the proxies keep the withdrawal. The returned server is taken for a new one and never restored.

--- a/balancer/draining_test.go
+++ b/balancer/draining_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -150,3 +151,47 @@
 		t.Errorf("withdrawn %v at the retry, want a0", commands.Withdraw)
 	}
 }
+
+// Regression test: the state of a server that was off the list for a minute was deleted, and with it that the server was
+// withdrawn. When it came back, it got a weight, and no proxy sent to it.
+func TestAServerThatReturnsAfterItsStateWasDeletedIsRestored(t *testing.T) {
+	m := newTestManager(2)
+	m.now = time.Second
+	m.HandleEndpointList(time.Second, false, []Endpoint{{Server: "a0", Zone: "a", Weight: 1, State: Removed}})
+	for second := 2 * time.Second; second < 2*removedRetention; second += time.Second {
+		m.nextTick = second
+		m.HandleTimer(second)
+	}
+	if m.server("a0") != nil {
+		t.Fatal("the state of a0 is still there")
+	}
+	back := 2 * removedRetention
+	restored := m.HandleEndpointList(back, false, []Endpoint{{Server: "a0", Zone: "a", Weight: 1}}).Restore
+	restored = append(restored, m.HandleHealthCheck(back, "a0", HealthCheckPassed, time.Millisecond, inFlightUnknown).Restore...)
+	m.nextTick = back + time.Second
+	restored = append(restored, m.HandleTimer(m.nextTick).Restore...)
+	if !slices.Equal(restored, []ServerID{"a0"}) || m.tables[0].publishedWeights["a0"] == 0 {
+		t.Errorf("restored %v, want a0; its weight is %v", restored, m.tables[0].publishedWeights["a0"])
+	}
+}
+
+func TestOnlyTheLatestWithdrawnServersAreKept(t *testing.T) {
+	var w withdrawnServers
+	for i := range maxWithdrawnServers + 2 {
+		w.add(ServerID(fmt.Sprint(i)))
+	}
+	if w.remove("1") || !w.remove("2") || w.remove("2") || len(w.ids) != maxWithdrawnServers-1 || len(w.order) != len(w.ids) {
+		t.Errorf("%d ids and an order of %d are kept, want %d and only those added last", len(w.ids), len(w.order), maxWithdrawnServers-1)
+	}
+}
+
+func TestOnlyWithdrawnServersAreKeptAfterTheirStateIsDeleted(t *testing.T) {
+	m := newTestManager(2)
+	m.setWithdrawn(m.server("a1"), true)
+	m.deleteServers(func(s *server) bool { return s.zone == 0 })
+	for id, want := range map[ServerID]bool{"a0": false, "a1": true} {
+		if s := m.addServer(Endpoint{Server: id, Zone: "a"}); s.withdrawn != want {
+			t.Errorf("%s is back: withdrawn %v, want %v", id, s.withdrawn, want)
+		}
+	}
+}
--- a/balancer/indexes.go
+++ b/balancer/indexes.go
@@ -84,11 +84,17 @@
 	return m.proxyByID[id]
 }
 
-// deleteServers deletes the servers for which drop returns true.
+// deleteServers deletes the servers for which drop returns true, except that they are withdrawn.
 func (m *Manager) deleteServers(drop func(*server) bool) {
 	m.cheapestAssignCost = 0
 	before := len(m.servers)
-	m.servers = slices.DeleteFunc(m.servers, drop)
+	m.servers = slices.DeleteFunc(m.servers, func(s *server) bool {
+		dropped := drop(s)
+		if dropped && s.withdrawn {
+			m.deletedWithdrawn.add(s.id)
+		}
+		return dropped
+	})
 	if len(m.servers) < before {
 		m.serverByID = nil
 		m.serverSetsValid = false
--- a/balancer/manager.go
+++ b/balancer/manager.go
@@ -29,6 +29,8 @@
 	tables    []*table     // by number: the partitions of the first zone, then those of the second, and so on
 	zonePairs [][]zonePair // indexed by the zone of the proxies, then by the zone of the servers
 
+	deletedWithdrawn withdrawnServers
+
 	partitioned       bool // partitionsPerZone has its final value
 	partitionsPerZone int
 
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -112,6 +112,7 @@
 		zone:         zone,
 		partition:    m.partitionForServer(zone),
 		weight:       endpoint.Weight,
+		withdrawn:    m.deletedWithdrawn.remove(endpoint.Server),
 		warmUpFrom:   m.now,
 		inFlight:     inFlightUnknown,
 		health:       1,
