Log when admission is limited because no server is warm

Cause: levels fall without a line of the log while no server is warm; event=admission_limit speaks of observed load only.

Change: event=warming_capacity with the share that is admitted, when the limit begins and when it ends.

Test: TestLogRecordFieldsAndValues.

--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -123,6 +123,7 @@
 // recordWarmingShares records which share of all requests the targets give to warming servers, and which share these can
 // take.
 func (m *Manager) recordWarmingShares(totals targetTotals, totalRate, listedWeight float64) {
+	limited := m.warmingCapacityShare < 1
 	m.fleetWarmingShare = 1
 	m.warmingCapacityShare = 1
 	switch {
@@ -131,6 +132,11 @@
 	case listedWeight > 0:
 		m.warmingCapacityShare = min(1, maxWarmingShareIncrease*m.usableWeight()/listedWeight)
 	}
+	if limited != (m.warmingCapacityShare < 1) {
+		m.log(EventWarmingCapacity,
+			numberField("share", m.warmingCapacityShare, 2),
+			countField("warming_up", m.currentServerSets().warmingUp))
+	}
 }
 
 // serverTarget returns a server's target in units of listed weight, which serverTargets scales to requests per second,
--- a/balancer/log_record.go
+++ b/balancer/log_record.go
@@ -31,6 +31,9 @@
 	// EventDrainDelayed has server (the one that has waited longest to be withdrawn), waited_seconds, waiting (number of
 	// such servers), cause, and messages (most messages that a proxy using the server was sent within the window).
 	EventDrainDelayed LogEvent = "drain_delayed"
+	// EventWarmingCapacity has share (of all requests that the servers can take while none is warm; 1: no longer limited) and
+	// warming_up (number of servers in their warm-up).
+	EventWarmingCapacity LogEvent = "warming_capacity"
 	// EventEmptyTable has table, zone_local (only the zone-local part has no endpoint), waited_seconds (how long its proxies
 	// have had none), cause, targets (number of servers that should get requests) and warming_up (those in their warm-up).
 	EventEmptyTable LogEvent = "empty_table"
--- a/balancer/log_record_test.go
+++ b/balancer/log_record_test.go
@@ -16,6 +16,7 @@
 	EventAdmissionLimit:   {"limit", "offered", "delivered", "load", "failure_rate"},
 	EventZonesPartitioned: {"partitions", "servers", "connection_uses"},
 	EventDrainDelayed:     {"server", "waited_seconds", "waiting", "cause", "messages"},
+	EventWarmingCapacity:  {"share", "warming_up"},
 	EventEmptyTable:       {"table", "zone_local", "waited_seconds", "cause", "targets", "warming_up"},
 }
 
@@ -98,6 +99,17 @@
 		},
 		"event=drain_delayed server=a0 waited_seconds=1.6 waiting=1 cause=message_limit messages=19",
 	},
+	EventWarmingCapacity: {
+		func(m *Manager) {
+			m.now = 3 * time.Second
+			for _, s := range m.servers {
+				s.warmingUp = true
+			}
+			m.redistribute()
+			m.redistribute()
+		},
+		"event=warming_capacity share=0.52 warming_up=6",
+	},
 	EventEmptyTable: {
 		func(m *Manager) {
 			m.now = 10 * time.Second
