Name what a simulated proxy sheds, and share a follower's first frames between tests

Cause: admissionLevels held the shares that are not admitted, the reverse of its name; two tests began with the same four lines.

--- a/client/follow/follower_test.go
+++ b/client/follow/follower_test.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// connectWithHeartbeat accepts a connection of a follower without a version, and sends a heartbeat.
+func (f *runningFollower) connectWithHeartbeat() managerConn {
+	f.t.Helper()
+	conn := f.connect()
+	conn.send("nonce")
+	conn.expect("hello-empty")
+	conn.sendFrame(FrameHeartbeat, "")
+	return conn
+}
+
 func (m managerConn) send(name string) {
 	m.t.Helper()
 	if _, err := m.conn.Write(m.frames[name]); err != nil {
@@ -192,10 +202,7 @@
 // silent.
 func TestFollowerRedialsAfterHeartbeatsStop(t *testing.T) {
 	follower := startFollower(t, 0)
-	first := follower.connect()
-	first.send("nonce")
-	first.expect("hello-empty")
-	first.sendFrame(FrameHeartbeat, "")
+	first := follower.connectWithHeartbeat()
 	first.send("snapshot")
 	first.expect("ack-snapshot")
 	second := follower.connect() // the first one is neither used nor closed by the manager
@@ -207,10 +214,7 @@
 // A snapshot that was requested in vain must not keep a silent connection open.
 func TestSnapshotRequestsDoNotKeepASilentConnection(t *testing.T) {
 	follower := startFollower(t, 0)
-	first := follower.connect()
-	first.send("nonce")
-	first.expect("hello-empty")
-	first.sendFrame(FrameHeartbeat, "")
+	first := follower.connectWithHeartbeat()
 	first.send("unreadable")
 	go io.Copy(io.Discard, first.conn) // the rejection and the requests
 	second := follower.connect()
--- a/internal/faultsim/fleet.go
+++ b/internal/faultsim/fleet.go
@@ -29,7 +29,7 @@
 	assigned    bool // whether it was assigned a table in this session
 	table       balancer.TableID
 	weights     map[balancer.ServerID]float64
-	levels      admissionLevels
+	shed        shedFractions
 	withdrawn   map[balancer.ServerID]bool
 	lastArrival time.Duration   // arrival time of the last message, which may be in the future
 	lastQueued  time.Duration   // when the last message was put into the channel's queue
--- a/internal/faultsim/relay.go
+++ b/internal/faultsim/relay.go
@@ -22,7 +22,7 @@
 // relay holds the state of the relay between the manager and the proxies.
 type relay struct {
 	tables    map[balancer.TableID]map[balancer.ServerID]float64
-	levels    map[balancer.TableID]admissionLevels
+	shed      map[balancer.TableID]shedFractions
 	withdrawn map[balancer.ServerID]bool
 	// unacknowledged holds descriptions of the commands of the last call if the call was executed without a response.
 	// The manager may send these commands again; the repetition must not change anything.
@@ -33,7 +33,7 @@
 func newRelay() relay {
 	return relay{
 		tables:         map[balancer.TableID]map[balancer.ServerID]float64{},
-		levels:         map[balancer.TableID]admissionLevels{},
+		shed:           map[balancer.TableID]shedFractions{},
 		withdrawn:      map[balancer.ServerID]bool{},
 		unacknowledged: map[string]bool{},
 	}
@@ -42,7 +42,7 @@
 // reset discards the state that an earlier manager set.
 func (r *relay) reset() {
 	clear(r.tables)
-	clear(r.levels)
+	clear(r.shed)
 	clear(r.withdrawn)
 	clear(r.unacknowledged)
 }
@@ -231,9 +231,9 @@
 	if level.Classes&nonIdempotentClass != 0 && level.Retry > balancer.RetryIfNotExecuted {
 		e.simulation.rules.fail(RuleNoRepeatedEffect, description, "further tries for a group that must not run twice")
 	}
-	levels := e.simulation.relay.levels
-	levels[level.Table] = levels[level.Table].with(level)
-	e.addChangeOfTable(level.Table, func(p *proxy) { p.levels = p.levels.with(level) })
+	shed := e.simulation.relay.shed
+	shed[level.Table] = shed[level.Table].with(level)
+	e.addChangeOfTable(level.Table, func(p *proxy) { p.shed = p.shed.with(level) })
 }
 
 // addChangeOfTable adds a change with the size of one command to the messages for all proxies of a table.
@@ -270,10 +270,10 @@
 			withdrawn[server] = true
 		}
 	}
-	levels := s.relay.levels[a.Table]
+	shed := s.relay.shed[a.Table]
 	e.addChange(p, float64(size), func(p *proxy) {
 		p.weights = weights
-		p.levels = levels
+		p.shed = shed
 		p.withdrawn = withdrawn
 	})
 }
--- a/internal/faultsim/search_test.go
+++ b/internal/faultsim/search_test.go
@@ -113,14 +113,14 @@
 // A proxy sends only the requests that its admission levels let in.
 func TestAdmissionLevelsLimitTheRequestsOfAProxy(t *testing.T) {
 	first, second := balancer.AdmissionLevel{Classes: 1, Amount: 0.5}, balancer.AdmissionLevel{Classes: 2, Amount: 0}
-	for want, levels := range map[float64]admissionLevels{
+	for want, shed := range map[float64]shedFractions{
 		1:   {},
-		0.6: admissionLevels{}.with(first),
-		0.8: admissionLevels{}.with(second),
-		0.4: admissionLevels{}.with(first).with(second),
+		0.6: shedFractions{}.with(first),
+		0.8: shedFractions{}.with(second),
+		0.4: shedFractions{}.with(first).with(second),
 	} {
-		if got := levels.admittedFraction(); math.Abs(got-want) > 1e-9 {
-			t.Errorf("levels %v admit %v of the requests, want %v", levels, got, want)
+		if got := shed.admittedFraction(); math.Abs(got-want) > 1e-9 {
+			t.Errorf("shed fractions %v admit %v of the requests, want %v", shed, got, want)
 		}
 	}
 }
--- a/internal/faultsim/traffic.go
+++ b/internal/faultsim/traffic.go
@@ -28,7 +28,7 @@
 				totalWeight += p.weights[server.id]
 			}
 		}
-		admittedRate := s.scenario.RequestRate * p.levels.admittedFraction()
+		admittedRate := s.scenario.RequestRate * p.shed.admittedFraction()
 		for _, server := range s.servers {
 			if weight := p.weights[server.id]; weight > 0 && !p.withdrawn[server.id] {
 				server.rateByZone[p.zone] += admittedRate * weight / totalWeight
@@ -37,25 +37,25 @@
 	}
 }
 
-// admissionLevels holds, for each traffic class with an admission level, the share of its requests that a proxy does not
-// admit. Its zero value admits all requests.
-type admissionLevels [len(fleetmodel.ClassFractions)]float64
+// shedFractions holds the fraction of the requests of each traffic class that a proxy does not admit. Its zero value admits
+// all requests.
+type shedFractions [len(fleetmodel.ClassFractions)]float64
 
-// with returns the levels after a command that sets the level of some classes.
-func (l admissionLevels) with(level balancer.AdmissionLevel) admissionLevels {
-	for class := range l {
+// with returns the fractions after a command that sets the admission level of some classes.
+func (f shedFractions) with(level balancer.AdmissionLevel) shedFractions {
+	for class := range f {
 		if level.Classes&(1<<class) != 0 {
-			l[class] = 1 - min(1, level.Amount)
+			f[class] = 1 - min(1, level.Amount)
 		}
 	}
-	return l
+	return f
 }
 
 // admittedFraction returns the fraction of all requests that a proxy admits.
-func (l admissionLevels) admittedFraction() float64 {
+func (f shedFractions) admittedFraction() float64 {
 	admitted := 0.0
 	for class, fraction := range fleetmodel.ClassFractions {
-		admitted += fraction * (1 - l[class])
+		admitted += fraction * (1 - f[class])
 	}
 	return admitted
 }
