--- a/balancer/distribution.go
+++ b/balancer/distribution.go
@@ -123,7 +123,7 @@
 // recordWarmingShares records which share of all requests the targets give to warming servers, and which share these can
 // take.
 func (m *Manager) recordWarmingShares(totals targetTotals, totalRate, listedWeight float64) {
-	limited := m.warmingCapacityShare < 1
+	previous := m.warmingCapacityShare
 	m.fleetWarmingShare = 1
 	m.warmingCapacityShare = 1
 	switch {
@@ -132,13 +132,17 @@
 	case listedWeight > 0:
 		m.warmingCapacityShare = min(1, maxWarmingShareIncrease*m.usableWeight()/listedWeight)
 	}
-	if limited != (m.warmingCapacityShare < 1) {
-		m.log(EventWarmingCapacity,
-			numberField("share", m.warmingCapacityShare, 2),
-			countField("warming_up", m.currentServerSets().warmingUp))
+	if (previous < 1) != (m.warmingCapacityShare < 1) {
+		m.logWarmingCapacity()
 	}
 }
 
+func (m *Manager) logWarmingCapacity() {
+	m.log(EventWarmingCapacity,
+		numberField("share", m.warmingCapacityShare, 2),
+		countField("warming_up", m.currentServerSets().warmingUp))
+}
+
 // serverTarget returns a server's target in units of listed weight, which serverTargets scales to requests per second,
 // and the band around it.
 func (m *Manager) serverTarget(s *server) serverTarget {
--- a/balancer/draining.go
+++ b/balancer/draining.go
@@ -106,25 +106,28 @@
 	m.updateTableIndex()
 	returning := m.currentServerSets().returning
 	for _, s := range returning {
-		priority := urgentPriority
 		needed := m.restoresEndpoint(s)
-		if needed {
-			priority = drainPriority
-		}
-		if !m.mayRestore(s, needed) {
-			continue
-		}
-		commands := 1.0
-		if m.isFirstEndpoint(s) && m.queuedCommands() > 0 {
-			commands = float64(len(returning)) // alone, the server would get all requests of the table
-		}
-		if m.fits(m.proxiesUsing(s), commands, priority) {
+		if m.mayRestore(s, needed) && m.restoreFits(s, needed, len(returning)) {
 			return s
 		}
 	}
 	return nil
 }
 
+// restoreFits reports whether the channel has room for a restore. The first endpoint of a table needs room for the restores
+// of all returning servers, unless nothing is queued: alone, it would get all requests of the table.
+func (m *Manager) restoreFits(s *server, needed bool, returning int) bool {
+	priority := urgentPriority
+	if needed {
+		priority = drainPriority
+	}
+	commands := 1.0
+	if m.isFirstEndpoint(s) && m.queuedCommands() > 0 {
+		commands = float64(returning)
+	}
+	return m.fits(m.proxiesUsing(s), commands, priority)
+}
+
 // mayRestore reports whether a withdrawn server may get requests again. A server whose weight must first be lowered in some
 // table has to wait, because it would get requests by its old weight. A pin and a pause of slow start do not hold back a
 // server that is needed because a table has no endpoint.
--- a/balancer/indexes.go
+++ b/balancer/indexes.go
@@ -84,7 +84,7 @@
 	return m.proxyByID[id]
 }
 
-// deleteServers deletes the servers for which drop returns true, except that they are withdrawn.
+// deleteServers deletes the state of the servers for which drop returns true, but keeps the ids of those that are withdrawn.
 func (m *Manager) deleteServers(drop func(*server) bool) {
 	m.cheapestAssignCost = 0
 	before := len(m.servers)
--- a/balancer/publishing.go
+++ b/balancer/publishing.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 const (
@@ -18,52 +17,6 @@
 	defaultWeightScale = 100
 )
 
-// publication is the state of publishing the tables: idle, due, or blocked. A blocked publication is due, but the
-// channel has no room for changes that restore an invariant (see invariantChange).
-type publication struct {
-	due             bool
-	urgent          bool          // must not wait until the next tick
-	outdated        bool          // the endpoint list, the pin or the contents of the tables changed after the last distribution
-	blockedAt       time.Duration // when the publication was last blocked
-	smallestBlocked blockedChange // smallest change without room; no proxies: not blocked by the queue
-	messageLimited  bool          // blocked by the message limit of a proxy
-}
-
-// blockedChange is the size of a change that restores an invariant and found no room in the channel.
-type blockedChange struct {
-	proxies  int     // number of recipients
-	commands float64 // number of commands for each of them
-}
-
-func (c blockedChange) total() float64 { return float64(c.proxies) * c.commands }
-
-// markDue makes the publication due. A blocked publication is tried again.
-func (p *publication) markDue() {
-	p.due = true
-	p.clearBlocked()
-}
-
-func (p *publication) clearBlocked() {
-	p.smallestBlocked = blockedChange{}
-	p.messageLimited = false
-}
-
-// begin clears the due and blocked states; invariant changes that find no room during the publication block it again.
-func (p *publication) begin() {
-	p.due = false
-	p.clearBlocked()
-}
-
-// block keeps the publication due until the smallest change without room fits, the next retry if a message limit blocks
-// it, or the next tick.
-func (p *publication) block(now time.Duration) {
-	p.due = true
-	p.blockedAt = now
-}
-
-// end finishes the publication, which stays urgent only if it is blocked.
-func (p *publication) end() { p.urgent = p.urgent && p.due }
-
 // changePriority determines the order in which changes are published and how much of the channel they may use.
 type changePriority int
 
@@ -77,6 +30,14 @@
 	invariantChange
 )
 
+// channelPriority returns the priority with which a change uses the channel.
+func (p changePriority) channelPriority() priority {
+	if p == invariantChange {
+		return drainPriority
+	}
+	return normalPriority
+}
+
 // tableChange is a change of a weight in a table, or of an admission level if no server is named.
 type tableChange struct {
 	EndpointWeight
@@ -194,11 +155,7 @@
 }
 
 func (m *Manager) publishLevel(round *publishRound, change tableChange) {
-	priority := normalPriority
-	if change.priority == invariantChange {
-		priority = drainPriority
-	}
-	if !m.reserveChange(round, change.Table, 1, priority) {
+	if !m.reserveChange(round, change.Table, 1, change.priority.channelPriority()) {
 		m.tables[change.Table].levelsPublished = false
 		return
 	}
@@ -208,10 +165,6 @@
 func (m *Manager) publishWeight(round *publishRound, change tableChange, s *server) {
 	t := m.tables[change.Table]
 	commands := m.weightCommands(t, s)
-	priority := normalPriority
-	if change.priority == invariantChange {
-		priority = drainPriority
-	}
 	emptiesTable := m.emptiesTable(t, s, change.Weight)
 	overloads := m.overloadsWarmingServer(t, s, change.Weight, m.otherUsableWeight(t, s))
 	switch {
@@ -224,7 +177,7 @@
 		round.changes = append(round.changes, deferredChange)
 	case overloads:
 		round.joint = append(round.joint, change.EndpointWeight)
-	case emptiesTable || !m.reserveChange(round, change.Table, commands, priority):
+	case emptiesTable || !m.reserveChange(round, change.Table, commands, change.priority.channelPriority()):
 		round.incomplete = true
 		s.decreasePending = s.decreasePending || change.Weight < t.publishedWeights[s.id]
 	default:
@@ -276,14 +229,6 @@
 	}
 }
 
-// noteBlocked records a change that found no room, and whether a message limit is the cause.
-func (p *publication) noteBlocked(change blockedChange, messageLimited bool) {
-	p.messageLimited = p.messageLimited || messageLimited
-	if p.smallestBlocked.proxies == 0 || change.total() < p.smallestBlocked.total() {
-		p.smallestBlocked = change
-	}
-}
-
 // weightChanges returns the changes of a table's weights, scaled to match its published weights. It never empties a
 // table: a table without target shares stays as it is.
 func (m *Manager) weightChanges(id TableID) []tableChange {
@@ -300,8 +245,8 @@
 		}
 		published := t.publishedWeights[s.id]
 		weight := math.Round(t.targetShares[s.id]*scale*weightSteps) / weightSteps
-		if m.hasZoneLocalClasses() && s.ejected && weight > published && m.anyUsable() && !(published == 0 && m.isLastResort(s)) {
-			continue // an ejected server kept by keepZoneLocalServers gets no more than its published weight
+		if weight > published && !m.mayRaise(s, published) {
+			continue
 		}
 		if !m.weightDiffers(t, published, weight) {
 			continue
@@ -316,6 +261,15 @@
 	return changes
 }
 
+// mayRaise reports whether a server's published weight may be raised. An ejected server that keepZoneLocalServers adds to a
+// table keeps its published weight; it gets a first one only as the last resort of its zone.
+func (m *Manager) mayRaise(s *server, published float64) bool {
+	if !s.ejected || !m.hasZoneLocalClasses() || !m.anyUsable() {
+		return true
+	}
+	return published == 0 && m.isLastResort(s)
+}
+
 // weightDiffers reports whether a weight must be published: always if a server is added or removed, on any change in a
 // pinned table, and otherwise if the change exceeds the weight tolerance.
 func (m *Manager) weightDiffers(t *table, published, weight float64) bool {
