--- a/internal/faultsim/empty_tables_test.go
+++ b/internal/faultsim/empty_tables_test.go
@@ -35,9 +35,9 @@
 		seeds    []uint64
 	}{
 		{"empty table, drains", manyDrainsScenario(t, 20), []uint64{922, 1347}},
-		{"empty table, lost zone", coldFleetScenario(t), []uint64{2164}},
+		{"empty table, lost zone", coldFleetScenario(t), []uint64{2164, 3182, 4537, 5665, 5809, 6959, 6981, 7262, 7494, 8363}},
 		{"overloaded server, lost zone", coldFleetScenario(t), []uint64{701, 735, 1433, 2000, 2474, 2564, 2659, 2688, 2956}},
-		{"overloaded server, with admission levels", coldFleetScenario(t), []uint64{469, 1414, 2070}},
+		{"overloaded server, with admission levels", coldFleetScenario(t), []uint64{469, 1414, 2070, 3429, 4196, 4364, 4487, 6080, 7529}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for _, seed := range test.seeds {
